--- /dev/null
+++ b/src/ibisjunction/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API, version 1."""
--- /dev/null
+++ b/src/ibisjunction/admin/model.py
@@ -0,0 +1,45 @@
+"""Requests and answers of the administration API."""
+
+import msgspec
+
+
+class PublishRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/revisions``; ``files`` maps names to texts."""
+
+    base_revision: int
+    publication_id: str
+    files: dict[str, str]
+
+
+class PublishAnswer(msgspec.Struct, frozen=True):
+    """The revision that the publication became."""
+
+    revision: int
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """Why a call had no effect, and what to do next."""
+
+    error: str
+
+
+class GrantStatus(msgspec.Struct, frozen=True):
+    """Number of shards that one upstream owns."""
+
+    upstream: str
+    service: str
+    address: str
+    shards: int
+    dispatcher: str | None
+    draining: bool
+
+
+class StatusAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/status``."""
+
+    vm: str
+    ready: bool
+    revision: int
+    index: int
+    vms: list[str]
+    upstreams: list[GrantStatus]
--- /dev/null
+++ b/src/ibisjunction/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for upstreams and callers, and the load tool."""
--- /dev/null
+++ b/src/ibisjunction/bench/command.py
@@ -0,0 +1,94 @@
+"""The ``ibisjunction-bench`` command."""
+
+import asyncio
+import logging
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from ibisjunction.bench.demo import run_demo
+from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
+
+
+@cappa.command(name='upstream')
+@dataclass
+class UpstreamCommand:
+    """Run a stand-in for an upstream until SIGTERM."""
+
+    name: Annotated[str, cappa.Arg(long=True)]
+    service: Annotated[str, cappa.Arg(long=True)]
+    token: Annotated[str, cappa.Arg(long=True)]
+    records: Annotated[Path, cappa.Arg(long=True)]
+    announce_to: Annotated[list[str], cappa.Arg(long=True)]
+    failure_domain: Annotated[str, cappa.Arg(long=True)] = 'fd-1'
+    slots: Annotated[int, cappa.Arg(long=True)] = 3
+    service_ms: Annotated[int, cappa.Arg(long=True)] = 2
+    answer_bytes: Annotated[int, cappa.Arg(long=True)] = 128
+    skip_fence_check: Annotated[bool, cappa.Arg(long=True)] = False
+
+    def __call__(self) -> int:
+        """Run until the process is told to stop."""
+        logging.basicConfig(level=logging.INFO)
+        profile = UpstreamProfile(
+            upstream=self.name,
+            service=self.service,
+            failure_domain=self.failure_domain,
+            slots=self.slots,
+            service_ms=self.service_ms,
+            download_bytes=self.answer_bytes,
+            checks_fence=not self.skip_fence_check,
+            announce_to=tuple(self.announce_to),
+            token=self.token,
+            record_file=self.records,
+        )
+        asyncio.run(_run_until_signal(profile))
+        return 0
+
+
+@cappa.command(name='demo')
+@dataclass
+class DemoCommand:
+    """Run a local deployment and send requests through it."""
+
+    def __call__(self) -> int:
+        """Print what happened; the exit code tells whether all went well."""
+        return run_demo(sys.stdout)
+
+
+@cappa.command(name='hop')
+@dataclass
+class HopCommand:
+    """Measure the cost of the hop against direct calls, in one run."""
+
+    requests: Annotated[int, cappa.Arg(long=True)] = 2000
+
+    def __call__(self) -> int:
+        """Print rates and percentiles."""
+        return measure_hop(self.requests, sys.stdout)
+
+
+@cappa.command(name='ibisjunction-bench')
+@dataclass
+class BenchCommand:
+    """Stand-ins, local deployments and measurements."""
+
+    command: cappa.Subcommands[UpstreamCommand | DemoCommand | HopCommand]
+
+
+async def _run_until_signal(profile: UpstreamProfile) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with run_upstream(profile):
+        await stop.wait()
+
+
+def main() -> int:
+    """Run the command line."""
+    return int(cappa.invoke(BenchCommand) or 0)
--- /dev/null
+++ b/src/ibisjunction/bench/demo.py
@@ -0,0 +1,158 @@
+"""The demonstration: a local deployment and requests of all three kinds."""
+
+import asyncio
+from pathlib import Path
+from typing import IO, Final
+
+from tornado.httpclient import AsyncHTTPClient
+
+from ibisjunction.bench.client import (
+    Answer,
+    call,
+    call_admin,
+    decode_body,
+    make_client,
+)
+from ibisjunction.bench.deployment import Deployment, run_deployment
+from ibisjunction.bench.upstream import make_answer
+
+_VM_COUNT: Final = 5
+_UPSTREAMS: Final = 6
+_READY_ATTEMPTS: Final = 200
+_POLL_S: Final = 0.1
+_DOCUMENT_BYTES: Final = 20_000_000
+_SMALL_BYTES: Final = 128
+_EXAMPLES: Final = Path(__file__).parent / 'profiles'
+
+
+def run_demo(output: IO[str]) -> int:
+    """Run both deployments' services and return the exit code."""
+    failures = 0
+    for profile in ('consorcio', 'guild'):
+        failures += _run_profile(profile, output)
+    output.write(f'{failures} requests failed\n')
+    return 1 if failures else 0
+
+
+def read_profile(profile: str) -> dict[str, str]:
+    """Return the service files of a deployment by name."""
+    folder = _EXAMPLES / profile
+    return {
+        path.name: path.read_text() for path in sorted(folder.glob('*.toml'))
+    }
+
+
+def _run_profile(profile: str, output: IO[str]) -> int:
+    with run_deployment(_VM_COUNT) as deployment:
+        output.write(f'{profile}: {_VM_COUNT} daemons in {deployment.folder}\n')
+        start_upstreams(deployment, profile)
+        failures = asyncio.run(_send_requests(deployment, profile, output))
+        codes = deployment.stop_all()
+    stopped = all(code == 0 for code in codes.values())
+    output.write(f'{profile}: all processes stopped cleanly: {stopped}\n')
+    return failures + (not stopped)
+
+
+_SERVICES: Final = {
+    'consorcio': ('mail-log', 'contracts', 'documents'),
+    'guild': ('motions', 'registrations', 'packs'),
+}
+
+
+def start_upstreams(deployment: Deployment, profile: str) -> None:
+    """Start two stand-ins for each service of a deployment."""
+    slots = 3 if profile == 'consorcio' else 4
+    for service in _SERVICES[profile]:
+        is_download = service in {'documents', 'packs'}
+        length = _DOCUMENT_BYTES if is_download else _SMALL_BYTES
+        for number in (1, 2):
+            deployment.start_upstream(
+                f'{service}-{number}',
+                f'--service={service}',
+                f'--slots={slots}',
+                f'--answer-bytes={length}',
+            )
+
+
+async def publish(
+    deployment: Deployment,
+    client: AsyncHTTPClient,
+    profile: str,
+) -> Answer:
+    """Publish the service files of a deployment as its first revision."""
+    return await call_admin(
+        client,
+        'POST',
+        deployment.vms[0].admin,
+        '/v1/revisions',
+        {
+            'base_revision': 0,
+            'publication_id': f'first-{profile}',
+            'files': read_profile(profile),
+        },
+    )
+
+
+async def wait_for(
+    deployment: Deployment,
+    client: AsyncHTTPClient,
+    upstreams: int,
+    owners: int,
+) -> bool:
+    """Wait until each VM is ready and sees this many upstreams and owners."""
+    for _ in range(_READY_ATTEMPTS):
+        answers = [
+            await call_admin(client, 'GET', vm.admin, '/v1/status')
+            for vm in deployment.vms
+        ]
+        if all(_is_as(answer, upstreams, owners) for answer in answers):
+            return True
+        await asyncio.sleep(_POLL_S)
+    return False
+
+
+def _is_as(answer: Answer, upstreams: int, owners: int) -> bool:
+    if answer.status != 200:
+        return False
+    status = decode_body(answer)
+    owning = [entry for entry in status['upstreams'] if entry['shards']]
+    counts = (len(status['upstreams']), len(owning))
+    return status['ready'] and counts == (upstreams, owners)
+
+
+async def _send_requests(
+    deployment: Deployment,
+    profile: str,
+    output: IO[str],
+) -> int:
+    client = make_client()
+    await wait_for(deployment, client, _UPSTREAMS, 0)
+    published = await publish(deployment, client, profile)
+    output.write(f'{profile}: publish {published.status} {published.body!r}\n')
+    if not await wait_for(deployment, client, _UPSTREAMS, _UPSTREAMS):
+        output.write(f'{profile}: not served in time\n')
+        return 1
+    reads, writes, downloads = _SERVICES[profile]
+    failures = 0
+    for number, vm in enumerate(deployment.vms):
+        base = f'http://{vm.http}'
+        for method, target, length in (
+            ('GET', f'/{reads}/key-{number}', _SMALL_BYTES),
+            ('POST', f'/{writes}/key-{number}', _SMALL_BYTES),
+            ('GET', f'/{downloads}/key-{number}', _DOCUMENT_BYTES),
+        ):
+            answer = await call(
+                client,
+                method,
+                base + target,
+                b'content' if method == 'POST' else None,
+                {'Idempotency-Key': f'demo-{number}'},
+            )
+            whole = answer.body == make_answer(target, length)
+            failures += not whole
+            output.write(
+                f'{vm.vm} {method} {target}: {answer.status}'
+                f' {answer.headers.get("Ibis-Verdict")}'
+                f' {len(answer.body)} bytes, whole: {whole}\n',
+            )
+    return failures
--- /dev/null
+++ b/src/ibisjunction/bench/deployment.py
@@ -0,0 +1,161 @@
+"""Starts the shipped daemons and stand-ins as processes on loopback."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+_VOTERS: Final = 5
+_STOP_TIMEOUT_S: Final = 40
+OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
+UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
+
+
+@dataclass(frozen=True, slots=True)
+class VmAddresses:
+    """Where one local daemon listens."""
+
+    vm: str
+    http: str
+    admin: str
+    peer: str
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Running processes of one local deployment."""
+
+    folder: Path
+    vms: list[VmAddresses]
+    processes: dict[str, 'subprocess.Popen[bytes]'] = field(
+        default_factory=dict,
+    )
+
+    def start_vm(self, vm: str) -> None:
+        """Start the daemon of a VM."""
+        settings = self.folder / f'{vm}.toml'
+        self._start(
+            vm,
+            [sys.executable, '-m', 'ibisjunction.daemon', str(settings)],
+        )
+
+    def start_upstream(self, name: str, *arguments: str) -> None:
+        """Start a stand-in for an upstream."""
+        self._start(
+            name,
+            [
+                sys.executable,
+                '-m',
+                'ibisjunction.bench',
+                'upstream',
+                f'--name={name}',
+                f'--token={UPSTREAM_TOKEN}',
+                f'--records={self.folder / name}.jsonl',
+                *(f'--announce-to={vm.admin}' for vm in self.vms),
+                *arguments,
+            ],
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of this deployment."""
+        self.processes[name].send_signal(number)
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop every process and return the exit codes."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        return {
+            name: _wait(process) for name, process in self.processes.items()
+        }
+
+    def _start(self, name: str, command: list[str]) -> None:
+        log_file = self.folder / f'{name}.log'
+        with log_file.open('ab') as log:
+            self.processes[name] = subprocess.Popen(
+                command,
+                stdout=log,
+                stderr=log,
+            )
+
+
+def _wait(process: 'subprocess.Popen[bytes]') -> int:
+    try:
+        return process.wait(_STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
+
+
+@contextlib.contextmanager
+def run_deployment(vm_count: int) -> Iterator[Deployment]:
+    """Start daemons for the duration of the block.
+
+    The first VMs, five at most, hold replicas of the control log. Failure
+    domains are assigned in turn.
+    """
+    with tempfile.TemporaryDirectory(prefix='ibisjunction-') as name:
+        folder = Path(name)
+        vms = [
+            VmAddresses(f'vm-{number}', *_find_addresses(3))
+            for number in range(1, vm_count + 1)
+        ]
+        deployment = Deployment(folder, vms)
+        for number, vm in enumerate(vms):
+            text = _format_settings(vm, f'fd-{number % 4 + 1}', vms, folder)
+            (folder / f'{vm.vm}.toml').write_text(text)
+        try:
+            for vm in vms:
+                deployment.start_vm(vm.vm)
+            yield deployment
+        finally:
+            deployment.stop_all()
+
+
+def _find_addresses(count: int) -> list[str]:
+    """Return free loopback addresses.
+
+    All ports are held while they are collected, so they differ.
+    """
+    with contextlib.ExitStack() as stack:
+        addresses = []
+        for _ in range(count):
+            holder = stack.enter_context(socket.socket())
+            holder.bind(('127.0.0.1', 0))
+            addresses.append(f'127.0.0.1:{holder.getsockname()[1]}')
+        return addresses
+
+
+def _format_settings(
+    vm: VmAddresses,
+    failure_domain: str,
+    vms: list[VmAddresses],
+    folder: Path,
+) -> str:
+    lines = [
+        f'vm = "{vm.vm}"',
+        'region = "local"',
+        f'failure_domain = "{failure_domain}"',
+        f'http = "{vm.http}"',
+        f'admin = "{vm.admin}"',
+        f'peer = "{vm.peer}"',
+        f'data_folder = "{folder / vm.vm}"',
+        f'operator_token = "{OPERATOR_TOKEN}"',
+        f'upstream_token = "{UPSTREAM_TOKEN}"',
+        '[[keys]]',
+        'key_id = "k1"',
+        'secret = "a-shared-key-for-local-use"',
+    ]
+    for voter in vms[:_VOTERS]:
+        lines += [
+            '[[voters]]',
+            f'vm = "{voter.vm}"',
+            f'peer = "{voter.peer}"',
+        ]
+    return '\n'.join(lines) + '\n'
--- /dev/null
+++ b/src/ibisjunction/bench/hop.py
@@ -0,0 +1,141 @@
+"""Measures the cost of the hop through the system, in one run."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import IO, Final
+
+from hdrh.histogram import HdrHistogram
+
+from ibisjunction.bench.client import call_admin, decode_body, make_client
+from ibisjunction.bench.demo import (
+    publish,
+    start_upstreams,
+    wait_for,
+)
+from ibisjunction.bench.deployment import Deployment, run_deployment
+from ibisjunction.clock import SystemClock
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.settings import Address
+from ibisjunction.settings.loader import parse_address
+from ibisjunction.upstreams.connection import ConnectionTask
+from ibisjunction.upstreams.messages import (
+    AnswerEnd,
+    AnswerPart,
+    BodyEnd,
+    BodyPart,
+    Exchange,
+    ExchangeFailed,
+)
+
+_VM_COUNT: Final = 5
+_UPSTREAMS: Final = 6
+_CALLERS: Final = 4
+_MAX_US: Final = 60_000_000
+_FAR_FUTURE_MS: Final = 1 << 60
+_US_PER_NS: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class HopResult:
+    """Rate and latency of one way; times in microseconds."""
+
+    name: str
+    rate_per_s: float
+    p50_us: int
+    p99_us: int
+    failed: int
+
+
+def measure_hop(requests: int, output: IO[str]) -> int:
+    """Compare calls through the system with direct calls."""
+    with run_deployment(_VM_COUNT) as deployment:
+        start_upstreams(deployment, 'consorcio')
+        results = asyncio.run(_measure(deployment, requests))
+    for result in results:
+        output.write(
+            f'{result.name}: {result.rate_per_s:.0f} requests/s,'
+            f' p50 {result.p50_us} us, p99 {result.p99_us} us,'
+            f' {result.failed} failed\n',
+        )
+    return 1 if any(result.failed for result in results) else 0
+
+
+async def _measure(deployment: Deployment, requests: int) -> list[HopResult]:
+    client = make_client()
+    await wait_for(deployment, client, _UPSTREAMS, 0)
+    await publish(deployment, client, 'consorcio')
+    await wait_for(deployment, client, _UPSTREAMS, _UPSTREAMS)
+    status = decode_body(
+        await call_admin(client, 'GET', deployment.vms[0].admin, '/v1/status'),
+    )
+    direct = [
+        parse_address(entry['address'])
+        for entry in status['upstreams']
+        if entry['service'] == 'mail-log'
+    ]
+    routed = [parse_address(vm.http) for vm in deployment.vms]
+    return [
+        await _drive('direct', direct, requests),
+        await _drive('routed', routed, requests),
+    ]
+
+
+async def _drive(
+    name: str,
+    addresses: list[Address],
+    requests: int,
+) -> HopResult:
+    histogram = HdrHistogram(1, _MAX_US, 3)
+    numbers = iter(range(requests))
+    started = time.perf_counter()
+    failures = await asyncio.gather(
+        *(
+            _run_caller(addresses[caller % len(addresses)], numbers, histogram)
+            for caller in range(_CALLERS)
+        ),
+    )
+    elapsed = time.perf_counter() - started
+    return HopResult(
+        name,
+        requests / elapsed,
+        histogram.get_value_at_percentile(50),
+        histogram.get_value_at_percentile(99),
+        sum(failures),
+    )
+
+
+async def _run_caller(
+    address: Address,
+    numbers: Iterator[int],
+    histogram: HdrHistogram,
+) -> int:
+    connection = ConnectionTask(address, SystemClock())
+    task = asyncio.create_task(connection.run())
+    failed = 0
+    for number in numbers:
+        started = time.perf_counter_ns()
+        is_whole = await _call_once(connection, f'/mail-log/key-{number}')
+        elapsed_us = (time.perf_counter_ns() - started) // _US_PER_NS
+        histogram.record_value(elapsed_us)
+        failed += not is_whole
+    task.cancel()
+    return failed
+
+
+async def _call_once(connection: ConnectionTask, target: str) -> bool:
+    body: Mailbox[BodyPart] = Mailbox()
+    answers: Mailbox[AnswerPart] = Mailbox()
+    body.post(BodyEnd())
+    connection.mailbox.post(
+        Exchange(
+            'GET', target, (('Host', 'x'),), _FAR_FUTURE_MS, body, answers
+        ),
+    )
+    while True:
+        match await answers.get():
+            case AnswerEnd():
+                return True
+            case ExchangeFailed():
+                return False
--- /dev/null
+++ b/src/ibisjunction/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/src/ibisjunction/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated control log and the state it yields."""
--- /dev/null
+++ b/src/ibisjunction/control/commands.py
@@ -0,0 +1,119 @@
+"""Commands of the control log."""
+
+from dataclasses import dataclass
+
+from ibisjunction.control.records import UpstreamRecord, VmRecord
+
+
+@dataclass(frozen=True, slots=True)
+class RegisterVm:
+    """Adds a VM or replaces its record after a restart."""
+
+    record: VmRecord
+
+
+@dataclass(frozen=True, slots=True)
+class RemoveVm:
+    """Removes a VM whose lease has run out."""
+
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceUpstream:
+    """Adds an upstream or replaces its record after a restart."""
+
+    record: UpstreamRecord
+
+
+@dataclass(frozen=True, slots=True)
+class DrainUpstream:
+    """Marks an upstream as leaving."""
+
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class RemoveUpstream:
+    """Removes an upstream that owns no shard."""
+
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class AssignDispatcher:
+    """Makes a VM the dispatcher of an upstream under a new epoch."""
+
+    upstream: str
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class AssignShards:
+    """Grants shards that have no owner, each under a new fence."""
+
+    service: str
+    upstream: str
+    shards: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BeginMove:
+    """Starts the planned move of a shard away from its owner."""
+
+    service: str
+    shard: int
+    fence: int
+    to_upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class CompleteMove:
+    """Ends the ownership under ``fence``; the former owner has released it."""
+
+    service: str
+    shard: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class PublishRevision:
+    """Replaces the service files if ``base_revision`` is the current one.
+
+    ``files`` maps file names to their text.
+    """
+
+    base_revision: int
+    publication_id: str
+    files: dict[str, str]
+
+
+Command = (
+    RegisterVm
+    | RemoveVm
+    | AnnounceUpstream
+    | DrainUpstream
+    | RemoveUpstream
+    | AssignDispatcher
+    | AssignShards
+    | BeginMove
+    | CompleteMove
+    | PublishRevision
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The command took effect; ``revision`` is set for publications."""
+
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The command changed nothing; ``detail`` tells the operator why."""
+
+    detail: str
+
+
+CommandOutcome = Accepted | Rejected
--- /dev/null
+++ b/src/ibisjunction/control/messages.py
@@ -0,0 +1,70 @@
+"""Messages about the control log.
+
+Commands travel in the encoding in which the log stores them.
+"""
+
+from dataclasses import dataclass
+
+from ibisjunction.control.state import ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeCommand:
+    """Asks for a command to be committed; sent to a voter."""
+
+    proposal_id: str
+    command: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ProposalResult:
+    """Answers :class:`ProposeCommand` once the command was applied."""
+
+    proposal_id: str
+    accepted: bool
+    revision: int = 0
+    detail: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class CommittedEntries:
+    """Committed commands; the first has index ``first_index``."""
+
+    first_index: int
+    commands: list[bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """The whole state after the entry with ``index``, encoded."""
+
+    index: int
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ControlView:
+    """Published inside a daemon each time its copy of the state changes."""
+
+    index: int
+    state: ControlState
+
+
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """Published inside a voter when it starts or stops leading."""
+
+    is_leader: bool
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class LiveVms:
+    """Published inside the leader: the VMs whose lease may still run.
+
+    ``settled`` is false until a new leader has waited out the leases that its
+    predecessor may have renewed; no VM is treated as lost before.
+    """
+
+    vms: frozenset[str]
+    settled: bool
--- /dev/null
+++ b/src/ibisjunction/control/records.py
@@ -0,0 +1,71 @@
+"""Records that make up the control state."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class VmRecord:
+    """A VM of the system.
+
+    ``peer`` and ``http`` are ``host:port``. ``incarnation`` differs for each
+    start of the daemon.
+    """
+
+    vm: str
+    peer: str
+    http: str
+    region: str
+    failure_domain: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRecord:
+    """An upstream as it announced itself.
+
+    ``slots`` is the number of requests it runs at a time and ``connections``
+    the number of connections it accepts. ``checks_fence`` says whether it
+    compares the fence of each request with its grant.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    connections: int
+    checks_fence: bool
+    incarnation: int
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DispatcherRecord:
+    """The VM that may issue tickets for an upstream, and its epoch."""
+
+    upstream: str
+    vm: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Ownership of one shard.
+
+    ``moving_to`` is set between the start of a planned move and its end; no
+    ticket is issued for the shard meanwhile.
+    """
+
+    service: str
+    shard: int
+    upstream: str
+    fence: int
+    moving_to: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Publication:
+    """The outcome of one publication: the revision it became."""
+
+    publication_id: str
+    revision: int
--- /dev/null
+++ b/src/ibisjunction/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: assembly, start and graceful shutdown."""
--- /dev/null
+++ b/src/ibisjunction/daemon/__main__.py
@@ -0,0 +1,7 @@
+"""Lets ``python -m ibisjunction.daemon`` run the daemon."""
+
+import sys
+
+from ibisjunction.daemon.command import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/ibisjunction/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, limits and tickets of the upstreams that a VM dispatches for."""
--- /dev/null
+++ b/src/ibisjunction/events.py
@@ -0,0 +1,62 @@
+"""Numbered log events.
+
+Each routing or placement decision is one log line that starts with the event's
+number. ``docs/log-events.md`` explains every number; a test compares the two.
+"""
+
+import enum
+import logging
+
+
+class Event(enum.Enum):
+    """An event with its stable number and short name.
+
+    Numbers are never reused: 1xx process, 2xx control log, 3xx membership,
+    4xx placement and ownership, 5xx dispatch, 6xx routing, 7xx upstreams,
+    8xx peers, 9xx configuration and terms.
+    """
+
+    DAEMON_STARTED = (101, 'daemon started')
+    DAEMON_DRAINING = (102, 'daemon is draining')
+    DAEMON_STOPPED = (103, 'daemon stopped')
+    LEASE_HELD = (301, 'VM lease obtained')
+    LEASE_LOST = (302, 'VM lease ran out')
+    VM_REGISTERED = (303, 'VM registered')
+    VM_LOST = (304, 'VM lost')
+    DISPATCHER_ASSIGNED = (401, 'dispatcher assigned')
+    SHARDS_ASSIGNED = (402, 'shards assigned')
+    MOVE_STARTED = (403, 'move started')
+    MOVE_COMPLETED = (404, 'move completed')
+    GRANT_ACCEPTED = (405, 'upstream accepted its grants')
+    GRANT_FAILED = (406, 'upstream did not accept its grants')
+    TICKET_GRANTED = (501, 'ticket granted')
+    TICKET_REFUSED = (502, 'ticket refused')
+    REQUEST_ROUTED = (601, 'request routed')
+    REQUEST_ANSWERED = (602, 'request answered')
+    REQUEST_REFUSED = (603, 'request refused')
+    REQUEST_FAILED = (604, 'request failed')
+    UPSTREAM_ANNOUNCED = (701, 'upstream announced')
+    UPSTREAM_DRAINING = (702, 'upstream is draining')
+    UPSTREAM_REMOVED = (703, 'upstream removed')
+    MESSAGE_REJECTED = (801, 'peer message rejected')
+    PEER_REDIALLED = (802, 'peer link redialled')
+    REVISION_PUBLISHED = (901, 'revision published')
+    PUBLICATION_REJECTED = (902, 'publication rejected')
+
+    def __init__(self, number: int, summary: str) -> None:
+        """Store the number and the summary of the member."""
+        self.number = number
+        self.summary = summary
+
+
+def log_event(
+    logger: logging.Logger,
+    event: Event,
+    level: int = logging.INFO,
+    **fields: object,
+) -> None:
+    """Write one line: number, summary and ``name=value`` fields."""
+    if not logger.isEnabledFor(level):
+        return
+    details = ' '.join(f'{name}={text!s}' for name, text in fields.items())
+    logger.log(level, 'E%d %s %s', event.number, event.summary, details)
--- /dev/null
+++ b/src/ibisjunction/mailbox.py
@@ -0,0 +1,89 @@
+"""Mailboxes and the lifetime of tasks.
+
+A task owns its sockets and its state. Other tasks reach it only by putting a
+message into its mailbox.
+"""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, Generic, TypeVar
+
+_Message = TypeVar('_Message')
+
+_logger = logging.getLogger(__name__)
+
+
+class Mailbox(Generic[_Message]):
+    """A queue of messages with one reader.
+
+    :param capacity: number of messages from which on :meth:`put` waits; 0
+        means no bound.
+    """
+
+    def __init__(self, capacity: int = 0) -> None:
+        """Create an empty mailbox."""
+        self._queue: asyncio.Queue[_Message] = asyncio.Queue()
+        self._capacity = capacity
+        self._has_room = asyncio.Event()
+        self._has_room.set()
+        self._is_closed = False
+
+    def post(self, message: _Message) -> None:
+        """Add a message without waiting, even to a full mailbox."""
+        if self._is_closed:
+            return
+        self._queue.put_nowait(message)
+        self._update_room()
+
+    async def put(self, message: _Message) -> None:
+        """Add a message, waiting while the mailbox is full."""
+        await self._has_room.wait()
+        self.post(message)
+
+    async def get(self) -> _Message:
+        """Remove and return the oldest message, waiting for one."""
+        message = await self._queue.get()
+        self._update_room()
+        return message
+
+    def close(self) -> None:
+        """Drop all messages, now and later, and release waiting senders."""
+        self._is_closed = True
+        while not self._queue.empty():
+            self._queue.get_nowait()
+        self._has_room.set()
+
+    def _update_room(self) -> None:
+        if self._capacity and self._queue.qsize() >= self._capacity:
+            self._has_room.clear()
+        else:
+            self._has_room.set()
+
+
+@contextlib.asynccontextmanager
+async def run_task(
+    coroutine: Coroutine[Any, Any, None],
+    name: str,
+) -> AsyncIterator['asyncio.Task[None]']:
+    """Run a coroutine as a task for the duration of the block.
+
+    A task that ends with an exception is logged when it happens. On exit the
+    task is cancelled and awaited.
+    """
+    task = asyncio.create_task(coroutine, name=name)
+    task.add_done_callback(_log_failure)
+    try:
+        yield task
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def _log_failure(task: 'asyncio.Task[None]') -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        _logger.error('task %s failed', task.get_name(), exc_info=error)
--- /dev/null
+++ b/src/ibisjunction/membership/__init__.py
@@ -0,0 +1,1 @@
+"""VM leases and the heartbeats that renew them."""
--- /dev/null
+++ b/src/ibisjunction/membership/messages.py
@@ -0,0 +1,39 @@
+"""Messages about VM leases."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sent by each daemon to the voters; the leader answers.
+
+    ``sent_at`` is the sender's clock and comes back in the answer.
+    """
+
+    vm: str
+    incarnation: int
+    sent_at: int
+    applied_index: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenewal:
+    """The leader's answer to a heartbeat.
+
+    The lease lasts ``lease_ms`` from ``sent_at`` on the VM's own clock, and
+    only once the VM has applied the log up to ``committed_index``.
+    """
+
+    incarnation: int
+    sent_at: int
+    lease_ms: int
+    term: int
+    committed_index: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseExtended:
+    """Published inside a daemon: its VM lease holds until ``until_ms``."""
+
+    until_ms: int
--- /dev/null
+++ b/src/ibisjunction/membership/task.py
@@ -0,0 +1,130 @@
+"""Sends heartbeats, holds the VM lease and keeps the control state's copy."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.control.messages import (
+    CommittedEntries,
+    ControlView,
+    StateSnapshot,
+)
+from ibisjunction.control.replica import Replica
+from ibisjunction.events import Event, log_event
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.leases import VmLease
+from ibisjunction.membership.messages import (
+    Heartbeat,
+    LeaseExtended,
+    LeaseRenewal,
+)
+from ibisjunction.peers.link import PeerNetwork, Received
+from ibisjunction.settings import Settings
+from ibisjunction.settings.loader import parse_address
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatDue:
+    """Tells the task to send its next heartbeat."""
+
+
+class MembershipTask:
+    """The VM's side of membership.
+
+    ``listeners`` receive :class:`ControlView` and :class:`LeaseExtended`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        clock: Clock,
+        peers: PeerNetwork,
+        listeners: list[Mailbox[Any]],
+    ) -> None:
+        """Subscribe to the messages of the leader."""
+        self._settings = settings
+        self._incarnation = incarnation
+        self._clock = clock
+        self._peers = peers
+        self._listeners = listeners
+        self._replica = Replica()
+        self._lease = VmLease(incarnation, settings.timing.clock_error)
+        self._was_held = False
+        self.mailbox: Mailbox[Any] = Mailbox()
+        peers.subscribe(
+            self.mailbox,
+            LeaseRenewal,
+            CommittedEntries,
+            StateSnapshot,
+        )
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            self.handle(await self.mailbox.get())
+
+    async def run_timer(self) -> None:
+        """Post a heartbeat request at each interval until cancelled."""
+        interval = to_seconds(self._settings.timing.heartbeat_ms)
+        while True:
+            self.mailbox.post(HeartbeatDue())
+            await asyncio.sleep(interval)
+
+    def handle(self, message: Any) -> None:
+        """Process one message."""
+        match message:
+            case HeartbeatDue():
+                self._send_heartbeat()
+                self._report_lease()
+            case Received(message=LeaseRenewal() as renewal):
+                if self._lease.renew(renewal, self._replica.index):
+                    self._publish_lease()
+            case Received(message=CommittedEntries() as entries):
+                self._publish_state(self._replica.apply_entries(entries))
+            case Received(message=StateSnapshot() as snapshot):
+                self._publish_state(self._replica.install_snapshot(snapshot))
+
+    def _send_heartbeat(self) -> None:
+        heartbeat = Heartbeat(
+            vm=self._settings.vm,
+            incarnation=self._incarnation,
+            sent_at=self._clock.now(),
+            applied_index=self._replica.index,
+            revision=self._replica.state.revision,
+        )
+        for voter in self._settings.voters:
+            self._peers.send(voter.vm, heartbeat)
+
+    def _publish_state(self, changed: bool) -> None:
+        if not changed:
+            return
+        view = self._replica.view()
+        self._learn_addresses(view)
+        self._notify(view)
+        if self._lease.advance(self._replica.index):
+            self._publish_lease()
+
+    def _learn_addresses(self, view: ControlView) -> None:
+        for record in view.state.vms.values():
+            self._peers.set_address(record.vm, parse_address(record.peer))
+
+    def _publish_lease(self) -> None:
+        self._notify(LeaseExtended(self._lease.until_ms))
+        self._report_lease()
+
+    def _report_lease(self) -> None:
+        is_held = self._lease.is_held(self._clock.now())
+        if is_held == self._was_held:
+            return
+        self._was_held = is_held
+        event = Event.LEASE_HELD if is_held else Event.LEASE_LOST
+        log_event(_logger, event, vm=self._settings.vm)
+
+    def _notify(self, message: object) -> None:
+        for listener in self._listeners:
+            listener.post(message)
--- /dev/null
+++ b/src/ibisjunction/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the daemons of the system."""
--- /dev/null
+++ b/src/ibisjunction/peers/codec.py
@@ -0,0 +1,69 @@
+"""Encoding of messages between daemons.
+
+A message is a frozen data class. On the wire it is a two-element MessagePack
+array: the name of its class and its fields. Only classes that were registered
+are accepted, and every field is validated against its type.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+
+class CodecError(Exception):
+    """Bytes do not hold a known, valid message."""
+
+
+class _Tagged(msgspec.Struct, array_like=True, frozen=True):
+    kind: str
+    body: msgspec.Raw
+
+
+class Codec:
+    """Encodes and decodes the message types it was given."""
+
+    def __init__(self, message_types: Iterable[type[Any]]) -> None:
+        """Register the types by class name.
+
+        :raises ValueError: if two types share a name.
+        """
+        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._tagged = msgspec.msgpack.Decoder(_Tagged)
+        for message_type in message_types:
+            self._register(message_type)
+
+    def encode(self, message: object) -> bytes:
+        """Return the bytes of a message.
+
+        :raises CodecError: if its type was not registered.
+        """
+        kind = type(message).__name__
+        if kind not in self._decoders:
+            raise CodecError(f'message type {kind} is not registered')
+        body = msgspec.Raw(self._encoder.encode(message))
+        return self._encoder.encode(_Tagged(kind, body))
+
+    def decode(self, data: bytes) -> Any:
+        """Return the message that the bytes hold.
+
+        :raises CodecError: if the type is unknown or a field is not valid.
+        """
+        try:
+            tagged = self._tagged.decode(data)
+        except msgspec.DecodeError as error:
+            raise CodecError(f'not a message: {error}') from error
+        decoder = self._decoders.get(tagged.kind)
+        if decoder is None:
+            raise CodecError(f'message type {tagged.kind} is not registered')
+        try:
+            return decoder.decode(tagged.body)
+        except msgspec.DecodeError as error:
+            raise CodecError(f'{tagged.kind}: {error}') from error
+
+    def _register(self, message_type: type[Any]) -> None:
+        kind = message_type.__name__
+        if kind in self._decoders:
+            raise ValueError(f'two message types are named {kind}')
+        self._decoders[kind] = msgspec.msgpack.Decoder(message_type)
--- /dev/null
+++ b/src/ibisjunction/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which VM dispatches for an upstream and who owns each shard."""
--- /dev/null
+++ b/src/ibisjunction/placement/rendezvous.py
@@ -0,0 +1,32 @@
+"""Weighted rendezvous hashing.
+
+Each shard goes to the candidate with the highest score. A change of one
+candidate's weight moves shards only to or from that candidate.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+import xxhash
+
+_HASH_RANGE: Final = 1 << 64
+
+
+def choose_owner(subject: str, weights: Mapping[str, float]) -> str | None:
+    """Return the candidate for a subject, or ``None`` without candidates.
+
+    :param weights: positive weight of each candidate; a candidate receives
+        subjects in proportion to its weight.
+    """
+    return max(
+        weights,
+        key=lambda name: (_score(subject, name, weights[name]), name),
+        default=None,
+    )
+
+
+def _score(subject: str, candidate: str, weight: float) -> float:
+    digest = xxhash.xxh3_64_intdigest(f'{candidate}/{subject}'.encode())
+    uniform = (digest + 1) / (_HASH_RANGE + 1)
+    return -weight / math.log(uniform)
--- /dev/null
+++ b/src/ibisjunction/routing/messages.py
@@ -0,0 +1,60 @@
+"""Messages between a request's task and the routing task."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ibisjunction.dispatch.messages import TicketGranted
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.outcomes import Refused
+from ibisjunction.services.catalog import RequestHead, RouteMatch
+from ibisjunction.settings import Address
+
+
+@dataclass(frozen=True, slots=True)
+class FindRoute:
+    """Asks what the published files say about a request."""
+
+    head: RequestHead
+    reply: Mailbox[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ObtainTicket:
+    """Asks for a ticket of the upstream that owns the request's key."""
+
+    ticket_id: str
+    route: RouteMatch
+    client: str
+    deadline_ms: int
+    reply: Mailbox[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonTicket:
+    """The request ended before its ticket was used."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnTicket:
+    """The request that used the ticket has ended."""
+
+    ticket_id: str
+    succeeded: bool
+    service_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketHeld:
+    """Answers :class:`ObtainTicket`: the request may be sent.
+
+    It must be started before ``start_before_ms``, the end of the VM lease.
+    """
+
+    granted: TicketGranted
+    address: Address
+    start_before_ms: int
+
+
+TicketAnswer = TicketHeld | Refused
--- /dev/null
+++ b/src/ibisjunction/routing/server.py
@@ -0,0 +1,300 @@
+"""The HTTP front end for callers."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Awaitable
+from typing import Any, Final
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from ibisjunction.clock import MS_PER_S, to_seconds
+from ibisjunction.events import Event, log_event
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.outcomes import (
+    Answered,
+    Failed,
+    Outcome,
+    Reason,
+    Refused,
+)
+from ibisjunction.routing.request import (
+    CallerRequest,
+    RequestContext,
+    route_request,
+)
+from ibisjunction.services.catalog import RequestHead
+from ibisjunction.settings import Address
+from ibisjunction.upstreams.messages import (
+    AnswerHead,
+    BodyChunk,
+    BodyEnd,
+    BodyPart,
+    CallerGone,
+)
+from ibisjunction.upstreams.protocol import REQUEST_ID_HEADER
+from ibisjunction.verdict import VERDICT_HEADER, Verdict
+
+_logger = logging.getLogger(__name__)
+
+_BODY_PARTS: Final = 4
+_MAX_BODY_BYTES: Final = 1 << 34
+_CHUNK_BYTES: Final = 1 << 16
+_BAD_REQUEST: Final = 400
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+_BAD_GATEWAY: Final = 502
+_UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
+_DEFAULT_RETRY_AFTER_MS: Final = 1000
+_CONNECTION_HEADERS: Final = frozenset(('connection', 'transfer-encoding'))
+#: Statuses of refusals that a later retry does not change.
+_FINAL_STATUS: Final = {
+    Reason.UNKNOWN_SERVICE: _NOT_FOUND,
+    Reason.UNKNOWN_OPERATION: 405,
+    Reason.MISSING_KEY: _BAD_REQUEST,
+    Reason.BAD_HEADER: _BAD_REQUEST,
+    Reason.IDEMPOTENCY_KEY_REQUIRED: _BAD_REQUEST,
+    Reason.ALREADY_RECORDED: _CONFLICT,
+    Reason.CRASH_LIMIT: 422,
+}
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Accepts callers' connections and starts a task for each request."""
+
+    def __init__(self, context: RequestContext, address: Address) -> None:
+        """Prepare the server; :meth:`start` opens its socket."""
+        self._context = context
+        self._address = address
+        self._server = HTTPServer(
+            self,
+            max_body_size=_MAX_BODY_BYTES,
+            chunk_size=_CHUNK_BYTES,
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_draining = False
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self._server.listen(self._address.port, self._address.host)
+
+    async def drain(self, timeout_ms: int) -> int:
+        """Stop accepting and wait for requests in flight.
+
+        :return: the number of requests cut off at the timeout.
+        """
+        self.is_draining = True
+        self._server.stop()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=to_seconds(timeout_ms))
+        left = len(self._tasks)
+        await self._server.close_all_connections()
+        return left
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Return the receiver of one request."""
+        return _RequestReceiver(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Do nothing; each request learns of the close by itself."""
+
+    def spawn(self, request: CallerRequest) -> 'asyncio.Task[None]':
+        """Start the task of a request."""
+        task = asyncio.create_task(
+            _serve(self._context, request),
+            name=f'request {request.request_id}',
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+class _RequestReceiver(HTTPMessageDelegate):
+    """Turns the parts of a request into messages to its task."""
+
+    def __init__(self, server: CallerServer, connection: Any) -> None:
+        self._server = server
+        self._connection = connection
+        self._body: Mailbox[BodyPart] = Mailbox(_BODY_PARTS)
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Start the request's task; its body is not read yet."""
+        if isinstance(start_line, ResponseStartLine):
+            return
+        has_body = (
+            headers.get('Content-Length', '0') != '0'
+            or 'Transfer-Encoding' in headers
+        )
+        request = CallerRequest(
+            request_id=uuid.uuid4().hex,
+            head=RequestHead(start_line.method, start_line.path, headers),
+            headers=tuple(headers.get_all()),
+            has_body=has_body,
+            body=self._body,
+            caller=_HttpCaller(self._connection, self._server),
+        )
+        self._task = self._server.spawn(request)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass on a part of the body; reading waits until it is taken."""
+        return self._body.put(BodyChunk(chunk))
+
+    def finish(self) -> None:
+        """Pass on the end of the body."""
+        self._body.post(BodyEnd())
+
+    def on_connection_close(self) -> None:
+        """Stop the request's task: its caller has gone."""
+        if self._task is not None:
+            self._task.cancel()
+        self._body.post(CallerGone())
+
+
+class _HttpCaller:
+    """Writes an answer to the caller's connection."""
+
+    def __init__(self, connection: Any, server: CallerServer) -> None:
+        self._connection = connection
+        self._server = server
+        self.has_started = False
+
+    async def send_head(
+        self,
+        head: AnswerHead,
+        request_id: str,
+        verdict: Verdict = Verdict.RAN,
+    ) -> None:
+        headers = HTTPHeaders()
+        for name, text in head.headers:
+            if name.lower() not in _CONNECTION_HEADERS:
+                headers.add(name, text)
+        headers[VERDICT_HEADER] = verdict.value
+        headers[REQUEST_ID_HEADER] = request_id
+        if self._server.is_draining:
+            headers['Connection'] = 'close'
+        self.has_started = True
+        await self._connection.write_headers(
+            ResponseStartLine('HTTP/1.1', head.status, ''),
+            headers,
+        )
+
+    async def send_chunk(self, chunk: bytes) -> None:
+        await self._connection.write(chunk)
+
+    def finish(self) -> None:
+        self._connection.finish()
+
+    def abort(self) -> None:
+        self._connection.stream.close()
+
+
+async def _serve(context: RequestContext, request: CallerRequest) -> None:
+    caller: Any = request.caller
+    try:
+        outcome = await route_request(context, request)
+    except StreamClosedError:
+        outcome = Failed(Reason.CALLER_GONE)
+    finally:
+        request.body.close()
+    _log_outcome(request, outcome)
+    match outcome:
+        case Refused() | Failed() if not caller.has_started:
+            await _send_error(caller, request.request_id, outcome)
+
+
+async def _send_error(
+    caller: _HttpCaller,
+    request_id: str,
+    outcome: Refused | Failed,
+) -> None:
+    text = outcome.reason.value
+    if outcome.detail:
+        text = f'{text}: {outcome.detail}'
+    body = f'{text}\n'.encode()
+    headers = [
+        ('Content-Type', 'text/plain; charset=utf-8'),
+        ('Content-Length', str(len(body))),
+    ]
+    retry_after = _retry_after(outcome)
+    if retry_after is not None:
+        headers.append(('Retry-After', str(retry_after)))
+    try:
+        await caller.send_head(
+            AnswerHead(_status_of(outcome), tuple(headers)),
+            request_id,
+            outcome.verdict,
+        )
+        await caller.send_chunk(body)
+        caller.finish()
+    except StreamClosedError:
+        return
+
+
+def _status_of(outcome: Refused | Failed) -> int:
+    if outcome.reason is Reason.DEADLINE_PASSED:
+        return _GATEWAY_TIMEOUT
+    match outcome:
+        case Refused(reason=reason):
+            return _FINAL_STATUS.get(reason, _UNAVAILABLE)
+        case Failed():
+            return _BAD_GATEWAY
+
+
+def _retry_after(outcome: Refused | Failed) -> int | None:
+    """Return whole seconds after which a retry is safe and may succeed."""
+    match outcome:
+        case Refused(reason=reason, retry_after_ms=delay_ms):
+            if reason in _FINAL_STATUS:
+                return None
+            delay_ms = delay_ms or _DEFAULT_RETRY_AFTER_MS
+            return max(1, round(delay_ms / MS_PER_S))
+        case Failed():
+            return None
+
+
+def _log_outcome(request: CallerRequest, outcome: Outcome) -> None:
+    match outcome:
+        case Answered(status=status, service_ms=service_ms):
+            log_event(
+                _logger,
+                Event.REQUEST_ANSWERED,
+                request=request.request_id,
+                status=status,
+                ms=service_ms,
+            )
+        case Refused(reason=reason, detail=detail):
+            log_event(
+                _logger,
+                Event.REQUEST_REFUSED,
+                request=request.request_id,
+                reason=reason.name,
+                detail=detail,
+            )
+        case Failed(reason=reason, detail=detail, verdict=verdict):
+            log_event(
+                _logger,
+                Event.REQUEST_FAILED,
+                request=request.request_id,
+                reason=reason.name,
+                verdict=verdict.value,
+                detail=detail,
+            )
--- /dev/null
+++ b/src/ibisjunction/services/model.py
@@ -0,0 +1,131 @@
+"""The service file as operators write it, validated at the border."""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from ibisjunction.services.keys import KeyPlace, KeySource
+from ibisjunction.services.spec import (
+    Operation,
+    Rank,
+    RankPolicy,
+    ServiceSpec,
+    TermsLevel,
+)
+
+_Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]*$')]
+_Positive = Annotated[int, msgspec.Meta(gt=0)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Weight = Annotated[float, msgspec.Meta(gt=0)]
+_Shards = Annotated[int, msgspec.Meta(ge=1, le=65536)]
+
+
+class ServiceFileError(Exception):
+    """A service file is not valid; the text names the file and the field."""
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all models: an unknown field is an error."""
+
+
+class _KeyModel(_Strict, frozen=True):
+    source: Literal['path', 'header', 'query']
+    position: Annotated[int, msgspec.Meta(ge=0)] = 0
+    name: str = ''
+
+
+class _OperationModel(_Strict, frozen=True):
+    name: _Name
+    methods: Annotated[list[str], msgspec.Meta(min_length=1)]
+    idempotent: bool
+    rank: Rank
+    timeout_ms: _Positive
+    header: str | None = None
+    header_value: str | None = None
+
+
+class _RankModel(_Strict, frozen=True):
+    target_ms: _Positive
+    worth: _Weight
+    min_share: _Share = 0.0
+
+
+class _TermsModel(_Strict, frozen=True):
+    weight: _Weight
+    max_in_flight: _Positive
+
+
+class _ServiceModel(_Strict, frozen=True):
+    service: _Name
+    path_prefix: Annotated[str, msgspec.Meta(pattern='^/.*/$')]
+    key: _KeyModel
+    operations: Annotated[list[_OperationModel], msgspec.Meta(min_length=1)]
+    ranks: dict[Rank, _RankModel]
+    terms: Annotated[list[_TermsModel], msgspec.Meta(min_length=1)]
+    shards: _Shards = 64
+    clients: dict[str, int] = {}
+
+
+def parse_service_file(text: str, name: str) -> ServiceSpec:
+    """Parse the text of a service file.
+
+    :param text: TOML.
+    :param name: file name, used in messages.
+    :raises ServiceFileError: if the text is not a valid service file.
+    """
+    try:
+        model = msgspec.toml.decode(text, type=_ServiceModel)
+    except msgspec.DecodeError as error:
+        raise ServiceFileError(f'{name}: {error}') from error
+    _check_consistency(model, name)
+    return _to_spec(model)
+
+
+def _check_consistency(model: _ServiceModel, name: str) -> None:
+    missing = [rank.value for rank in Rank if rank not in model.ranks]
+    if missing:
+        raise ServiceFileError(f'{name}: ranks: missing {", ".join(missing)}')
+    total_share = sum(rank.min_share for rank in model.ranks.values())
+    if total_share > 1:
+        raise ServiceFileError(
+            f'{name}: ranks: min_share adds up to {total_share}, at most 1',
+        )
+    if model.key.source != 'path' and not model.key.name:
+        raise ServiceFileError(
+            f'{name}: key.name: required for source {model.key.source}',
+        )
+
+
+def _to_spec(model: _ServiceModel) -> ServiceSpec:
+    return ServiceSpec(
+        service=model.service,
+        path_prefix=model.path_prefix,
+        shards=model.shards,
+        key=KeySource(
+            KeyPlace(model.key.source),
+            model.key.position,
+            model.key.name,
+        ),
+        operations=tuple(map(_to_operation, model.operations)),
+        ranks={
+            rank: RankPolicy(policy.target_ms, policy.worth, policy.min_share)
+            for rank, policy in model.ranks.items()
+        },
+        terms=tuple(
+            TermsLevel(level.weight, level.max_in_flight)
+            for level in model.terms
+        ),
+        client_levels=dict(model.clients),
+    )
+
+
+def _to_operation(model: _OperationModel) -> Operation:
+    return Operation(
+        name=model.name,
+        methods=frozenset(model.methods),
+        idempotent=model.idempotent,
+        rank=model.rank,
+        timeout_ms=model.timeout_ms,
+        header=model.header,
+        header_value=model.header_value,
+    )
--- /dev/null
+++ b/src/ibisjunction/services/spec.py
@@ -0,0 +1,80 @@
+"""The published specification of one service, as data classes."""
+
+import enum
+from dataclasses import dataclass
+
+from ibisjunction.services.keys import KeySource
+
+
+class Rank(enum.Enum):
+    """How urgent a request is; the value is the name used in service files."""
+
+    URGENT = 'urgent'
+    STANDARD = 'standard'
+    DEFERRABLE = 'deferrable'
+
+
+@dataclass(frozen=True, slots=True)
+class RankPolicy:
+    """Target, worth and guaranteed share of one rank.
+
+    ``target_ms`` is the latency within which an answer counts as good,
+    ``worth`` its relative value, and ``min_share`` the fraction of slots (0 to
+    1) the rank keeps while others flood in.
+    """
+
+    target_ms: int
+    worth: float
+    min_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """One kind of request of a service.
+
+    The operation applies to a request whose method is in ``methods`` and, if
+    ``header`` is set, which carries that header with ``header_value``.
+    ``timeout_ms`` is the deadline when the caller states none.
+    """
+
+    name: str
+    methods: frozenset[str]
+    idempotent: bool
+    rank: Rank
+    timeout_ms: int
+    header: str | None = None
+    header_value: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TermsLevel:
+    """What a client is given at one level of the ladder.
+
+    ``weight`` is its share inside a rank relative to other clients, and
+    ``max_in_flight`` bounds its concurrent requests at one upstream.
+    """
+
+    weight: float
+    max_in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """Everything operators published about one service.
+
+    ``shards`` is the number of hash ranges its keys are divided into.
+    ``client_levels`` gives the level a client starts at; others start at 0.
+    """
+
+    service: str
+    path_prefix: str
+    shards: int
+    key: KeySource
+    operations: tuple[Operation, ...]
+    ranks: dict[Rank, RankPolicy]
+    terms: tuple[TermsLevel, ...]
+    client_levels: dict[str, int]
+
+    def terms_for(self, level: int) -> TermsLevel:
+        """Return the terms at ``level``, or the top of the ladder above it."""
+        return self.terms[min(level, len(self.terms) - 1)]
--- /dev/null
+++ b/src/ibisjunction/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams and the protocol they speak."""
--- /dev/null
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -0,0 +1,96 @@
+"""The HTTP protocol between the system and an upstream.
+
+An upstream announces itself to any VM with ``POST /v1/upstreams``. Its
+dispatcher calls ``PUT /ibis/grants`` there. The grant lease is counted on the
+upstream's own clock from the reading that the call echoes, so a delayed call
+never extends it.
+"""
+
+from typing import Final
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPHeaders
+
+from ibisjunction.clock import to_seconds
+
+SHARD_HEADER: Final = 'Ibis-Shard'
+FENCE_HEADER: Final = 'Ibis-Fence'
+EPOCH_HEADER: Final = 'Ibis-Epoch'
+REQUEST_ID_HEADER: Final = 'Ibis-Request-Id'
+DEADLINE_HEADER: Final = 'Ibis-Deadline-Ms'
+
+
+class UpstreamUnreachableError(Exception):
+    """The upstream did not answer a call as the protocol demands."""
+
+
+class GrantedShard(msgspec.Struct, frozen=True):
+    """One shard that the upstream owns, with its fence."""
+
+    service: str
+    shard: int
+    fence: int
+
+
+class GrantCall(msgspec.Struct, frozen=True):
+    """All grants of an upstream; replaces what it held before.
+
+    ``echo`` is the clock reading of the upstream's last answer, or ``None`` on
+    the first call, which then only obtains a reading.
+    """
+
+    vm: str
+    epoch: int
+    echo: int | None
+    lease_ms: int
+    grants: list[GrantedShard]
+
+
+class GrantAnswer(msgspec.Struct, frozen=True):
+    """The upstream's answer with its clock in milliseconds."""
+
+    accepted: bool
+    clock: int
+    detail: str = ''
+
+
+class Announcement(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """What an upstream tells the system about itself."""
+
+    upstream: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    connections: int
+    checks_fence: bool
+    incarnation: int
+
+
+async def call_grants(
+    address: str,
+    call: GrantCall,
+    timeout_ms: int,
+) -> GrantAnswer:
+    """Send grants to the upstream at ``host:port``.
+
+    :raises UpstreamUnreachableError: without a valid answer in time.
+    """
+    request = HTTPRequest(
+        f'http://{address}/ibis/grants',
+        method='PUT',
+        headers=HTTPHeaders({'Content-Type': 'application/json'}),
+        body=msgspec.json.encode(call),
+        connect_timeout=to_seconds(timeout_ms),
+        request_timeout=to_seconds(timeout_ms),
+    )
+    try:
+        response = await AsyncHTTPClient().fetch(request)
+        return msgspec.json.decode(response.body, type=GrantAnswer)
+    except (HTTPClientError, OSError, msgspec.DecodeError) as error:
+        raise UpstreamUnreachableError(f'{address}: {error}') from error
