--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Two commands do all the set-up: `make demo` and `make test`.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: demo test lint unit
+
+demo: .venv/installed
+	$(BIN)/ibisjunction-bench demo
+
+test: lint unit
+
+lint: .venv/installed
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/flake8 src tests
+	$(BIN)/mypy
+
+unit: .venv/installed
+	$(BIN)/python -m tests.runner
+
+.venv/installed: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
--- a/src/ibisjunction/admin/server.py
+++ b/src/ibisjunction/admin/server.py
@@ -2,7 +2,8 @@
 
 import hmac
 import logging
-from typing import Any, Final, TypeVar
+from http import HTTPStatus
+from typing import Any, TypeVar
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -33,11 +34,6 @@
 _logger = logging.getLogger(__name__)
 _Body = TypeVar('_Body')
 
-_BAD_REQUEST: Final = 400
-_UNAUTHORIZED: Final = 401
-_CONFLICT: Final = 409
-_UNAVAILABLE: Final = 503
-
 
 class AdminContext:
     """What the handlers use."""
@@ -54,7 +50,7 @@
         self.control = control
 
 
-class _Handler(RequestHandler):
+class _ApiHandler(RequestHandler):
     """Base of all handlers: typed bodies and JSON errors."""
 
     def initialize(self, context: AdminContext) -> None:
@@ -71,14 +67,18 @@
                 sender=self.request.remote_ip,
                 detail=f'token for {self.request.path}',
             )
-            raise HTTPError(_UNAUTHORIZED, reason='token is not valid')
+            raise HTTPError(
+                HTTPStatus.UNAUTHORIZED, reason='token is not valid'
+            )
 
     def read_body(self, body_type: type[_Body]) -> _Body:
         """Decode the body."""
         try:
             return msgspec.json.decode(self.request.body, type=body_type)
         except msgspec.DecodeError as error:
-            raise HTTPError(_BAD_REQUEST, reason=str(error)) from error
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST, reason=str(error)
+            ) from error
 
     async def propose(self, command: Command) -> Accepted:
         """Commit a command or answer with the reason it was not."""
@@ -87,10 +87,10 @@
             case Accepted():
                 return outcome
             case Rejected(detail=detail):
-                raise HTTPError(_CONFLICT, reason=detail)
+                raise HTTPError(HTTPStatus.CONFLICT, reason=detail)
             case None:
                 raise HTTPError(
-                    _UNAVAILABLE,
+                    HTTPStatus.SERVICE_UNAVAILABLE,
                     reason='outcome unknown; send the same call again',
                 )
 
@@ -104,27 +104,29 @@
         self.answer(ErrorAnswer(self._reason))
 
 
-class _ReadyHandler(_Handler):
+class _ReadyHandler(_ApiHandler):
     def get(self) -> None:
         if not self.context.task.is_ready():
-            raise HTTPError(_UNAVAILABLE, reason='not ready')
+            raise HTTPError(HTTPStatus.SERVICE_UNAVAILABLE, reason='not ready')
         self.finish('ready\n')
 
 
-class _StatusHandler(_Handler):
+class _StatusHandler(_ApiHandler):
     def get(self) -> None:
         self.check_token(self.context.settings.operator_token)
         self.answer(self.context.task.report_status())
 
 
-class _RevisionsHandler(_Handler):
+class _RevisionsHandler(_ApiHandler):
     async def post(self) -> None:
         self.check_token(self.context.settings.operator_token)
         publish = self.read_body(PublishRequest)
         try:
             parse_collection(publish.files)
         except ServiceFileError as error:
-            raise HTTPError(_BAD_REQUEST, reason=str(error)) from error
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST, reason=str(error)
+            ) from error
         outcome = await self.propose(
             PublishRevision(
                 publish.base_revision,
@@ -141,7 +143,7 @@
         self.answer(PublishAnswer(outcome.revision))
 
 
-class _UpstreamsHandler(_Handler):
+class _UpstreamsHandler(_ApiHandler):
     async def post(self) -> None:
         self.check_token(self.context.settings.upstream_token)
         announcement = self.read_body(Announcement)
@@ -155,15 +157,15 @@
                 service=record.service,
                 address=record.address,
             )
-        self.set_status(204)
+        self.set_status(HTTPStatus.NO_CONTENT)
 
 
-class _DrainHandler(_Handler):
+class _DrainHandler(_ApiHandler):
     async def post(self, upstream: str) -> None:
         self.check_token(self.context.settings.upstream_token)
         await self.propose(DrainUpstream(upstream))
         log_event(_logger, Event.UPSTREAM_DRAINING, upstream=upstream)
-        self.set_status(204)
+        self.set_status(HTTPStatus.NO_CONTENT)
 
 
 def make_admin_server(context: AdminContext) -> HTTPServer:
--- a/src/ibisjunction/bench/client.py
+++ b/src/ibisjunction/bench/client.py
@@ -8,12 +8,15 @@
 
 from ibisjunction.bench.deployment import OPERATOR_TOKEN
 
-_MAX_ANSWER_BYTES: Final = 1 << 30
+_MAX_ANSWER_BYTES: Final = 1024**3
+_TIMEOUT_S: Final = 30.0
+#: Status of an answer that did not arrive, as tornado numbers it.
+NO_ANSWER: Final = 599
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Status, headers and body of an answer; status 599 is no answer."""
+    """Status, headers and body; ``NO_ANSWER`` if none arrived."""
 
     status: int
     headers: dict[str, str]
@@ -42,13 +45,13 @@
         method=method,
         body=body,
         headers=headers or {},
-        request_timeout=30,
+        request_timeout=_TIMEOUT_S,
         allow_nonstandard_methods=True,
     )
     try:
         response = await client.fetch(request, raise_error=False)
     except OSError as error:
-        return Answer(599, {}, str(error).encode())
+        return Answer(NO_ANSWER, {}, str(error).encode())
     return _to_answer(response)
 
 
--- a/src/ibisjunction/bench/demo.py
+++ b/src/ibisjunction/bench/demo.py
@@ -1,7 +1,10 @@
 """The demonstration: a local deployment and requests of all three kinds."""
 
 import asyncio
+from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
+from types import MappingProxyType
 from typing import IO, Final
 
 from tornado.httpclient import AsyncHTTPClient
@@ -13,8 +16,13 @@
     decode_body,
     make_client,
 )
-from ibisjunction.bench.deployment import Deployment, run_deployment
+from ibisjunction.bench.deployment import (
+    Deployment,
+    VmAddresses,
+    run_deployment,
+)
 from ibisjunction.bench.upstream import make_answer
+from ibisjunction.verdict import VERDICT_HEADER
 
 _VM_COUNT: Final = 5
 _UPSTREAMS: Final = 6
@@ -53,10 +61,12 @@
     return failures + (not stopped)
 
 
-_SERVICES: Final = {
-    'consorcio': ('mail-log', 'contracts', 'documents'),
-    'guild': ('motions', 'registrations', 'packs'),
-}
+_SERVICES: Final = MappingProxyType(
+    {
+        'consorcio': ('mail-log', 'contracts', 'documents'),
+        'guild': ('motions', 'registrations', 'packs'),
+    }
+)
 
 
 def start_upstreams(deployment: Deployment, profile: str) -> None:
@@ -112,7 +122,7 @@
 
 
 def _is_as(answer: Answer, upstreams: int, owners: int) -> bool:
-    if answer.status != 200:
+    if answer.status != HTTPStatus.OK:
         return False
     status = decode_body(answer)
     owning = [entry for entry in status['upstreams'] if entry['shards']]
@@ -132,27 +142,53 @@
     if not await wait_for(deployment, client, _UPSTREAMS, _UPSTREAMS):
         output.write(f'{profile}: not served in time\n')
         return 1
+    checks = [
+        await _check_answer(client, vm, method, target, length)
+        for number, vm in enumerate(deployment.vms)
+        for method, target, length in _list_requests(profile, number)
+    ]
+    for check in checks:
+        output.write(f'{check.line}\n')
+    return sum(not check.is_whole for check in checks)
+
+
+@dataclass(frozen=True, slots=True)
+class _Check:
+    line: str
+    is_whole: bool
+
+
+def _list_requests(
+    profile: str,
+    number: int,
+) -> tuple[tuple[str, str, int], ...]:
+    """Return method, target and answer length of one request of each kind."""
     reads, writes, downloads = _SERVICES[profile]
-    failures = 0
-    for number, vm in enumerate(deployment.vms):
-        base = f'http://{vm.http}'
-        for method, target, length in (
-            ('GET', f'/{reads}/key-{number}', _SMALL_BYTES),
-            ('POST', f'/{writes}/key-{number}', _SMALL_BYTES),
-            ('GET', f'/{downloads}/key-{number}', _DOCUMENT_BYTES),
-        ):
-            answer = await call(
-                client,
-                method,
-                base + target,
-                b'content' if method == 'POST' else None,
-                {'Idempotency-Key': f'demo-{number}'},
-            )
-            whole = answer.body == make_answer(target, length)
-            failures += not whole
-            output.write(
-                f'{vm.vm} {method} {target}: {answer.status}'
-                f' {answer.headers.get("Ibis-Verdict")}'
-                f' {len(answer.body)} bytes, whole: {whole}\n',
-            )
-    return failures
+    return (
+        ('GET', f'/{reads}/key-{number}', _SMALL_BYTES),
+        ('POST', f'/{writes}/key-{number}', _SMALL_BYTES),
+        ('GET', f'/{downloads}/key-{number}', _DOCUMENT_BYTES),
+    )
+
+
+async def _check_answer(
+    client: AsyncHTTPClient,
+    vm: VmAddresses,
+    method: str,
+    target: str,
+    length: int,
+) -> _Check:
+    answer = await call(
+        client,
+        method,
+        f'http://{vm.http}{target}',
+        b'content' if method == 'POST' else None,
+        {'Idempotency-Key': f'demo{target}'},
+    )
+    is_whole = answer.body == make_answer(target, length)
+    verdict = answer.headers.get(VERDICT_HEADER)
+    return _Check(
+        f'{vm.vm} {method} {target}: {answer.status} {verdict}'
+        f' {len(answer.body)} bytes, whole: {is_whole}',
+        is_whole,
+    )
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -158,4 +158,4 @@
             f'vm = "{voter.vm}"',
             f'peer = "{voter.peer}"',
         ]
-    return '\n'.join(lines) + '\n'
+    return '\n'.join((*lines, ''))
--- a/src/ibisjunction/bench/hop.py
+++ b/src/ibisjunction/bench/hop.py
@@ -32,6 +32,8 @@
 _VM_COUNT: Final = 5
 _UPSTREAMS: Final = 6
 _CALLERS: Final = 4
+_MEDIAN: Final = 50
+_TAIL: Final = 99
 _MAX_US: Final = 60_000_000
 _FAR_FUTURE_MS: Final = 1 << 60
 _US_PER_NS: Final = 1000
@@ -100,8 +102,8 @@
     return HopResult(
         name,
         requests / elapsed,
-        histogram.get_value_at_percentile(50),
-        histogram.get_value_at_percentile(99),
+        histogram.get_value_at_percentile(_MEDIAN),
+        histogram.get_value_at_percentile(_TAIL),
         sum(failures),
     )
 
--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import IO, Any, Final
 
@@ -20,7 +21,8 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from ibisjunction.bench.grants import GrantBook
-from ibisjunction.clock import Clock, SystemClock, to_seconds
+from ibisjunction.clock import Clock, SystemClock, in_seconds
+from ibisjunction.limits import CHUNK_BYTES
 from ibisjunction.mailbox import run_task
 from ibisjunction.upstreams.protocol import (
     FENCE_HEADER,
@@ -34,8 +36,6 @@
 _logger = logging.getLogger(__name__)
 
 _ANNOUNCE_INTERVAL_MS: Final = 1000
-_CONFLICT: Final = 409
-_CHUNK_BYTES: Final = 1 << 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,8 @@
 def make_answer(target: str, length: int) -> bytes:
     """Return the answer to a target, so that a caller can check it whole."""
     digest = hashlib.sha256(target.encode()).digest()
-    return (digest * (length // len(digest) + 1))[:length]
+    repeats = -(-length // len(digest))
+    return (digest * repeats)[:length]
 
 
 class _Upstream:
@@ -130,11 +131,11 @@
         shard = self.request.headers.get(SHARD_HEADER, '')
         fence = int(self.request.headers.get(FENCE_HEADER, '0'))
         if not self._is_allowed(shard, fence, started_ms):
-            self.set_status(_CONFLICT)
+            self.set_status(HTTPStatus.CONFLICT)
             self.set_header(VERDICT_HEADER, Verdict.NOT_RUN.value)
             return
         async with upstream.slots:
-            await asyncio.sleep(to_seconds(upstream.profile.service_ms))
+            await asyncio.sleep(in_seconds(upstream.profile.service_ms))
             upstream.record(self._describe_run(shard, fence, started_ms))
         await self._send_answer()
 
@@ -171,8 +172,8 @@
         )
         self.set_header('Content-Length', str(len(answer)))
         self.set_header('Content-Type', 'application/octet-stream')
-        for start in range(0, len(answer), _CHUNK_BYTES):
-            self.write(answer[start : start + _CHUNK_BYTES])
+        for start in range(0, len(answer), CHUNK_BYTES):
+            self.write(answer[start : start + CHUNK_BYTES])
             await self.flush()
 
 
@@ -221,7 +222,7 @@
         for address in profile.announce_to:
             if await _announce_to(address, profile.token, announcement):
                 break
-        await asyncio.sleep(to_seconds(_ANNOUNCE_INTERVAL_MS))
+        await asyncio.sleep(in_seconds(_ANNOUNCE_INTERVAL_MS))
 
 
 async def _announce_to(
@@ -239,4 +240,4 @@
         response = await AsyncHTTPClient().fetch(request, raise_error=False)
     except OSError:
         return False
-    return response.code < 300
+    return response.code == HTTPStatus.NO_CONTENT
--- a/src/ibisjunction/clock.py
+++ b/src/ibisjunction/clock.py
@@ -55,6 +55,6 @@
         return self._now_ms
 
 
-def to_seconds(duration_ms: int) -> float:
+def in_seconds(duration_ms: int) -> float:
     """Convert milliseconds to the seconds that asyncio expects."""
     return duration_ms / MS_PER_S
--- a/src/ibisjunction/control/client.py
+++ b/src/ibisjunction/control/client.py
@@ -4,7 +4,7 @@
 import itertools
 from typing import Any, Final
 
-from ibisjunction.clock import to_seconds
+from ibisjunction.clock import in_seconds
 from ibisjunction.control.codec import encode_command
 from ibisjunction.control.commands import (
     Accepted,
@@ -69,14 +69,11 @@
         proposal: ProposeCommand,
         waiter: 'asyncio.Future[CommandOutcome]',
     ) -> CommandOutcome | None:
-        for _ in range(_ATTEMPTS):
+        for _attempt in range(_ATTEMPTS):
             for voter in self._settings.voters:
                 self._peers.send(voter.vm, proposal)
-            done, _ = await asyncio.wait(
-                {waiter},
-                timeout=to_seconds(_ATTEMPT_MS),
-            )
-            if done:
+            await asyncio.wait({waiter}, timeout=in_seconds(_ATTEMPT_MS))
+            if waiter.done():
                 return waiter.result()
         return None
 
--- a/src/ibisjunction/control/replica.py
+++ b/src/ibisjunction/control/replica.py
@@ -31,7 +31,7 @@
         for offset, encoded in enumerate(entries.commands):
             if entries.first_index + offset == self.index + 1:
                 command = decode_command(encoded)
-                self.state, _ = apply_command(self.state, command)
+                self.state = apply_command(self.state, command)[0]
                 self.index += 1
         return self.index > before
 
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.codec import decode_command, encode_state
 from ibisjunction.control.commands import Accepted, CommandOutcome, Rejected
 from ibisjunction.control.messages import (
@@ -72,7 +72,7 @@
     async def run_timer(self) -> None:
         """Post ticks until cancelled."""
         while True:
-            await asyncio.sleep(to_seconds(_TICK_MS))
+            await asyncio.sleep(in_seconds(_TICK_MS))
             self.mailbox.post(Tick())
 
     def handle(self, message: Any) -> None:
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from ibisjunction.admin.server import AdminContext, make_admin_server
 from ibisjunction.admin.task import AdminTask
@@ -30,19 +30,20 @@
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import run_task
+from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.task import MembershipTask
-from ibisjunction.ownership.task import OwnershipTask
+from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
-from ibisjunction.peers.link import PeerTask
+from ibisjunction.peers.link import PeerNetwork, PeerTask
 from ibisjunction.placement.task import PlacementTask
 from ibisjunction.routing.request import RequestContext
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
 from ibisjunction.upstreams.pool import ConnectionPool
+from ibisjunction.upstreams.protocol import call_grants
 
 _logger = logging.getLogger(__name__)
 
@@ -84,104 +85,156 @@
         return await self.callers.drain(self.settings.timing.drain_ms)
 
 
+class RunnableTask(Protocol):
+    """A task with a mailbox."""
+
+    mailbox: Mailbox[Any]
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+
+
+class TimedTask(RunnableTask, Protocol):
+    """A task that also has a timer."""
+
+    async def run_timer(self) -> None:
+        """Post periodic messages until cancelled."""
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonTasks:
+    """The tasks of one daemon; ``voter`` exists on voters only."""
+
+    client: ControlClient
+    admin: AdminTask
+    dispatch: DispatchTask
+    ownership: OwnershipTask
+    routing: RoutingTask
+    placement: PlacementTask
+    membership: MembershipTask
+    voter: ControlTask | None
+
+    def with_timer(self) -> list[TimedTask]:
+        """Return the tasks that post periodic messages to themselves."""
+        timed: list[TimedTask] = [
+            self.membership,
+            self.dispatch,
+            self.ownership,
+        ]
+        return timed if self.voter is None else [*timed, self.voter]
+
+    def all(self) -> list[RunnableTask]:
+        """Return every task."""
+        return [
+            self.client,
+            self.admin,
+            self.routing,
+            self.placement,
+            *self.with_timer(),
+        ]
+
+
+def build_tasks(
+    settings: Settings,
+    incarnation: int,
+    clock: Clock,
+    peers: PeerNetwork,
+    call: GrantCaller,
+) -> DaemonTasks:
+    """Connect the mailboxes of a daemon's tasks."""
+    client = ControlClient(settings, incarnation, peers)
+    admin = AdminTask(settings.vm, clock)
+    dispatch = DispatchTask(settings.vm, clock, peers)
+    ownership = OwnershipTask(settings, clock, dispatch.mailbox, call)
+    routing = RoutingTask(settings.vm, clock, peers)
+    placement = PlacementTask(client)
+    listeners = [
+        task.mailbox
+        for task in (admin, dispatch, ownership, routing, placement)
+    ]
+    voter = None
+    if settings.is_voter:
+        voter = ControlTask(settings, clock, peers, [placement.mailbox])
+    return DaemonTasks(
+        client=client,
+        admin=admin,
+        dispatch=dispatch,
+        ownership=ownership,
+        routing=routing,
+        placement=placement,
+        membership=MembershipTask(
+            settings,
+            incarnation,
+            clock,
+            peers,
+            listeners,
+        ),
+        voter=voter,
+    )
+
+
 @contextlib.asynccontextmanager
 async def run_daemon(settings: Settings) -> AsyncIterator[Daemon]:
     """Run a daemon for the duration of the block."""
     clock = SystemClock()
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
-    peers = PeerTask(
-        settings.vm,
-        incarnation,
-        settings.peer,
-        Codec(PEER_MESSAGES),
-        Authenticator(settings.keys),
-    )
-    for voter in settings.voters:
-        peers.set_address(voter.vm, voter.peer)
+    peers = make_peers(settings, incarnation)
+    tasks = build_tasks(settings, incarnation, clock, peers, call_grants)
     async with contextlib.AsyncExitStack() as stack:
-        control = ControlClient(settings, incarnation, peers)
-        admin = AdminTask(settings.vm, clock)
-        callers = await _start_tasks(
-            stack,
-            settings,
-            incarnation,
-            clock,
-            peers,
-            control,
-            admin,
+        await stack.enter_async_context(peers.run())
+        for task in tasks.all():
+            await stack.enter_async_context(
+                run_task(task.run(), type(task).__name__),
+            )
+        for timed in tasks.with_timer():
+            await stack.enter_async_context(
+                run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
+            )
+        pool = ConnectionPool(clock)
+        stack.push_async_callback(pool.close)
+        server = make_admin_server(
+            AdminContext(settings, tasks.admin, tasks.client),
         )
-        server = make_admin_server(AdminContext(settings, admin, control))
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
-        await control.propose(RegisterVm(_describe_vm(settings, incarnation)))
+        await tasks.client.propose(describe_vm(settings, incarnation))
+        context = RequestContext(
+            clock,
+            tasks.routing.mailbox,
+            pool,
+            random.Random(incarnation),
+        )
+        callers = CallerServer(context, settings.http)
         callers.start()
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
-        yield Daemon(settings, admin, callers)
+        yield Daemon(settings, tasks.admin, callers)
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
-async def _start_tasks(
-    stack: contextlib.AsyncExitStack,
-    settings: Settings,
-    incarnation: int,
-    clock: Clock,
-    peers: PeerTask,
-    control: ControlClient,
-    admin: AdminTask,
-) -> CallerServer:
-    dispatch = DispatchTask(settings.vm, clock, peers)
-    ownership = OwnershipTask(settings, clock, dispatch.mailbox)
-    routing = RoutingTask(settings.vm, clock, peers)
-    placement = PlacementTask(control)
-    listeners = [
-        admin.mailbox,
-        dispatch.mailbox,
-        ownership.mailbox,
-        routing.mailbox,
-        placement.mailbox,
-    ]
-    membership = MembershipTask(
-        settings,
+def make_peers(settings: Settings, incarnation: int) -> PeerTask:
+    """Return the peer sockets of a daemon, not yet open."""
+    peers = PeerTask(
+        settings.vm,
         incarnation,
-        clock,
-        peers,
-        listeners,
-    )
-    pool = ConnectionPool(clock)
-    stack.push_async_callback(pool.close)
-    await stack.enter_async_context(peers.run())
-    tasks: list[Any] = [control, admin, dispatch, ownership, routing, placement]
-    if settings.is_voter:
-        voter = ControlTask(settings, clock, peers, [placement.mailbox])
-        tasks.append(voter)
-        await stack.enter_async_context(
-            run_task(voter.run_timer(), 'control timer'),
-        )
-    for task in tasks:
-        await stack.enter_async_context(
-            run_task(task.run(), type(task).__name__),
-        )
-    for timed in (membership, dispatch, ownership):
-        await stack.enter_async_context(
-            run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
-        )
-    await stack.enter_async_context(run_task(membership.run(), 'membership'))
-    context = RequestContext(
-        clock,
-        routing.mailbox,
-        pool,
-        random.Random(incarnation),
+        settings.peer,
+        Codec(PEER_MESSAGES),
+        Authenticator(settings.keys),
     )
-    return CallerServer(context, settings.http)
-
-
-def _describe_vm(settings: Settings, incarnation: int) -> VmRecord:
-    return VmRecord(
-        vm=settings.vm,
-        peer=str(settings.peer),
-        http=str(settings.http),
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        incarnation=incarnation,
+    for voter in settings.voters:
+        peers.set_address(voter.vm, voter.peer)
+    return peers
+
+
+def describe_vm(settings: Settings, incarnation: int) -> RegisterVm:
+    """Return the command that registers this VM."""
+    return RegisterVm(
+        VmRecord(
+            vm=settings.vm,
+            peer=str(settings.peer),
+            http=str(settings.http),
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            incarnation=incarnation,
+        ),
     )
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import ControlView
 from ibisjunction.dispatch.dispatcher import Dispatcher, SendToVm
 from ibisjunction.dispatch.messages import (
@@ -59,7 +59,7 @@
     async def run_timer(self) -> None:
         """Post ticks until cancelled."""
         while True:
-            await asyncio.sleep(to_seconds(_TICK_MS))
+            await asyncio.sleep(in_seconds(_TICK_MS))
             self.mailbox.post(Tick())
 
     def handle(self, message: Any) -> None:
@@ -109,10 +109,12 @@
         self._carry_out(effects)
 
     def _refuse(self, received: Received) -> None:
-        match received.message:
-            case TicketRequest(ticket_id=ticket_id):
-                refusal = TicketRefused(ticket_id, Reason.NOT_DISPATCHER)
-                self._carry_out([SendToVm(received.sender, refusal)])
+        if isinstance(received.message, TicketRequest):
+            refusal = TicketRefused(
+                received.message.ticket_id,
+                Reason.NOT_DISPATCHER,
+            )
+            self._carry_out([SendToVm(received.sender, refusal)])
 
     def _carry_out(self, effects: Iterable[SendToVm]) -> None:
         for effect in effects:
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -58,5 +58,6 @@
     """Write one line: number, summary and ``name=value`` fields."""
     if not logger.isEnabledFor(level):
         return
-    details = ' '.join(f'{name}={text!s}' for name, text in fields.items())
-    logger.log(level, 'E%d %s %s', event.number, event.summary, details)
+    details = [f'{name}={value}' for name, value in fields.items()]
+    line = ' '.join((f'E{event.number}', event.summary, *details))
+    logger.log(level, '%s', line)
--- /dev/null
+++ b/src/ibisjunction/limits.py
@@ -0,0 +1,8 @@
+"""Limits of HTTP messages, in bytes."""
+
+from typing import Final
+
+#: Largest part of a body handled at a time, 64 KiB.
+CHUNK_BYTES: Final = 65536
+#: Largest body accepted, 16 GiB; bodies are streamed and never held whole.
+MAX_BODY_BYTES: Final = 17179869184
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import (
     CommittedEntries,
     ControlView,
@@ -70,7 +70,7 @@
 
     async def run_timer(self) -> None:
         """Post a heartbeat request at each interval until cancelled."""
-        interval = to_seconds(self._settings.timing.heartbeat_ms)
+        interval = in_seconds(self._settings.timing.heartbeat_ms)
         while True:
             self.mailbox.post(HeartbeatDue())
             await asyncio.sleep(interval)
--- a/src/ibisjunction/ownership/task.py
+++ b/src/ibisjunction/ownership/task.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import ControlView
 from ibisjunction.control.records import Grant, UpstreamRecord
 from ibisjunction.dispatch.messages import GrantsFailed, GrantsInForce
@@ -18,12 +19,15 @@
     GrantCall,
     GrantedShard,
     UpstreamUnreachableError,
-    call_grants,
 )
 
 _logger = logging.getLogger(__name__)
 
 
+#: Sends a call to an address within a timeout in milliseconds.
+GrantCaller = Callable[[str, GrantCall, int], Awaitable[GrantAnswer]]
+
+
 @dataclass(frozen=True, slots=True)
 class RenewalDue:
     """Tells the task to send all grants again."""
@@ -47,8 +51,10 @@
         settings: Settings,
         clock: Clock,
         dispatch: Mailbox[Any],
+        call: GrantCaller,
     ) -> None:
         """Report results to the mailbox of the dispatch task."""
+        self._call_upstream = call
         self._settings = settings
         self._clock = clock
         self._dispatch = dispatch
@@ -65,7 +71,7 @@
 
     async def run_timer(self) -> None:
         """Post renewals until cancelled."""
-        interval = to_seconds(self._settings.timing.grant_renewal_ms)
+        interval = in_seconds(self._settings.timing.grant_renewal_ms)
         while True:
             await asyncio.sleep(interval)
             self.mailbox.post(RenewalDue())
@@ -124,7 +130,7 @@
         timeout_ms = self._settings.timing.grant_lease_ms
         sent_at = self._clock.now()
         try:
-            answer = await call_grants(record.address, call, timeout_ms)
+            answer = await self._call_upstream(record.address, call, timeout_ms)
         except UpstreamUnreachableError as error:
             self.mailbox.post(
                 GrantsFailed(record.upstream, call.epoch, str(error)),
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -4,6 +4,7 @@
 peer in use. Messages may be lost; senders repeat what matters.
 """
 
+import asyncio
 import contextlib
 import logging
 from collections.abc import AsyncIterator
@@ -14,7 +15,7 @@
 import pynng
 
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import Mailbox, run_task
+from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec, CodecError
 from ibisjunction.settings import Address
@@ -53,6 +54,9 @@
         """Set where a VM listens; an unchanged address keeps the link."""
 
 
+_Mailboxes = list[Mailbox[Any]]
+
+
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
     """What crosses the wire around a message."""
 
@@ -85,7 +89,7 @@
         self._last_heard: dict[str, tuple[int, int]] = {}
         self._addresses: dict[str, Address] = {}
         self._senders: dict[str, pynng.Push0] = {}
-        self._subscribers: dict[type[Any], list[Mailbox[Any]]] = {}
+        self._subscribers: dict[type, _Mailboxes] = {}
 
     def subscribe(
         self,
@@ -119,13 +123,16 @@
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
         """Listen for peers for the duration of the block."""
-        with pynng.Pull0(listen=f'tcp://{self._listen}') as listener:
-            async with run_task(self._receive(listener), 'peers'):
-                try:
-                    yield
-                finally:
-                    for vm in tuple(self._senders):
-                        self._close_sender(vm)
+        listener = pynng.Pull0(listen=f'tcp://{self._listen}')
+        receiver = asyncio.create_task(self._receive(listener), name='peers')
+        try:
+            yield
+        finally:
+            # Closing the socket ends the task. Cancelling it may not: pynng
+            # drops a cancellation that races with a received message.
+            listener.close()
+            await receiver
+            self._close_senders()
 
     async def _receive(self, listener: pynng.Pull0) -> None:
         while True:
@@ -203,6 +210,10 @@
         self._senders[vm] = sender
         return sender
 
+    def _close_senders(self) -> None:
+        for vm in tuple(self._senders):
+            self._close_sender(vm)
+
     def _close_sender(self, vm: str) -> None:
         sender = self._senders.pop(vm, None)
         if sender is not None:
--- a/src/ibisjunction/placement/rendezvous.py
+++ b/src/ibisjunction/placement/rendezvous.py
@@ -10,7 +10,8 @@
 
 import xxhash
 
-_HASH_RANGE: Final = 1 << 64
+_HASH_BITS: Final = 64
+_HASH_RANGE: Final = 1 << _HASH_BITS
 
 
 def choose_owner(subject: str, weights: Mapping[str, float]) -> str | None:
--- a/src/ibisjunction/placement/task.py
+++ b/src/ibisjunction/placement/task.py
@@ -28,6 +28,8 @@
         self._control = control
         self._view: ControlView | None = None
         self._is_leader = False
+        self._revision = 0
+        self._shards: dict[str, int] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
 
     async def run(self) -> None:
@@ -46,12 +48,11 @@
         if not self._is_leader or self._view is None:
             return
         state = self._view.state
-        specs = parse_collection(state.files)
-        known = PlacementInput(
-            state=state,
-            live_vms=live_vms,
-            shards={spec.service: spec.shards for spec in specs},
-        )
+        if state.revision != self._revision:
+            specs = parse_collection(state.files)
+            self._shards = {spec.service: spec.shards for spec in specs}
+            self._revision = state.revision
+        known = PlacementInput(state, live_vms, self._shards)
         for command in plan_commands(known):
             _log_command(command)
             await self._control.propose(command)
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -6,9 +6,10 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, Final, Protocol
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import (
     Answered,
@@ -169,7 +170,7 @@
             case GiveUp(outcome=final):
                 return final
             case RetryAfter(delay_ms=delay_ms):
-                await asyncio.sleep(to_seconds(delay_ms))
+                await asyncio.sleep(in_seconds(delay_ms))
 
 
 def _is_unsent(outcome: Outcome) -> bool:
@@ -206,7 +207,7 @@
     async with _ticket(context, ticket_id) as use:
         remaining_ms = max(0, deadline_ms - context.clock.now())
         try:
-            async with asyncio.timeout(to_seconds(remaining_ms)):
+            async with asyncio.timeout(in_seconds(remaining_ms)):
                 answer = await reply.get()
         except TimeoutError:
             return Refused(Reason.DEADLINE_PASSED)
@@ -294,7 +295,7 @@
     async with context.pool.borrow(ticket.address) as connection:
         connection.mailbox.post(exchange)
         try:
-            async with asyncio.timeout(to_seconds(deadline_ms - started_ms)):
+            async with asyncio.timeout(in_seconds(deadline_ms - started_ms)):
                 head = await exchange.answers.get()
         except TimeoutError:
             return Failed(Reason.DEADLINE_PASSED)
@@ -316,14 +317,15 @@
     verdict = parse_verdict(headers.get(VERDICT_HEADER.lower()))
     if verdict is not Verdict.NOT_RUN:
         return None
-    if head.status == 409:
+    if head.status == HTTPStatus.CONFLICT:
         return Refused(Reason.UPSTREAM_FENCED)
     return Refused(Reason.UPSTREAM_SHED)
 
 
 async def _discard(answers: Mailbox[AnswerPart]) -> None:
-    while not isinstance(await answers.get(), AnswerEnd | ExchangeFailed):
-        continue
+    part: AnswerPart | None = None
+    while not isinstance(part, AnswerEnd | ExchangeFailed):
+        part = await answers.get()
 
 
 async def _pass_answer(
--- a/src/ibisjunction/routing/server.py
+++ b/src/ibisjunction/routing/server.py
@@ -4,6 +4,8 @@
 import logging
 import uuid
 from collections.abc import Awaitable
+from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, Final
 
 from tornado.httpserver import HTTPServer
@@ -17,8 +19,9 @@
 )
 from tornado.iostream import StreamClosedError
 
-from ibisjunction.clock import MS_PER_S, to_seconds
+from ibisjunction.clock import MS_PER_S, in_seconds
 from ibisjunction.events import Event, log_event
+from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import (
     Answered,
@@ -47,26 +50,20 @@
 _logger = logging.getLogger(__name__)
 
 _BODY_PARTS: Final = 4
-_MAX_BODY_BYTES: Final = 1 << 34
-_CHUNK_BYTES: Final = 1 << 16
-_BAD_REQUEST: Final = 400
-_NOT_FOUND: Final = 404
-_CONFLICT: Final = 409
-_BAD_GATEWAY: Final = 502
-_UNAVAILABLE: Final = 503
-_GATEWAY_TIMEOUT: Final = 504
 _DEFAULT_RETRY_AFTER_MS: Final = 1000
 _CONNECTION_HEADERS: Final = frozenset(('connection', 'transfer-encoding'))
 #: Statuses of refusals that a later retry does not change.
-_FINAL_STATUS: Final = {
-    Reason.UNKNOWN_SERVICE: _NOT_FOUND,
-    Reason.UNKNOWN_OPERATION: 405,
-    Reason.MISSING_KEY: _BAD_REQUEST,
-    Reason.BAD_HEADER: _BAD_REQUEST,
-    Reason.IDEMPOTENCY_KEY_REQUIRED: _BAD_REQUEST,
-    Reason.ALREADY_RECORDED: _CONFLICT,
-    Reason.CRASH_LIMIT: 422,
-}
+_FINAL_STATUS: Final = MappingProxyType(
+    {
+        Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+        Reason.UNKNOWN_OPERATION: HTTPStatus.METHOD_NOT_ALLOWED,
+        Reason.MISSING_KEY: HTTPStatus.BAD_REQUEST,
+        Reason.BAD_HEADER: HTTPStatus.BAD_REQUEST,
+        Reason.IDEMPOTENCY_KEY_REQUIRED: HTTPStatus.BAD_REQUEST,
+        Reason.ALREADY_RECORDED: HTTPStatus.CONFLICT,
+        Reason.CRASH_LIMIT: HTTPStatus.UNPROCESSABLE_ENTITY,
+    }
+)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -78,8 +75,8 @@
         self._address = address
         self._server = HTTPServer(
             self,
-            max_body_size=_MAX_BODY_BYTES,
-            chunk_size=_CHUNK_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            chunk_size=CHUNK_BYTES,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_draining = False
@@ -96,7 +93,7 @@
         self.is_draining = True
         self._server.stop()
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=to_seconds(timeout_ms))
+            await asyncio.wait(self._tasks, timeout=in_seconds(timeout_ms))
         left = len(self._tasks)
         await self._server.close_all_connections()
         return left
@@ -216,9 +213,8 @@
     finally:
         request.body.close()
     _log_outcome(request, outcome)
-    match outcome:
-        case Refused() | Failed() if not caller.has_started:
-            await _send_error(caller, request.request_id, outcome)
+    if not isinstance(outcome, Answered) and not caller.has_started:
+        await _send_error(caller, request.request_id, outcome)
 
 
 async def _send_error(
@@ -251,12 +247,12 @@
 
 def _status_of(outcome: Refused | Failed) -> int:
     if outcome.reason is Reason.DEADLINE_PASSED:
-        return _GATEWAY_TIMEOUT
+        return HTTPStatus.GATEWAY_TIMEOUT
     match outcome:
         case Refused(reason=reason):
-            return _FINAL_STATUS.get(reason, _UNAVAILABLE)
+            return _FINAL_STATUS.get(reason, HTTPStatus.SERVICE_UNAVAILABLE)
         case Failed():
-            return _BAD_GATEWAY
+            return HTTPStatus.BAD_GATEWAY
 
 
 def _retry_after(outcome: Refused | Failed) -> int | None:
--- a/src/ibisjunction/services/model.py
+++ b/src/ibisjunction/services/model.py
@@ -1,6 +1,6 @@
 """The service file as operators write it, validated at the border."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 
@@ -17,7 +17,8 @@
 _Positive = Annotated[int, msgspec.Meta(gt=0)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Weight = Annotated[float, msgspec.Meta(gt=0)]
-_Shards = Annotated[int, msgspec.Meta(ge=1, le=65536)]
+_MAX_SHARDS: Final = 65536
+_Shards = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SHARDS)]
 
 
 class ServiceFileError(Exception):
@@ -47,7 +48,7 @@
 class _RankModel(_Strict, frozen=True):
     target_ms: _Positive
     worth: _Weight
-    min_share: _Share = 0.0
+    min_share: _Share = 0
 
 
 class _TermsModel(_Strict, frozen=True):
--- a/src/ibisjunction/upstreams/connection.py
+++ b/src/ibisjunction/upstreams/connection.py
@@ -21,7 +21,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from ibisjunction.clock import Clock, to_seconds
+from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.outcomes import Reason
 from ibisjunction.settings import Address
@@ -41,10 +42,9 @@
 #: A connection costs about a millisecond; an upstream that takes this long
 #: does not accept connections.
 _CONNECT_TIMEOUT_MS: Final = 250
-_MAX_BODY_BYTES: Final = 1 << 34
 _PARAMETERS: Final = HTTP1ConnectionParameters(
-    chunk_size=1 << 16,
-    max_body_size=_MAX_BODY_BYTES,
+    chunk_size=CHUNK_BYTES,
+    max_body_size=MAX_BODY_BYTES,
 )
 
 
@@ -125,7 +125,7 @@
         self._stream = await TCPClient().connect(
             self._address.host,
             self._address.port,
-            timeout=to_seconds(_CONNECT_TIMEOUT_MS),
+            timeout=in_seconds(_CONNECT_TIMEOUT_MS),
         )
         self._stream.set_nodelay(True)
         return self._stream
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -12,7 +12,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from ibisjunction.clock import to_seconds
+from ibisjunction.clock import in_seconds
 
 SHARD_HEADER: Final = 'Ibis-Shard'
 FENCE_HEADER: Final = 'Ibis-Fence'
@@ -86,8 +86,8 @@
         method='PUT',
         headers=HTTPHeaders({'Content-Type': 'application/json'}),
         body=msgspec.json.encode(call),
-        connect_timeout=to_seconds(timeout_ms),
-        request_timeout=to_seconds(timeout_ms),
+        connect_timeout=in_seconds(timeout_ms),
+        request_timeout=in_seconds(timeout_ms),
     )
     try:
         response = await AsyncHTTPClient().fetch(request)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,91 @@
+"""Runs all tests and compares the failures with ``KNOWN-RED.txt``.
+
+An entry of that file starts with a line ``test: <id>``. The run fails on a red
+test without an entry and on an entry whose test passes or does not exist.
+"""
+
+import re
+import sys
+import unittest
+from pathlib import Path
+from typing import Final
+
+_ROOT: Final = Path(__file__).parent.parent
+_KNOWN_RED: Final = _ROOT / 'KNOWN-RED.txt'
+
+
+def read_known_red(path: Path) -> set[str]:
+    """Return the test ids that the file lists."""
+    if not path.exists():
+        return set()
+    return set(re.findall(r'^test:\s*(\S+)', path.read_text(), re.MULTILINE))
+
+
+def find_disagreements(
+    known_red: set[str],
+    failed: set[str],
+    run: set[str],
+) -> list[str]:
+    """Return a line for each test that does not do what the file says."""
+    return [
+        *(f'not in KNOWN-RED.txt: {name}' for name in failed - known_red),
+        *(f'listed but passes: {name}' for name in (known_red & run) - failed),
+        *(f'listed but not run: {name}' for name in known_red - run),
+    ]
+
+
+class _Recorder(unittest.TextTestResult):
+    """Keeps the ids of all tests and of those that failed."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.run_ids: set[str] = set()
+        self.failed_ids: set[str] = set()
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        super().startTest(test)
+        self.run_ids.add(test.id())
+
+    def addFailure(self, test: unittest.TestCase, err) -> None:  # noqa: N802
+        super().addFailure(test, err)
+        self.failed_ids.add(test.id())
+
+    def addError(self, test: unittest.TestCase, err) -> None:  # noqa: N802
+        super().addError(test, err)
+        self.failed_ids.add(test.id())
+
+    def addSubTest(self, test, subtest, err) -> None:  # noqa: N802
+        super().addSubTest(test, subtest, err)
+        if err is not None:
+            self.failed_ids.add(test.id())
+
+
+def main(arguments: list[str]) -> int:
+    """Run the tests, all or those named, and return the exit code."""
+    loader = unittest.TestLoader()
+    if arguments:
+        suite = loader.loadTestsFromNames(arguments)
+    else:
+        suite = loader.discover(str(_ROOT / 'tests'), top_level_dir=str(_ROOT))
+    runner = unittest.TextTestRunner(resultclass=_Recorder, verbosity=1)
+    recorder = runner.run(suite)
+    known_red = read_known_red(_KNOWN_RED)
+    if arguments:
+        known_red &= recorder.run_ids
+    for name in sorted(known_red):
+        sys.stdout.write(f'known red: {name}\n')
+    disagreements = find_disagreements(
+        known_red,
+        recorder.failed_ids,
+        recorder.run_ids,
+    )
+    for line in sorted(disagreements):
+        sys.stdout.write(f'{line}\n')
+    failed = len(recorder.failed_ids)
+    passed = len(recorder.run_ids) - failed
+    sys.stdout.write(f'{passed} passed, {failed} failed\n')
+    return 1 if disagreements else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_control_state.py
@@ -0,0 +1,149 @@
+"""Tests of the control state."""
+
+import unittest
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from ibisjunction.control.codec import (
+    decode_command,
+    decode_state,
+    encode_command,
+    encode_state,
+)
+from ibisjunction.control.commands import (
+    Accepted,
+    AnnounceUpstream,
+    AssignDispatcher,
+    AssignShards,
+    BeginMove,
+    CompleteMove,
+    DrainUpstream,
+    PublishRevision,
+    RegisterVm,
+    Rejected,
+    RemoveUpstream,
+)
+from ibisjunction.control.state import ControlState, apply_command
+from tests.samples import make_upstream, make_vm
+
+
+def _apply_all(*commands):
+    state = ControlState()
+    for command in commands:
+        state, _ = apply_command(state, command)
+    return state
+
+
+_BASE = (
+    RegisterVm(make_vm()),
+    AnnounceUpstream(make_upstream('up-1')),
+    AnnounceUpstream(make_upstream('up-2')),
+    AssignShards('mail-log', 'up-1', (0, 1)),
+)
+
+
+class ApplyCommandTest(unittest.TestCase):
+    """Guards against a second owner and against reverted configuration."""
+
+    @parameterized.expand(
+        [
+            ('owned shard', AssignShards('mail-log', 'up-2', (1, 2))),
+            ('unknown upstream', AssignShards('mail-log', 'up-9', (5,))),
+            ('old fence', BeginMove('mail-log', 0, 99, 'up-2')),
+            ('not owned', CompleteMove('mail-log', 7, 1)),
+            ('owner removed', RemoveUpstream('up-1')),
+            ('unknown VM', AssignDispatcher('up-1', 'vm-9')),
+            ('old base', PublishRevision(7, 'p', {})),
+            ('unknown drain', DrainUpstream('up-9')),
+        ]
+    )
+    def test_rejects_without_change(self, _name, command):
+        state = _apply_all(*_BASE)
+        after, outcome = apply_command(state, command)
+        self.assertIsInstance(outcome, Rejected)
+        self.assertEqual(after, state)
+
+    def test_move_gives_new_fence(self):
+        state = _apply_all(
+            *_BASE,
+            BeginMove('mail-log', 0, 1, 'up-2'),
+            CompleteMove('mail-log', 0, 1),
+        )
+        grant = state.grant_of('mail-log', 0)
+        self.assertEqual((grant.upstream, grant.fence), ('up-2', 3))
+
+    def test_one_of_two_racing_publications_wins(self):
+        state = _apply_all(PublishRevision(0, 'first', {'a': '1'}))
+        after, outcome = apply_command(
+            state,
+            PublishRevision(0, 'second', {'a': '2'}),
+        )
+        self.assertIsInstance(outcome, Rejected)
+        self.assertIn('revision 1', outcome.detail)
+        self.assertEqual(after.files, {'a': '1'})
+
+    def test_resent_publication_gets_first_outcome(self):
+        state = _apply_all(
+            PublishRevision(0, 'first', {'a': '1'}),
+            PublishRevision(1, 'second', {'a': '2'}),
+        )
+        after, outcome = apply_command(
+            state,
+            PublishRevision(0, 'first', {'a': '1'}),
+        )
+        self.assertEqual(outcome, Accepted(1))
+        self.assertEqual(after.files, {'a': '2'})
+
+
+_upstreams = st.sampled_from(['up-1', 'up-2', 'up-3'])
+_shards = st.integers(0, 3)
+_commands = st.one_of(
+    st.builds(AnnounceUpstream, st.builds(make_upstream, _upstreams)),
+    st.builds(RemoveUpstream, _upstreams),
+    st.builds(
+        AssignShards,
+        st.just('mail-log'),
+        _upstreams,
+        st.tuples(_shards),
+    ),
+    st.builds(
+        BeginMove,
+        st.just('mail-log'),
+        _shards,
+        st.integers(1, 12),
+        _upstreams,
+    ),
+    st.builds(
+        CompleteMove,
+        st.just('mail-log'),
+        _shards,
+        st.integers(1, 12),
+    ),
+)
+
+
+class FenceTest(unittest.TestCase):
+    """Guards against a fence that is issued twice or falls."""
+
+    @seed(1)
+    @settings(max_examples=300, derandomize=True, database=None)
+    @given(st.lists(_commands, max_size=30))
+    def test_each_change_of_owner_has_a_higher_fence(self, commands):
+        state = ControlState()
+        for command in commands:
+            before = state
+            encoded = decode_command(encode_command(command))
+            state, _ = apply_command(state, encoded)
+            state = decode_state(encode_state(state))
+            for shard in range(4):
+                self._check_shard(before, state, shard)
+
+    def _check_shard(self, before, after, shard):
+        old = before.grant_of('mail-log', shard)
+        new = after.grant_of('mail-log', shard)
+        if new is None or (old is not None and old.fence == new.fence):
+            return
+        self.assertGreater(new.fence, before.last_fence)
+        self.assertLessEqual(new.fence, after.last_fence)
--- /dev/null
+++ b/tests/test_runner.py
@@ -0,0 +1,22 @@
+"""Tests of the comparison with KNOWN-RED.txt."""
+
+import unittest
+
+from parameterized import parameterized
+
+from tests.runner import find_disagreements
+
+
+class FindDisagreementsTest(unittest.TestCase):
+    """Guards against a red test that CI passes over unnoticed."""
+
+    @parameterized.expand(
+        [
+            ('all as listed', {'a'}, {'a'}, {'a', 'b'}, []),
+            ('red', set(), {'a'}, {'a'}, ['not in KNOWN-RED.txt: a']),
+            ('green', {'a'}, set(), {'a'}, ['listed but passes: a']),
+            ('gone', {'a'}, set(), {'b'}, ['listed but not run: a']),
+        ]
+    )
+    def test_lines(self, _name, known_red, failed, run, expected):
+        self.assertEqual(find_disagreements(known_red, failed, run), expected)
