Let a dispatcher hold shards, restore tickets and drop lost VMs

Cause: hand-over and take-over need these steps, and the parts that use them are written separately.

--- a/src/ibisjunction/dispatch/dispatcher.py
+++ b/src/ibisjunction/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """The decision to issue tickets for one upstream."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ibisjunction.dispatch.messages import (
@@ -59,6 +60,40 @@
             rank: deque() for rank in Rank
         }
         self._outstanding: dict[str, Outstanding] = {}
+        self._held_shards: frozenset[int] = frozenset()
+
+    def hold_shards(self, shards: frozenset[int]) -> None:
+        """Issue no ticket for these shards until the next call.
+
+        Requests for them wait in the queue.
+        """
+        self._held_shards = shards
+
+    def is_idle(self, shard: int) -> bool:
+        """Return whether no ticket for the shard is outstanding."""
+        return all(
+            ticket.shard != shard for ticket in self._outstanding.values()
+        )
+
+    def restore(self, tickets: Mapping[str, Outstanding]) -> None:
+        """Take over tickets that an earlier dispatcher issued, by id."""
+        self._outstanding.update(tickets)
+
+    def drop_vm(self, vm: str, now: int) -> list[SendToVm]:
+        """Forget what a lost VM asked for or holds.
+
+        Only for a VM whose lease has run out: it sends nothing any more.
+        """
+        self._outstanding = {
+            ticket_id: ticket
+            for ticket_id, ticket in self._outstanding.items()
+            if ticket.vm != vm
+        }
+        for queue in self._queues.values():
+            for queued in tuple(queue):
+                if queued.vm == vm:
+                    queue.remove(queued)
+        return self.issue(now)
 
     def confirm_grants(self, grants: GrantsInForce, now: int) -> list[SendToVm]:
         """Take the grants that the upstream confirmed."""
@@ -102,8 +137,12 @@
         if now >= self._fences_until_ms:
             return effects
         for queue in self._queues.values():
-            while queue and len(self._outstanding) < self._slots:
-                effects.append(self._answer(queue.popleft(), now))
+            for queued in tuple(queue):
+                if len(self._outstanding) >= self._slots:
+                    return effects
+                if queued.request.shard not in self._held_shards:
+                    queue.remove(queued)
+                    effects.append(self._answer(queued, now))
         return effects
 
     def _answer(self, queued: QueuedRequest, now: int) -> SendToVm:
