Deliver peer messages in order across silent connections

Cause: a connection that goes silent for good swallowed every message, and a signed message to one VM could be replayed to another. Encoding, delivery rules and sockets are separate modules.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -179,7 +179,7 @@
     clock = SystemClock()
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
-    peers = make_peers(settings, incarnation)
+    peers = make_peers(settings, incarnation, clock)
     tasks = build_tasks(settings, incarnation, clock, peers, call_grants)
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(peers.run())
@@ -212,11 +212,16 @@
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
-def make_peers(settings: Settings, incarnation: int) -> PeerTask:
+def make_peers(
+    settings: Settings,
+    incarnation: int,
+    clock: Clock,
+) -> PeerTask:
     """Return the peer sockets of a daemon, not yet open."""
     peers = PeerTask(
         settings.vm,
         incarnation,
+        clock,
         settings.peer,
         Codec(PEER_MESSAGES),
         Authenticator(settings.keys),
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -1,7 +1,8 @@
 """Sends messages to other daemons and receives theirs.
 
 :class:`PeerTask` owns the listening socket and one sending socket for each
-peer in use. Messages may be lost; senders repeat what matters.
+peer in use. A message reaches a peer at most once and in order; it is lost if
+the peer stays unreachable while many more are sent, or restarts.
 """
 
 import asyncio
@@ -11,20 +12,27 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
-import msgspec
 import pynng
 
+from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import Mailbox
+from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec, CodecError
+from ibisjunction.peers.delivery import InboundLink, Numbered, OutboundLink
+from ibisjunction.peers.envelope import (
+    Envelope,
+    EnvelopeError,
+    seal,
+    unseal,
+)
 from ibisjunction.settings import Address
 
 _logger = logging.getLogger(__name__)
 
-#: Messages kept for a peer that does not take them; older ones are dropped
-#: first, because a newer message of the same exchange replaces them.
+#: Messages that wait in the socket; the link keeps its own copies.
 _SEND_QUEUE_LENGTH: Final = 256
+_TICK_MS: Final = 50
 _RECONNECT_MS: Final = 50
 _RECONNECT_MAX_MS: Final = 200
 
@@ -57,15 +65,14 @@
 _Mailboxes = list[Mailbox[Any]]
 
 
-class Envelope(msgspec.Struct, array_like=True, frozen=True):
-    """What crosses the wire around a message."""
+@dataclass(slots=True)
+class _Peer:
+    """Both directions of the link to one VM, and the sending socket."""
 
-    sender: str
-    incarnation: int
-    sequence: int
-    key_id: str
-    tag: bytes
-    payload: bytes
+    outbound: OutboundLink
+    inbound: InboundLink
+    address: Address | None = None
+    socket: pynng.Push0 | None = None
 
 
 class PeerTask:
@@ -75,6 +82,7 @@
         self,
         vm: str,
         incarnation: int,
+        clock: Clock,
         listen: Address,
         codec: Codec,
         authenticator: Authenticator,
@@ -82,13 +90,11 @@
         """Prepare the task; sockets are opened by :meth:`run`."""
         self._vm = vm
         self._incarnation = incarnation
+        self._clock = clock
         self._listen = listen
         self._codec = codec
         self._authenticator = authenticator
-        self._sequence = 0
-        self._last_heard: dict[str, tuple[int, int]] = {}
-        self._addresses: dict[str, Address] = {}
-        self._senders: dict[str, pynng.Push0] = {}
+        self._peers: dict[str, _Peer] = {}
         self._subscribers: dict[type, _Mailboxes] = {}
 
     def subscribe(
@@ -102,23 +108,20 @@
 
     def set_address(self, vm: str, address: Address) -> None:
         """Set where a VM listens; an unchanged address keeps the link."""
-        if self._addresses.get(vm) == address:
-            return
-        self._addresses[vm] = address
-        self._close_sender(vm)
+        peer = self._find_peer(vm)
+        if peer.address != address:
+            peer.address = address
+            _close_socket(peer)
 
     def send(self, vm: str, message: object) -> None:
         """Send a message to a VM, or to this one; it may be lost."""
         if vm == self._vm:
             self._deliver(vm, message)
             return
-        sender = self._find_sender(vm)
-        if sender is None:
-            return
-        try:
-            sender.send(self._seal(message), block=False)
-        except pynng.TryAgain:
-            _logger.debug('queue to %s is full, message dropped', vm)
+        peer = self._find_peer(vm)
+        payload = self._codec.encode(message)
+        numbered = peer.outbound.append(payload, self._clock.now())
+        self._transmit(vm, peer, numbered)
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
@@ -126,13 +129,14 @@
         listener = pynng.Pull0(listen=f'tcp://{self._listen}')
         receiver = asyncio.create_task(self._receive(listener), name='peers')
         try:
-            yield
+            async with run_task(self._run_timer(), 'peers timer'):
+                yield
         finally:
             # Closing the socket ends the task. Cancelling it may not: pynng
             # drops a cancellation that races with a received message.
             listener.close()
             await receiver
-            self._close_senders()
+            self._close_sockets()
 
     async def _receive(self, listener: pynng.Pull0) -> None:
         while True:
@@ -142,85 +146,119 @@
                 return
             self._accept(frame)
 
+    async def _run_timer(self) -> None:
+        while True:
+            await asyncio.sleep(in_seconds(_TICK_MS))
+            now = self._clock.now()
+            for vm, peer in self._peers.items():
+                self._repeat_unsent(vm, peer, now)
+                if peer.inbound.is_ack_due(now):
+                    self._transmit(vm, peer, Numbered(0, b''))
+
+    def _repeat_unsent(self, vm: str, peer: _Peer, now: int) -> None:
+        unsent = peer.outbound.find_unsent(now)
+        if not unsent:
+            return
+        log_event(
+            _logger,
+            Event.PEER_REDIALLED,
+            vm=vm,
+            address=peer.address,
+            messages=len(unsent),
+        )
+        _close_socket(peer)
+        for numbered in unsent:
+            self._transmit(vm, peer, numbered)
+
     def _accept(self, frame: bytes) -> None:
         try:
-            envelope = msgspec.msgpack.decode(frame, type=Envelope)
-        except msgspec.DecodeError as error:
-            self._reject('unknown', str(error))
-            return
-        signed = _signed_part(envelope)
-        if not self._authenticator.verify(
-            envelope.key_id,
-            signed,
-            envelope.tag,
-        ):
-            self._reject(envelope.sender, f'key {envelope.key_id}')
+            envelope = unseal(frame, self._vm, self._authenticator)
+        except EnvelopeError as error:
+            _reject(error.sender, str(error))
             return
-        position = (envelope.incarnation, envelope.sequence)
-        if position <= self._last_heard.get(envelope.sender, (0, 0)):
-            self._reject(envelope.sender, f'repeated sequence {position}')
-            return
-        self._last_heard[envelope.sender] = position
+        if self._is_next(envelope):
+            self._decode(envelope)
+
+    def _is_next(self, envelope: Envelope) -> bool:
+        now = self._clock.now()
+        peer = self._find_peer(envelope.sender)
+        if envelope.incarnation < peer.inbound.incarnation:
+            return False
+        if envelope.incarnation > peer.inbound.incarnation:
+            peer.inbound = InboundLink(envelope.incarnation)
+        if envelope.received_incarnation == self._incarnation:
+            peer.outbound.acknowledge(envelope.received, now)
+        if not envelope.payload:
+            return False
+        return peer.inbound.accept(envelope.sequence, envelope.oldest, now)
+
+    def _decode(self, envelope: Envelope) -> None:
         try:
             message = self._codec.decode(envelope.payload)
         except CodecError as error:
-            self._reject(envelope.sender, str(error))
+            _reject(envelope.sender, str(error))
             return
         self._deliver(envelope.sender, message)
 
-    def _reject(self, sender: str, detail: str) -> None:
-        log_event(
-            _logger,
-            Event.MESSAGE_REJECTED,
-            logging.WARNING,
-            sender=sender,
-            detail=detail,
-        )
-
     def _deliver(self, sender: str, message: object) -> None:
         for mailbox in self._subscribers.get(type(message), ()):
             mailbox.post(Received(sender, message))
 
-    def _seal(self, message: object) -> bytes:
-        self._sequence += 1
-        unsigned = Envelope(
+    def _transmit(self, vm: str, peer: _Peer, numbered: Numbered) -> None:
+        socket = _open_socket(peer)
+        if socket is None:
+            return
+        try:
+            socket.send(self._seal(vm, peer, numbered), block=False)
+        except pynng.TryAgain:
+            _logger.debug('socket to %s takes no message now', vm)
+
+    def _seal(self, vm: str, peer: _Peer, numbered: Numbered) -> bytes:
+        envelope = Envelope(
             sender=self._vm,
             incarnation=self._incarnation,
-            sequence=self._sequence,
-            key_id=self._authenticator.key_id,
-            tag=b'',
-            payload=self._codec.encode(message),
+            recipient=vm,
+            sequence=numbered.sequence,
+            oldest=peer.outbound.oldest,
+            received_incarnation=peer.inbound.incarnation,
+            received=peer.inbound.take_acknowledgement(),
+            payload=numbered.payload,
         )
-        tag = self._authenticator.sign(_signed_part(unsigned))
-        return msgspec.msgpack.encode(
-            msgspec.structs.replace(unsigned, tag=tag),
-        )
-
-    def _find_sender(self, vm: str) -> pynng.Push0 | None:
-        sender = self._senders.get(vm)
-        if sender is not None:
-            return sender
-        address = self._addresses.get(vm)
-        if address is None:
-            return None
-        sender = pynng.Push0(send_buffer_size=_SEND_QUEUE_LENGTH)
-        sender.reconnect_time_min = _RECONNECT_MS
-        sender.reconnect_time_max = _RECONNECT_MAX_MS
-        sender.dial(f'tcp://{address}', block=False)
-        self._senders[vm] = sender
-        return sender
-
-    def _close_senders(self) -> None:
-        for vm in tuple(self._senders):
-            self._close_sender(vm)
-
-    def _close_sender(self, vm: str) -> None:
-        sender = self._senders.pop(vm, None)
-        if sender is not None:
-            sender.close()
-
-
-def _signed_part(envelope: Envelope) -> bytes:
-    return msgspec.msgpack.encode(
-        msgspec.structs.replace(envelope, tag=b''),
+        return seal(envelope, self._authenticator)
+
+    def _find_peer(self, vm: str) -> _Peer:
+        peer = self._peers.get(vm)
+        if peer is None:
+            peer = _Peer(OutboundLink(), InboundLink(0))
+            self._peers[vm] = peer
+        return peer
+
+    def _close_sockets(self) -> None:
+        for peer in self._peers.values():
+            _close_socket(peer)
+
+
+def _open_socket(peer: _Peer) -> pynng.Push0 | None:
+    if peer.socket is None and peer.address is not None:
+        socket = pynng.Push0(send_buffer_size=_SEND_QUEUE_LENGTH)
+        socket.reconnect_time_min = _RECONNECT_MS
+        socket.reconnect_time_max = _RECONNECT_MAX_MS
+        socket.dial(f'tcp://{peer.address}', block=False)
+        peer.socket = socket
+    return peer.socket
+
+
+def _close_socket(peer: _Peer) -> None:
+    if peer.socket is not None:
+        peer.socket.close()
+        peer.socket = None
+
+
+def _reject(sender: str, detail: str) -> None:
+    log_event(
+        _logger,
+        Event.MESSAGE_REJECTED,
+        logging.WARNING,
+        sender=sender,
+        detail=detail,
     )
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,195 @@
+"""Tests of the links between daemons."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+from dataclasses import dataclass
+
+import msgspec
+from parameterized import parameterized
+
+from ibisjunction.clock import SystemClock
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.peers.authentication import Authenticator
+from ibisjunction.peers.codec import Codec, CodecError
+from ibisjunction.peers.envelope import (
+    Envelope,
+    EnvelopeError,
+    seal,
+    unseal,
+)
+from ibisjunction.peers.link import PeerTask
+from ibisjunction.settings import Address, AuthKey
+
+_OLD = AuthKey('k1', b'the-first-shared-key')
+_NEW = AuthKey('k2', b'the-second-shared-key')
+_ENVELOPE = Envelope('vm-1', 7, 'vm-2', 1, 1, 0, 0, b'payload')
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """A message for tests."""
+
+    number: int
+
+
+class EnvelopeTest(unittest.TestCase):
+    """Guards against messages of speakers that don't hold a key."""
+
+    @parameterized.expand(
+        [
+            ('same key', (_OLD,), (_OLD,), True),
+            ('rotation starts', (_OLD, _NEW), (_NEW, _OLD), True),
+            ('rotation ends', (_NEW,), (_NEW, _OLD), True),
+            ('key withdrawn', (_OLD,), (_NEW,), False),
+            ('forged', (AuthKey('k1', b'another-shared-key'),), (_OLD,), False),
+        ]
+    )
+    def test_accepts(self, _name, sender_keys, own_keys, accepted):
+        frame = seal(_ENVELOPE, Authenticator(sender_keys))
+        try:
+            unseal(frame, 'vm-2', Authenticator(own_keys))
+        except EnvelopeError as error:
+            self.assertFalse(accepted, error)
+        else:
+            self.assertTrue(accepted)
+
+    @parameterized.expand(
+        [
+            ('sender', {'sender': 'vm-3'}),
+            ('sequence', {'sequence': 2}),
+            ('payload', {'payload': b'changed'}),
+            ('acknowledgement', {'received': 9}),
+            ('recipient', {'recipient': 'vm-3'}),
+        ]
+    )
+    def test_refuses_changed_field(self, _name, change):
+        keys = Authenticator((_OLD,))
+        sealed = msgspec.msgpack.decode(seal(_ENVELOPE, keys), type=Envelope)
+        frame = msgspec.msgpack.encode(
+            msgspec.structs.replace(sealed, **change),
+        )
+        with self.assertRaises(EnvelopeError):
+            unseal(frame, 'vm-2', keys)
+
+
+class CodecTest(unittest.TestCase):
+    """Guards against messages of unknown type or wrong fields."""
+
+    @parameterized.expand(
+        [
+            ('not MessagePack', b'\xc1'),
+            ('unknown type', msgspec.msgpack.encode(['Pong', {'number': 1}])),
+            ('wrong field', msgspec.msgpack.encode(['Ping', {'number': 'x'}])),
+            ('missing field', msgspec.msgpack.encode(['Ping', {}])),
+        ]
+    )
+    def test_refuses(self, _name, encoded):
+        with self.assertRaises(CodecError):
+            Codec([Ping]).decode(encoded)
+
+    def test_round_trip(self):
+        codec = Codec([Ping])
+        self.assertEqual(codec.decode(codec.encode(Ping(3))), Ping(3))
+
+
+def _free_address() -> Address:
+    with socket.socket() as holder:
+        holder.bind(('127.0.0.1', 0))
+        return Address('127.0.0.1', holder.getsockname()[1])
+
+
+def _make_peer(vm, address, key=_OLD) -> PeerTask:
+    return PeerTask(
+        vm,
+        1,
+        SystemClock(),
+        address,
+        Codec([Ping]),
+        Authenticator((key,)),
+    )
+
+
+class _SilentRelay:
+    """Forwards connections; one told to be silent forwards nothing more."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self._is_silent: list[asyncio.Event] = []
+
+    def silence_all(self) -> None:
+        for event in self._is_silent:
+            event.set()
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        yield Address(*server.sockets[0].getsockname())
+        server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        silent = asyncio.Event()
+        self._is_silent.append(silent)
+        far_reader, far_writer = await asyncio.open_connection(
+            self._target.host,
+            self._target.port,
+        )
+        # asyncio's streams report a cancelled handler as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                _forward(reader, far_writer, silent),
+                _forward(far_reader, writer, silent),
+            )
+
+
+async def _forward(reader, writer, silent) -> None:
+    while chunk := await reader.read(65536):
+        if not silent.is_set():
+            writer.write(chunk)
+            await writer.drain()
+
+
+class PeerTaskTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against links that stay silent or accept strangers."""
+
+    async def test_silent_connection_is_replaced(self):
+        addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2')}
+        first = _make_peer('vm-1', addresses['vm-1'])
+        second = _make_peer('vm-2', addresses['vm-2'])
+        inbox: Mailbox = Mailbox()
+        second.subscribe(inbox, Ping)
+        relay = _SilentRelay(addresses['vm-2'])
+        async with first.run(), second.run(), relay.run() as relay_address:
+            first.set_address('vm-2', relay_address)
+            second.set_address('vm-1', addresses['vm-1'])
+            first.send('vm-2', Ping(1))
+            await self._expect(inbox, 1)
+            relay.silence_all()
+            first.send('vm-2', Ping(2))
+            first.send('vm-2', Ping(3))
+            await self._expect(inbox, 2)
+            await self._expect(inbox, 3)
+
+    async def test_stranger_changes_nothing(self):
+        addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2', 'vm-3')}
+        stranger = _make_peer('vm-1', addresses['vm-1'], _NEW)
+        friend = _make_peer('vm-3', addresses['vm-3'])
+        receiver = _make_peer('vm-2', addresses['vm-2'])
+        inbox: Mailbox = Mailbox()
+        receiver.subscribe(inbox, Ping)
+        async with stranger.run(), friend.run(), receiver.run():
+            stranger.set_address('vm-2', addresses['vm-2'])
+            friend.set_address('vm-2', addresses['vm-2'])
+            with self.assertLogs('ibisjunction.peers.link') as logs:
+                stranger.send('vm-2', Ping(1))
+                while not any('E801' in line for line in logs.output):
+                    await asyncio.sleep(0.01)
+            friend.send('vm-2', Ping(2))
+            await self._expect(inbox, 2)
+
+    async def _expect(self, inbox, number):
+        # The limit only ends a test that would otherwise hang.
+        async with asyncio.timeout(30):
+            received = await inbox.get()
+        self.assertEqual(received.message, Ping(number))
