Renew no lease of a VM whose removal may be under way

Cause: the leader renewed the lease of a paused VM while its removal was being committed, so others forgot its tickets while it served again. A restarted VM kept its dispatchers under the old epoch without their state, and a drained upstream could announce itself back before its process ended.

Change: heartbeats say whether the VM sees itself registered; a registered VM whose lease ran out gets none until it has seen its removal, and registers again once it holds a lease. RemoveVm names the incarnation. A removed or restarted VM loses its dispatchers, so they get a new epoch, and AssignDispatcher names the epoch that it replaces. An announcement does not end a drain, and a drained process or an older one is not taken back.

--- a/src/ibisjunction/control/commands.py
+++ b/src/ibisjunction/control/commands.py
@@ -14,9 +14,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RemoveVm:
-    """Removes a VM whose lease has run out."""
+    """Removes a VM whose lease has run out, unless it has restarted."""
 
     vm: str
+    incarnation: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,10 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AssignDispatcher:
-    """Makes a VM the dispatcher of an upstream under a new epoch."""
+    """Makes a VM the dispatcher of an upstream under a new epoch.
+
+    ``replaces_epoch`` is the epoch that ends, 0 if there is no dispatcher, so
+    that a command planned on an older state changes nothing.
+    """
 
     upstream: str
     vm: str
+    replaces_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -36,7 +36,8 @@
     """All state that the control log yields; never changed in place.
 
     ``grants`` is keyed by service and shard. ``last_fence`` and ``last_epoch``
-    only grow, so no fence or epoch is issued twice.
+    only grow, so no fence or epoch is issued twice. ``departed`` keeps the
+    incarnation of each upstream that was drained and removed.
     """
 
     vms: dict[str, VmRecord] = field(default_factory=dict)
@@ -48,6 +49,7 @@
     revision: int = 0
     last_fence: int = 0
     last_epoch: int = 0
+    departed: dict[str, int] = field(default_factory=dict)
 
     def grant_of(self, service: str, shard: int) -> Grant | None:
         """Return the grant of a shard, or ``None`` if it has no owner."""
@@ -91,12 +93,35 @@
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
     match command:
         case RegisterVm(record=record):
-            vms = {**state.vms, record.vm: record}
-            return replace(state, vms=vms), Accepted()
-        case RemoveVm(vm=vm):
-            if vm not in state.vms:
-                return state, Rejected(f'VM {vm} is not registered')
-            return replace(state, vms=_without(state.vms, vm)), Accepted()
+            return _register_vm(state, record), Accepted()
+        case RemoveVm(vm=vm, incarnation=incarnation):
+            known = state.vms.get(vm)
+            if known is None or known.incarnation != incarnation:
+                return state, Rejected(
+                    f'VM {vm} is not registered with incarnation {incarnation}',
+                )
+            return _forget_vm(state, vm), Accepted()
+
+
+def _register_vm(state: ControlState, record: VmRecord) -> ControlState:
+    known = state.vms.get(record.vm)
+    if known is not None and known.incarnation != record.incarnation:
+        state = _forget_vm(state, record.vm)
+    return replace(state, vms={**state.vms, record.vm: record})
+
+
+def _forget_vm(state: ControlState, vm: str) -> ControlState:
+    """Remove a process that has lost the state of its dispatchers."""
+    dispatchers = {
+        upstream: record
+        for upstream, record in state.dispatchers.items()
+        if record.vm != vm
+    }
+    return replace(
+        state,
+        vms=_without(state.vms, vm),
+        dispatchers=dispatchers,
+    )
 
 
 def _apply_upstream(
@@ -121,18 +146,33 @@
         return state, Rejected(
             f'upstream {record.upstream} belongs to service {known.service}',
         )
+    newest = 0 if known is None else known.incarnation
+    if record.incarnation < newest:
+        return state, Rejected(
+            f'upstream {record.upstream} has restarted as {newest}',
+        )
+    if record.incarnation <= state.departed.get(record.upstream, -1):
+        return state, Rejected(f'upstream {record.upstream} was drained')
+    if known is not None and known.incarnation == record.incarnation:
+        is_draining = known.draining or record.draining
+        record = replace(record, draining=is_draining)
     upstreams = {**state.upstreams, record.upstream: record}
     return replace(state, upstreams=upstreams), Accepted()
 
 
 def _remove_upstream(state: ControlState, upstream: str) -> Applied:
-    if upstream not in state.upstreams:
+    record = state.upstreams.get(upstream)
+    if record is None:
         return state, Rejected(f'upstream {upstream} is not known')
     if state.grants_of(upstream):
         return state, Rejected(f'upstream {upstream} still owns shards')
+    departed = state.departed
+    if record.draining:
+        departed = {**departed, upstream: record.incarnation}
     return (
         replace(
             state,
+            departed=departed,
             upstreams=_without(state.upstreams, upstream),
             dispatchers=_without(state.dispatchers, upstream),
         ),
@@ -148,6 +188,12 @@
         return state, Rejected(f'upstream {command.upstream} is not known')
     if command.vm not in state.vms:
         return state, Rejected(f'VM {command.vm} is not registered')
+    current = state.dispatchers.get(command.upstream)
+    current_epoch = 0 if current is None else current.epoch
+    if current_epoch != command.replaces_epoch:
+        return state, Rejected(
+            f'upstream {command.upstream} is under epoch {current_epoch}',
+        )
     epoch = state.last_epoch + 1
     record = DispatcherRecord(command.upstream, command.vm, epoch)
     dispatchers = {**state.dispatchers, command.upstream: record}
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -12,14 +12,12 @@
 from ibisjunction.admin.task import AdminTask
 from ibisjunction.clock import Clock, SystemClock
 from ibisjunction.control.client import ControlClient
-from ibisjunction.control.commands import RegisterVm
 from ibisjunction.control.messages import (
     CommittedEntries,
     ProposalResult,
     ProposeCommand,
     StateSnapshot,
 )
-from ibisjunction.control.records import VmRecord
 from ibisjunction.control.task import ControlTask
 from ibisjunction.dispatch.messages import (
     TicketCancel,
@@ -32,6 +30,7 @@
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.registration import describe_vm
 from ibisjunction.membership.task import MembershipTask
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
@@ -229,17 +228,3 @@
     for voter in settings.voters:
         peers.set_address(voter.vm, voter.peer)
     return peers
-
-
-def describe_vm(settings: Settings, incarnation: int) -> RegisterVm:
-    """Return the command that registers this VM."""
-    return RegisterVm(
-        VmRecord(
-            vm=settings.vm,
-            peer=str(settings.peer),
-            http=str(settings.http),
-            region=settings.region,
-            failure_domain=settings.failure_domain,
-            incarnation=incarnation,
-        ),
-    )
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -77,7 +77,20 @@
         term: int,
         committed_index: int,
     ) -> LeaseRenewal:
-        """Record a heartbeat and return the renewal to send."""
+        """Record a heartbeat and return the renewal to send.
+
+        The lease of a registered VM that has run out is not renewed: its
+        removal may be under way, and others stop waiting for its tickets once
+        that is committed. The VM registers again when it sees its removal.
+        """
+        if heartbeat.is_registered and self._is_lost(heartbeat.vm, now):
+            return LeaseRenewal(
+                incarnation=heartbeat.incarnation,
+                sent_at=heartbeat.sent_at,
+                lease_ms=0,
+                term=term,
+                committed_index=committed_index,
+            )
         self.reports[heartbeat.vm] = VmReport(
             incarnation=heartbeat.incarnation,
             applied_index=heartbeat.applied_index,
@@ -96,6 +109,12 @@
         """Return whether every lease of an earlier leader has run out."""
         return now >= self._settled_at
 
+    def _is_lost(self, vm: str, now: int) -> bool:
+        report = self.reports.get(vm)
+        if report is None:
+            return self.is_settled(now)
+        return now >= report.lease_end_ms
+
     def live_vms(self, now: int) -> frozenset[str]:
         """Return the VMs whose lease may still run."""
         return frozenset(
--- a/src/ibisjunction/membership/messages.py
+++ b/src/ibisjunction/membership/messages.py
@@ -8,6 +8,7 @@
     """Sent by each daemon to the voters; the leader answers.
 
     ``sent_at`` is the sender's clock and comes back in the answer.
+    ``is_registered`` says whether the applied control state lists this process.
     """
 
     vm: str
@@ -15,6 +16,7 @@
     sent_at: int
     applied_index: int
     revision: int
+    is_registered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/ibisjunction/membership/registration.py
@@ -0,0 +1,47 @@
+"""Registration of a VM in the control state."""
+
+from ibisjunction.control.commands import RegisterVm
+from ibisjunction.control.records import VmRecord
+from ibisjunction.control.state import ControlState
+from ibisjunction.settings import Settings
+
+
+def describe_vm(settings: Settings, incarnation: int) -> RegisterVm:
+    """Return the command that registers this VM."""
+    return RegisterVm(
+        VmRecord(
+            vm=settings.vm,
+            peer=str(settings.peer),
+            http=str(settings.http),
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            incarnation=incarnation,
+        ),
+    )
+
+
+class Registration:
+    """Whether the control state lists this process of the VM."""
+
+    def __init__(self, vm: str, incarnation: int) -> None:
+        """Start unregistered."""
+        self.is_registered = False
+        self.was_removed = False
+        self._vm = vm
+        self._incarnation = incarnation
+
+    def follow(self, state: ControlState) -> None:
+        """Take a new control state.
+
+        A removal is remembered until the VM is registered again. A record of
+        a later process means that this one was replaced.
+        """
+        record = state.vms.get(self._vm)
+        was_registered = self.is_registered
+        self.is_registered = (
+            record is not None and record.incarnation == self._incarnation
+        )
+        if self.is_registered:
+            self.was_removed = False
+        elif was_registered and record is None:
+            self.was_removed = True
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -6,12 +6,15 @@
 from typing import Any
 
 from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.control.codec import encode_command
 from ibisjunction.control.messages import (
     CommittedEntries,
     ControlView,
+    ProposeCommand,
     StateSnapshot,
 )
 from ibisjunction.control.replica import Replica
+from ibisjunction.control.state import ControlState
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leases import VmLease
@@ -20,6 +23,7 @@
     LeaseExtended,
     LeaseRenewal,
 )
+from ibisjunction.membership.registration import Registration, describe_vm
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
 from ibisjunction.settings.loader import parse_address
@@ -54,6 +58,7 @@
         self._listeners = listeners
         self._replica = Replica()
         self._lease = VmLease(incarnation, settings.timing.clock_error)
+        self._registration = Registration(settings.vm, incarnation)
         self._was_held = False
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
@@ -63,6 +68,11 @@
             StateSnapshot,
         )
 
+    @property
+    def state(self) -> ControlState:
+        """The control state as this VM has applied it."""
+        return self._replica.state
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
@@ -80,6 +90,7 @@
         match message:
             case HeartbeatDue():
                 self._send_heartbeat()
+                self._register_again()
                 self._report_lease()
             case Received(message=LeaseRenewal() as renewal):
                 if self._lease.renew(renewal, self._replica.index):
@@ -96,24 +107,51 @@
             sent_at=self._clock.now(),
             applied_index=self._replica.index,
             revision=self._replica.state.revision,
+            is_registered=self._registration.is_registered,
         )
         for voter in self._settings.voters:
             self._peers.send(voter.vm, heartbeat)
 
+    def _register_again(self) -> None:
+        """Propose the registration of a VM that was removed.
+
+        It is repeated under the same id with each heartbeat until applied. The
+        leader counts the VM as live again once it has renewed the lease.
+        """
+        if not self._registration.was_removed:
+            return
+        if not self._lease.is_held(self._clock.now()):
+            return
+        command = describe_vm(self._settings, self._incarnation)
+        proposal = ProposeCommand(
+            f'{self._settings.vm}-{self._incarnation}-register-'
+            f'{self._replica.index}',
+            encode_command(command),
+        )
+        for voter in self._settings.voters:
+            self._peers.send(voter.vm, proposal)
+
     def _publish_state(self, changed: bool) -> None:
         if not changed:
             return
         view = self._replica.view()
+        self._registration.follow(view.state)
         self._learn_addresses(view)
         self._notify(view)
-        if self._lease.advance(self._replica.index):
-            self._publish_lease()
+        self._lease.advance(self._replica.index)
+        self._publish_lease()
 
     def _learn_addresses(self, view: ControlView) -> None:
         for record in view.state.vms.values():
             self._peers.set_address(record.vm, parse_address(record.peer))
 
     def _publish_lease(self) -> None:
+        """Publish the lease; it permits nothing to an unregistered VM.
+
+        Dispatchers survey registered VMs only.
+        """
+        if not self._registration.is_registered:
+            return
         self._notify(LeaseExtended(self._lease.until_ms))
         self._report_lease()
 
--- a/src/ibisjunction/placement/planner.py
+++ b/src/ibisjunction/placement/planner.py
@@ -37,9 +37,9 @@
 
 
 def _plan_removals(known: PlacementInput) -> Iterator[Command]:
-    for vm in sorted(known.state.vms):
+    for vm, record in sorted(known.state.vms.items()):
         if vm not in known.live_vms:
-            yield RemoveVm(vm)
+            yield RemoveVm(vm, record.incarnation)
 
 
 def _plan_dispatchers(known: PlacementInput) -> Iterator[Command]:
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -65,6 +65,7 @@
     service='mail-log',
     slots=3,
     address='127.0.0.1:9001',
+    incarnation=1,
 ) -> UpstreamRecord:
     """Return the record of an upstream that checks fences."""
     return UpstreamRecord(
@@ -75,7 +76,7 @@
         slots=slots,
         connections=100,
         checks_fence=True,
-        incarnation=1,
+        incarnation=incarnation,
     )
 
 
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -1,6 +1,7 @@
 """Tests of the control state."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
@@ -24,6 +25,7 @@
     RegisterVm,
     Rejected,
     RemoveUpstream,
+    RemoveVm,
 )
 from ibisjunction.control.state import ControlState, apply_command
 from tests.samples import make_upstream, make_vm
@@ -57,6 +59,9 @@
             ('unknown VM', AssignDispatcher('up-1', 'vm-9')),
             ('old base', PublishRevision(7, 'p', {})),
             ('unknown drain', DrainUpstream('up-9')),
+            ('restarted VM', RemoveVm('vm-1', 7)),
+            ('other epoch', AssignDispatcher('up-2', 'vm-1', 5)),
+            ('old process', AnnounceUpstream(make_upstream(incarnation=0))),
         ]
     )
     def test_rejects_without_change(self, _name, command):
@@ -65,6 +70,43 @@
         self.assertIsInstance(outcome, Rejected)
         self.assertEqual(after, state)
 
+    @parameterized.expand(
+        [
+            ('removed', RemoveVm('vm-1', 1)),
+            ('restarted', RegisterVm(replace(make_vm(), incarnation=2))),
+        ]
+    )
+    def test_lost_process_dispatches_no_more(self, _name, command):
+        """Its tickets are forgotten, so it needs a new epoch."""
+        state = _apply_all(*_BASE, AssignDispatcher('up-1', 'vm-1'), command)
+        self.assertEqual(state.dispatchers, {})
+
+    @parameterized.expand(
+        [
+            ('same process', 1, False),
+            ('new process', 2, True),
+        ]
+    )
+    def test_drained_upstream_stays_away(self, _name, incarnation, is_known):
+        """Guards against new work for a process that keeps announcing."""
+        record = make_upstream('up-2', incarnation=incarnation)
+        state = _apply_all(
+            *_BASE,
+            DrainUpstream('up-2'),
+            AnnounceUpstream(make_upstream('up-2')),
+            RemoveUpstream('up-2'),
+            AnnounceUpstream(record),
+        )
+        self.assertEqual('up-2' in state.upstreams, is_known)
+
+    def test_renewed_announcement_does_not_end_a_drain(self):
+        state = _apply_all(
+            *_BASE,
+            DrainUpstream('up-2'),
+            AnnounceUpstream(make_upstream('up-2')),
+        )
+        self.assertTrue(state.upstreams['up-2'].draining)
+
     def test_move_gives_new_fence(self):
         state = _apply_all(
             *_BASE,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,13 +1,17 @@
 """Tests of VM leases."""
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from ibisjunction.control.state import ControlState
 from ibisjunction.membership.leases import LeaseTable, VmLease
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.registration import Registration
+from tests.samples import make_vm
 
 
 class VmLeaseTest(unittest.TestCase):
@@ -70,3 +74,44 @@
         table.accept(Heartbeat('vm-1', 1, 0, 0, 0), 100, 1, 0)
         self.assertEqual(table.live_vms(705), {'vm-1'})
         self.assertEqual(table.live_vms(706), frozenset())
+
+    @parameterized.expand(
+        [
+            ('in time', 705, True, 600),
+            ('ran out', 706, True, 0),
+            ('ran out, saw its removal', 706, False, 600),
+        ]
+    )
+    def test_lease_that_ran_out(self, _name, now, is_registered, lease_ms):
+        """The removal of a VM may be committed after its lease ran out."""
+        table = LeaseTable(600, 0.01, now=0)
+        table.accept(Heartbeat('vm-1', 1, 0, 0, 0), 100, 1, 0)
+        beat = Heartbeat('vm-1', 1, now, 0, 0, is_registered)
+        self.assertEqual(table.accept(beat, now, 1, 0).lease_ms, lease_ms)
+
+    @parameterized.expand([('unsettled', 605, 600), ('settled', 606, 0)])
+    def test_vm_that_a_new_leader_did_not_hear(self, _name, now, lease_ms):
+        table = LeaseTable(600, 0.01, now=0)
+        beat = Heartbeat('vm-1', 1, now, 0, 0, is_registered=True)
+        self.assertEqual(table.accept(beat, now, 1, 0).lease_ms, lease_ms)
+
+
+class RegistrationTest(unittest.TestCase):
+    """Guards against a VM that serves while others count it as lost."""
+
+    @parameterized.expand(
+        [
+            ('listed', 1, True, False),
+            ('removed', None, False, True),
+            ('replaced', 2, False, False),
+        ]
+    )
+    def test_follows_state(self, _name, incarnation, is_registered, removed):
+        registration = Registration('vm-1', 1)
+        registration.follow(ControlState(vms={'vm-1': make_vm()}))
+        vms = {}
+        if incarnation is not None:
+            vms = {'vm-1': replace(make_vm(), incarnation=incarnation)}
+        registration.follow(ControlState(vms=vms))
+        self.assertEqual(registration.is_registered, is_registered)
+        self.assertEqual(registration.was_removed, removed)
