--- a/src/ibisjunction/bench/grants.py
+++ b/src/ibisjunction/bench/grants.py
@@ -11,19 +11,20 @@
 
     def __init__(self) -> None:
         """Start without grants."""
-        self._epoch = 0
+        self._position = (0, 0)
         self._until_ms = 0
         self._fences: dict[tuple[str, int], int] = {}
 
     def accept(self, call: GrantCall, now: int) -> GrantAnswer:
         """Take a call of a dispatcher, or refuse an older one."""
-        if call.epoch < self._epoch:
+        position = (call.epoch, call.sequence)
+        if position <= self._position:
             return GrantAnswer(
                 accepted=False,
                 clock=now,
-                detail=f'epoch {self._epoch} is in force',
+                detail=f'epoch and sequence {self._position} are in force',
             )
-        self._epoch = call.epoch
+        self._position = position
         if call.echo is None or call.echo > now:
             return GrantAnswer(accepted=False, clock=now, detail='no echo')
         self._until_ms = max(self._until_ms, call.echo + call.lease_ms)
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -20,11 +20,13 @@
 )
 from ibisjunction.control.task import ControlTask
 from ibisjunction.dispatch.messages import (
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketsHeld,
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
@@ -32,6 +34,7 @@
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.registration import describe_vm
 from ibisjunction.membership.task import MembershipTask
+from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
@@ -54,12 +57,16 @@
     LeaseRenewal,
     ProposalResult,
     ProposeCommand,
+    ShardReleased,
     StateSnapshot,
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketsHeld,
+    UpstreamLost,
 )
 
 
@@ -143,10 +150,18 @@
     """Connect the mailboxes of a daemon's tasks."""
     client = ControlClient(settings, incarnation, peers)
     admin = AdminTask(settings.vm, clock)
-    dispatch = DispatchTask(settings.vm, clock, peers)
-    ownership = OwnershipTask(settings, clock, dispatch.mailbox, call)
+    grants: Mailbox[Any] = Mailbox()
+    dispatch = DispatchTask(settings.vm, clock, peers, grants)
+    ownership = OwnershipTask(
+        settings,
+        clock,
+        peers,
+        dispatch.mailbox,
+        call,
+        grants,
+    )
     routing = RoutingTask(settings.vm, clock, peers)
-    placement = PlacementTask(client)
+    placement = PlacementTask(settings, clock, peers, client)
     listeners = [
         task.mailbox
         for task in (admin, dispatch, ownership, routing, placement)
--- /dev/null
+++ b/src/ibisjunction/dispatch/handover.py
@@ -0,0 +1,143 @@
+"""Take-over and hand-over of shards at the dispatcher of one upstream."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from ibisjunction.control.records import Grant, UpstreamRecord, VmRecord
+from ibisjunction.control.state import ControlState
+from ibisjunction.dispatch.dispatcher import (
+    Dispatcher,
+    Outstanding,
+    SendToVm,
+)
+from ibisjunction.dispatch.messages import GrantsInForce, TicketsHeld
+from ibisjunction.dispatch.takeover import TicketSurvey
+from ibisjunction.ownership.messages import ShardsIdle
+
+
+class DispatchedUpstream:
+    """One upstream of which this VM is the dispatcher, under one epoch.
+
+    A shard is held, so that requests for it wait, until the survey is
+    complete and the upstream's present process has confirmed its grant, and
+    again from the start of its move.
+    """
+
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        epoch: int,
+        vms: Mapping[str, VmRecord],
+    ) -> None:
+        """Start the survey of a new epoch."""
+        self.dispatcher = Dispatcher(record.upstream, epoch, record.slots)
+        self.survey = TicketSurvey(epoch, vms)
+        self._record = record
+        self._vms = dict(vms)
+        self._grants: dict[int, Grant] = {}
+        self._confirmed: GrantsInForce | None = None
+        self._idle: frozenset[int] = frozenset()
+        self._is_leased = False
+
+    def follow(self, state: ControlState, now: int) -> list[SendToVm]:
+        """Take a new control state."""
+        upstream = self.dispatcher.upstream
+        self._record = state.upstreams[upstream]
+        grants = state.grants_of(upstream)
+        self._grants = {grant.shard: grant for grant in grants}
+        self.survey.follow(state.vms)
+        self._hold()
+        effects = []
+        for vm, record in self._vms.items():
+            present = state.vms.get(vm)
+            if present is None or present.incarnation != record.incarnation:
+                effects += self.dispatcher.drop_vm(vm, now)
+        self._vms = dict(state.vms)
+        return effects + self._confirm(now)
+
+    def confirm(self, grants: GrantsInForce, now: int) -> list[SendToVm]:
+        """Take the grants that the upstream confirmed."""
+        if grants.epoch != self.dispatcher.epoch:
+            return []
+        self._confirmed = grants
+        self._hold()
+        return self._confirm(now)
+
+    def take_survey(
+        self,
+        vm: str,
+        held: TicketsHeld,
+        now: int,
+    ) -> list[SendToVm]:
+        """Take the tickets that a VM has in use."""
+        if not self.survey.take(vm, held):
+            return []
+        self.dispatcher.restore(
+            {
+                ticket.ticket_id: Outstanding(
+                    vm,
+                    ticket.shard,
+                    now + ticket.remaining_ms,
+                )
+                for ticket in held.tickets
+            },
+        )
+        self._hold()
+        return self.dispatcher.issue(now)
+
+    def set_leased(self, *, is_leased: bool) -> None:
+        """Hold every shard while the VM has no lease."""
+        if is_leased != self._is_leased:
+            self._is_leased = is_leased
+            self._hold()
+
+    def find_idle(self) -> ShardsIdle | None:
+        """Return the moving shards whose tickets all came back, if new."""
+        if not self.survey.is_complete:
+            return None
+        idle = frozenset(
+            grant.fence
+            for grant in self._grants.values()
+            if grant.moving_to and self.dispatcher.is_idle(grant.shard)
+        )
+        if idle <= self._idle:
+            return None
+        self._idle = idle
+        return ShardsIdle(
+            self.dispatcher.upstream,
+            self.dispatcher.epoch,
+            idle,
+        )
+
+    def _confirm(self, now: int) -> list[SendToVm]:
+        """Pass on the confirmed grants that the control state still lists."""
+        confirmed = self._confirmed
+        if confirmed is None:
+            return []
+        fences = {
+            shard: fence
+            for shard, fence in confirmed.fences.items()
+            if shard in self._grants
+        }
+        return self.dispatcher.confirm_grants(
+            replace(confirmed, fences=fences),
+            now,
+        )
+
+    def _hold(self) -> None:
+        held: Iterable[int] = self._grants
+        if self._is_leased and self.survey.is_complete:
+            held = (
+                grant.shard
+                for grant in self._grants.values()
+                if not self._may_issue(grant)
+            )
+        self.dispatcher.hold_shards(frozenset(held))
+
+    def _may_issue(self, grant: Grant) -> bool:
+        confirmed = self._confirmed
+        if confirmed is None or grant.moving_to is not None:
+            return False
+        if confirmed.incarnation != self._record.incarnation:
+            return False
+        return confirmed.fences.get(grant.shard) == grant.fence
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -71,19 +71,41 @@
 class GrantsInForce:
     """The grants that an upstream confirmed, valid until ``until_ms``.
 
-    ``fences`` maps shards to fences.
+    ``fences`` maps shards to fences. ``incarnation`` is that of the upstream's
+    process that confirmed them.
     """
 
     upstream: str
     epoch: int
     fences: dict[int, int]
     until_ms: int
+    incarnation: int = 1
 
 
 @dataclass(frozen=True, slots=True)
-class GrantsFailed:
-    """The upstream did not confirm its grants."""
+class SurveyTickets:
+    """Asks a VM which tickets of earlier epochs it has started to use.
+
+    From then on the VM drops tickets of epochs before ``epoch``.
+    """
+
+    upstream: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTicket:
+    """A ticket in use; ``remaining_ms`` is the time until its deadline."""
+
+    ticket_id: str
+    shard: int
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsHeld:
+    """Answers :class:`SurveyTickets` of the dispatcher with this epoch."""
 
     upstream: str
     epoch: int
-    detail: str
+    tickets: list[HeldTicket]
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -8,14 +8,18 @@
 
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import ControlView
-from ibisjunction.dispatch.dispatcher import Dispatcher, SendToVm
+from ibisjunction.control.state import ControlState
+from ibisjunction.dispatch.dispatcher import SendToVm
+from ibisjunction.dispatch.handover import DispatchedUpstream
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketsHeld,
 )
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
@@ -34,21 +38,32 @@
 
 
 class DispatchTask:
-    """Owns the dispatchers and answers ticket requests."""
-
-    def __init__(self, vm: str, clock: Clock, peers: PeerNetwork) -> None:
+    """Owns the dispatchers and answers ticket requests.
+
+    ``ownership`` receives :class:`ShardsIdle`.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        clock: Clock,
+        peers: PeerNetwork,
+        ownership: Mailbox[Any],
+    ) -> None:
         """Subscribe to the messages of accepting VMs."""
         self._vm = vm
         self._clock = clock
         self._peers = peers
-        self._dispatchers: dict[str, Dispatcher] = {}
+        self._upstreams: dict[str, DispatchedUpstream] = {}
         self._lease_until_ms = 0
+        self._ownership = ownership
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
             self.mailbox,
             TicketRequest,
             TicketDone,
             TicketCancel,
+            TicketsHeld,
         )
 
     async def run(self) -> None:
@@ -65,49 +80,111 @@
     def handle(self, message: Any) -> None:
         """Process one message."""
         now = self._clock.now()
+        self._check_lease(now)
         match message:
             case LeaseExtended(until_ms=until_ms):
                 self._lease_until_ms = until_ms
-            case ControlView():
-                self._follow(message)
+                self._check_lease(now)
+            case ControlView(state=state):
+                self._follow(state, now)
             case GrantsInForce(upstream=upstream):
-                dispatcher = self._dispatchers.get(upstream)
-                if dispatcher is not None:
-                    self._carry_out(dispatcher.confirm_grants(message, now))
+                known = self._upstreams.get(upstream)
+                if known is not None:
+                    self._carry_out(known.confirm(message, now))
             case Received():
                 self._handle_peer(message, now)
             case Tick():
-                for dispatcher in self._dispatchers.values():
-                    self._carry_out(dispatcher.issue(now))
-
-    def _follow(self, view: ControlView) -> None:
-        state = view.state
+                for dispatched in self._upstreams.values():
+                    self._ask_awaited(dispatched)
+                    self._carry_out(dispatched.dispatcher.issue(now))
+        self._report_idle()
+
+    def _check_lease(self, now: int) -> None:
+        """Hold every shard while the VM has no lease."""
+        is_leased = now < self._lease_until_ms
+        for dispatched in self._upstreams.values():
+            dispatched.set_leased(is_leased=is_leased)
+
+    def _follow(self, state: ControlState, now: int) -> None:
         current = {}
-        for upstream, record in state.dispatchers.items():
-            if record.vm != self._vm:
-                continue
-            known = self._dispatchers.get(upstream)
-            if known is None or known.epoch != record.epoch:
-                slots = state.upstreams[upstream].slots
-                known = Dispatcher(upstream, record.epoch, slots)
-            current[upstream] = known
-        self._dispatchers = current
+        for upstream, dispatcher in state.dispatchers.items():
+            if dispatcher.vm == self._vm:
+                current[upstream] = self._find_dispatched(
+                    state,
+                    upstream,
+                    dispatcher.epoch,
+                )
+        self._upstreams = current
+        for dispatched in current.values():
+            self._carry_out(dispatched.follow(state, now))
+        self._check_lease(now)
+
+    def _find_dispatched(
+        self,
+        state: ControlState,
+        upstream: str,
+        epoch: int,
+    ) -> DispatchedUpstream:
+        known = self._upstreams.get(upstream)
+        if known is not None and known.dispatcher.epoch == epoch:
+            return known
+        record = state.upstreams[upstream]
+        dispatched = DispatchedUpstream(record, epoch, state.vms)
+        log_event(
+            _logger,
+            Event.TAKEOVER_STARTED,
+            upstream=upstream,
+            epoch=epoch,
+            vms=len(dispatched.survey.awaited),
+        )
+        self._ask_awaited(dispatched)
+        return dispatched
+
+    def _ask_awaited(self, dispatched: DispatchedUpstream) -> None:
+        survey = dispatched.survey
+        question = SurveyTickets(dispatched.dispatcher.upstream, survey.epoch)
+        for vm in sorted(survey.awaited):
+            self._peers.send(vm, question)
 
     def _handle_peer(self, received: Received, now: int) -> None:
         message = received.message
-        dispatcher = self._dispatchers.get(message.upstream)
-        if dispatcher is None or now >= self._lease_until_ms:
+        dispatched = self._upstreams.get(message.upstream)
+        if dispatched is None:
             self._refuse(received)
             return
+        dispatcher = dispatched.dispatcher
         match message:
             case TicketRequest():
+                if now >= self._lease_until_ms:
+                    self._refuse(received)
+                    return
                 effects = dispatcher.request(received.sender, message, now)
             case TicketDone():
                 effects = dispatcher.finish(message, now)
             case TicketCancel():
                 effects = dispatcher.cancel(message, now)
+            case TicketsHeld():
+                effects = self._take_survey(dispatched, received, now)
         self._carry_out(effects)
 
+    def _take_survey(
+        self,
+        dispatched: DispatchedUpstream,
+        received: Received,
+        now: int,
+    ) -> list[SendToVm]:
+        was_complete = dispatched.survey.is_complete
+        held: TicketsHeld = received.message
+        effects = dispatched.take_survey(received.sender, held, now)
+        if dispatched.survey.is_complete and not was_complete:
+            log_event(
+                _logger,
+                Event.TAKEOVER_COMPLETED,
+                upstream=held.upstream,
+                epoch=held.epoch,
+            )
+        return effects
+
     def _refuse(self, received: Received) -> None:
         if isinstance(received.message, TicketRequest):
             refusal = TicketRefused(
@@ -116,6 +193,12 @@
             )
             self._carry_out([SendToVm(received.sender, refusal)])
 
+    def _report_idle(self) -> None:
+        for dispatched in self._upstreams.values():
+            idle = dispatched.find_idle()
+            if idle is not None:
+                self._ownership.post(idle)
+
     def _carry_out(self, effects: Iterable[SendToVm]) -> None:
         for effect in effects:
             _log_effect(effect)
--- /dev/null
+++ b/src/ibisjunction/ownership/messages.py
@@ -0,0 +1,42 @@
+"""Messages between a dispatcher and the control leader about ownership."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ShardReleased:
+    """The upstream no longer holds the grant with this fence.
+
+    Sent to the voters by the dispatcher and repeated until the control state
+    shows the end of the move.
+    """
+
+    service: str
+    shard: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLost:
+    """An upstream does not answer, and its grants are no longer renewed.
+
+    ``remaining_ms`` is the time until its grant lease has surely run out. It
+    is a duration because clocks of two VMs cannot be compared.
+    """
+
+    upstream: str
+    epoch: int
+    incarnation: int
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShardsIdle:
+    """Published inside a daemon: no ticket is or will be out for the shards.
+
+    ``fences`` name the grants of moving shards whose tickets all came back.
+    """
+
+    upstream: str
+    epoch: int
+    fences: frozenset[int]
--- a/src/ibisjunction/ownership/task.py
+++ b/src/ibisjunction/ownership/task.py
@@ -1,28 +1,42 @@
-"""Sends grants to upstreams and renews them."""
+"""Sends grants to upstreams, renews them and reports what became of them."""
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import ControlView
-from ibisjunction.control.records import Grant, UpstreamRecord
-from ibisjunction.dispatch.messages import GrantsFailed, GrantsInForce
+from ibisjunction.dispatch.messages import GrantsInForce
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
+from ibisjunction.ownership.handover import (
+    CallFailed,
+    GrantEffect,
+    GrantsAnswered,
+    SendCall,
+    UpstreamGrants,
+)
+from ibisjunction.ownership.messages import (
+    ShardReleased,
+    ShardsIdle,
+    UpstreamLost,
+)
+from ibisjunction.peers.link import PeerNetwork
 from ibisjunction.settings import Settings
 from ibisjunction.upstreams.protocol import (
     GrantAnswer,
     GrantCall,
-    GrantedShard,
     UpstreamUnreachableError,
 )
 
 _logger = logging.getLogger(__name__)
 
+#: Two calls and a renewal interval fit into little more than one grant lease,
+#: so a loss is known by the time the lease has run out.
+_CALL_TIMEOUT_MS: Final = 200
 
 #: Sends a call to an address within a timeout in milliseconds.
 GrantCaller = Callable[[str, GrantCall, int], Awaitable[GrantAnswer]]
@@ -34,13 +48,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GrantsAnswered:
-    """The answer of an upstream to a call that was sent at ``sent_at``."""
+class CallEnded:
+    """A call to an upstream was answered or failed."""
 
     upstream: str
-    call: GrantCall
-    answer: GrantAnswer
-    sent_at: int
+    result: GrantsAnswered | CallFailed
 
 
 class OwnershipTask:
@@ -50,24 +62,30 @@
         self,
         settings: Settings,
         clock: Clock,
+        peers: PeerNetwork,
         dispatch: Mailbox[Any],
         call: GrantCaller,
+        mailbox: Mailbox[Any],
     ) -> None:
-        """Report results to the mailbox of the dispatch task."""
+        """Report grants in force to the mailbox of the dispatch task."""
         self._call_upstream = call
         self._settings = settings
         self._clock = clock
+        self._peers = peers
         self._dispatch = dispatch
-        self._view: ControlView | None = None
         self._lease_until_ms = 0
-        self._last_answers: dict[str, GrantsAnswered] = {}
-        self._calls: dict[str, asyncio.Task[None]] = {}
-        self.mailbox: Mailbox[Any] = Mailbox()
+        self._upstreams: dict[str, UpstreamGrants] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+        self.mailbox = mailbox
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        while True:
-            self.handle(await self.mailbox.get())
+        try:
+            while True:
+                self.handle(await self.mailbox.get())
+        finally:
+            for call in self._calls:
+                call.cancel()
 
     async def run_timer(self) -> None:
         """Post renewals until cancelled."""
@@ -78,102 +96,159 @@
 
     def handle(self, message: Any) -> None:
         """Process one message."""
+        now = self._clock.now()
         match message:
             case LeaseExtended(until_ms=until_ms):
                 self._lease_until_ms = until_ms
             case ControlView():
-                self._view = message
-                self._renew_all()
+                self._follow(message, now)
             case RenewalDue():
-                self._renew_all()
-            case GrantsAnswered():
-                self._take_answer(message)
-            case GrantsFailed():
-                self._report_failure(message)
+                for upstream, grants in self._upstreams.items():
+                    self._carry_out(upstream, grants.renew(now), now)
+            case ShardsIdle(upstream=upstream):
+                known = self._upstreams.get(upstream)
+                if known is not None and known.epoch == message.epoch:
+                    effects = known.mark_idle(message.fences, now)
+                    self._carry_out(upstream, effects, now)
+            case CallEnded(upstream=upstream, result=result):
+                self._end_call(upstream, result, now)
+
+    def _follow(self, view: ControlView, now: int) -> None:
+        state = view.state
+        dispatched = {
+            upstream: self._find_grants(view, upstream, now)
+            for upstream, dispatcher in state.dispatchers.items()
+            if dispatcher.vm == self._settings.vm
+        }
+        self._upstreams = dispatched
+        for upstream, grants in dispatched.items():
+            effects = grants.follow(
+                state.upstreams[upstream],
+                state.grants_of(upstream),
+                now,
+            )
+            self._carry_out(upstream, effects, now)
+
+    def _find_grants(
+        self,
+        view: ControlView,
+        upstream: str,
+        now: int,
+    ) -> UpstreamGrants:
+        epoch = view.state.dispatchers[upstream].epoch
+        known = self._upstreams.get(upstream)
+        if known is not None and known.epoch == epoch:
+            return known
+        return UpstreamGrants(
+            self._settings.vm,
+            view.state.upstreams[upstream],
+            epoch,
+            self._settings.timing,
+            now,
+        )
 
-    def _renew_all(self) -> None:
-        view = self._view
-        if view is None or self._clock.now() >= self._lease_until_ms:
+    def _end_call(
+        self,
+        upstream: str,
+        result: GrantsAnswered | CallFailed,
+        now: int,
+    ) -> None:
+        _log_result(upstream, result)
+        known = self._upstreams.get(upstream)
+        if known is None or known.epoch != result.call.epoch:
             return
-        for upstream, dispatcher in view.state.dispatchers.items():
-            if dispatcher.vm != self._settings.vm:
-                continue
-            pending = self._calls.get(upstream)
-            if pending is None or pending.done():
-                record = view.state.upstreams[upstream]
-                grants = view.state.grants_of(upstream)
-                self._start_call(record, dispatcher.epoch, grants)
-
-    def _start_call(
+        match result:
+            case GrantsAnswered():
+                effects = known.take_answer(result, now)
+            case CallFailed():
+                effects = known.take_failure(result, now)
+        self._carry_out(upstream, effects, now)
+
+    def _carry_out(
         self,
-        record: UpstreamRecord,
-        epoch: int,
-        grants: list[Grant],
+        upstream: str,
+        effects: Iterable[GrantEffect],
+        now: int,
     ) -> None:
-        last = self._last_answers.get(record.upstream)
-        call = GrantCall(
-            vm=self._settings.vm,
-            epoch=epoch,
-            echo=None if last is None else last.answer.clock,
-            lease_ms=self._settings.timing.grant_lease_ms,
-            grants=[
-                GrantedShard(grant.service, grant.shard, grant.fence)
-                for grant in grants
-                if grant.moving_to is None
-            ],
-        )
-        self._calls[record.upstream] = asyncio.create_task(
-            self._call(record, call),
-        )
+        for effect in effects:
+            match effect:
+                case SendCall():
+                    self._start_call(upstream, effect, now)
+                case GrantsInForce():
+                    self._dispatch.post(effect)
+                case ShardReleased() | UpstreamLost():
+                    self._report(effect)
+
+    def _report(self, report: ShardReleased | UpstreamLost) -> None:
+        _log_report(report)
+        for voter in self._settings.voters:
+            self._peers.send(voter.vm, report)
+
+    def _start_call(self, upstream: str, send: SendCall, now: int) -> None:
+        # A VM without a lease leaves the call unanswered, and the next renewal
+        # follows its failure.
+        if now >= self._lease_until_ms:
+            failed = CallFailed(send.call, 'no VM lease')
+            self._upstreams[upstream].skip_call(failed)
+            return
+        call = asyncio.create_task(self._call(upstream, send))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
 
-    async def _call(self, record: UpstreamRecord, call: GrantCall) -> None:
-        timeout_ms = self._settings.timing.grant_lease_ms
+    async def _call(self, upstream: str, send: SendCall) -> None:
         sent_at = self._clock.now()
+        result: GrantsAnswered | CallFailed
         try:
-            answer = await self._call_upstream(record.address, call, timeout_ms)
+            answer = await self._call_upstream(
+                send.address,
+                send.call,
+                _CALL_TIMEOUT_MS,
+            )
         except UpstreamUnreachableError as error:
-            self.mailbox.post(
-                GrantsFailed(record.upstream, call.epoch, str(error)),
+            result = CallFailed(send.call, str(error))
+        else:
+            result = GrantsAnswered(send.call, answer, sent_at)
+        self.mailbox.post(CallEnded(upstream, result))
+
+
+def _log_result(upstream: str, result: GrantsAnswered | CallFailed) -> None:
+    match result:
+        case GrantsAnswered(answer=GrantAnswer(accepted=True)):
+            log_event(
+                _logger,
+                Event.GRANT_ACCEPTED,
+                logging.DEBUG,
+                upstream=upstream,
+                epoch=result.call.epoch,
+                shards=len(result.call.grants),
+            )
+        case CallFailed(detail=detail):
+            log_event(
+                _logger,
+                Event.GRANT_FAILED,
+                logging.WARNING,
+                upstream=upstream,
+                epoch=result.call.epoch,
+                detail=detail,
             )
-            return
-        self.mailbox.post(
-            GrantsAnswered(record.upstream, call, answer, sent_at),
-        )
 
-    def _take_answer(self, answered: GrantsAnswered) -> None:
-        last = self._last_answers.get(answered.upstream)
-        self._last_answers[answered.upstream] = answered
-        call = answered.call
-        if not answered.answer.accepted or last is None:
-            if call.echo is None:
-                self._renew_all()
-            return
-        lease_ms = int(
-            call.lease_ms * (1 - self._settings.timing.clock_error),
-        )
-        in_force = GrantsInForce(
-            upstream=answered.upstream,
-            epoch=call.epoch,
-            fences={grant.shard: grant.fence for grant in call.grants},
-            until_ms=last.sent_at + lease_ms,
-        )
-        log_event(
-            _logger,
-            Event.GRANT_ACCEPTED,
-            logging.DEBUG,
-            upstream=answered.upstream,
-            epoch=call.epoch,
-            shards=len(call.grants),
-        )
-        self._dispatch.post(in_force)
-
-    def _report_failure(self, failure: GrantsFailed) -> None:
-        log_event(
-            _logger,
-            Event.GRANT_FAILED,
-            logging.WARNING,
-            upstream=failure.upstream,
-            epoch=failure.epoch,
-            detail=failure.detail,
-        )
-        self._dispatch.post(failure)
+
+def _log_report(report: ShardReleased | UpstreamLost) -> None:
+    match report:
+        case ShardReleased():
+            log_event(
+                _logger,
+                Event.SHARD_RELEASED,
+                service=report.service,
+                shard=report.shard,
+                fence=report.fence,
+            )
+        case UpstreamLost():
+            log_event(
+                _logger,
+                Event.UPSTREAM_LOST,
+                logging.WARNING,
+                upstream=report.upstream,
+                epoch=report.epoch,
+                remaining_ms=report.remaining_ms,
+            )
--- /dev/null
+++ b/src/ibisjunction/placement/balance.py
@@ -0,0 +1,108 @@
+"""Chooses owners of shards with least movement.
+
+Owners are kept unless a move pays. A shard without an owner goes where the
+load per weight stays lowest; weighted rendezvous hashing decides ties, so all
+leaders decide alike.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from ibisjunction.placement.rendezvous import score_candidate
+
+#: A move interrupts a shard for tens of ms, so it must lower the higher of the
+#: two loads per weight by this fraction of the mean; noise stays below it.
+_LEAST_GAIN: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ShardMove:
+    """A shard and the upstream that should own it."""
+
+    shard: int
+    upstream: str
+
+
+class Balance:
+    """Load of the upstreams of one service while owners are chosen.
+
+    :param owners: owner of each shard, for upstreams in ``weights`` only.
+    :param weights: positive weight of each upstream that may own shards.
+    :param loads: load of shards; 1 for a shard that is not listed.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        owners: Mapping[int, str],
+        weights: Mapping[str, float],
+        loads: Mapping[int, float],
+    ) -> None:
+        """Add up the loads."""
+        self._service = service
+        self._weights = weights
+        self._loads = loads
+        self._held: dict[str, set[int]] = {name: set() for name in weights}
+        self._totals: dict[str, float] = dict.fromkeys(weights, 0)
+        for shard, owner in owners.items():
+            self._add(shard, owner)
+
+    def place(self, shard: int) -> str | None:
+        """Choose and note the owner of a shard that has none."""
+        ranks = {name: self._rank(shard, name) for name in self._weights}
+        owner = min(ranks, key=ranks.__getitem__, default=None)
+        if owner is not None:
+            self._add(shard, owner)
+        return owner
+
+    def improve(self) -> ShardMove | None:
+        """Choose and note the move that pays most, if one pays.
+
+        The shard goes from the upstream with the highest load per weight.
+        """
+        if not self._weights:
+            return None
+        highest = max(sorted(self._weights), key=self._level)
+        candidates = [
+            (self._gain(shard, highest, to), self._score(shard, to), shard, to)
+            for to in self._weights
+            if to != highest
+            for shard in self._held[highest]
+        ]
+        if not candidates:
+            return None
+        gain, _, shard, to = max(candidates)
+        total_weight = sum(self._weights.values())
+        mean = sum(self._totals.values()) / total_weight
+        if gain <= _LEAST_GAIN * mean:
+            return None
+        self._held[highest].discard(shard)
+        self._totals[highest] -= self._load_of(shard)
+        self._add(shard, to)
+        return ShardMove(shard, to)
+
+    def _add(self, shard: int, owner: str) -> None:
+        self._held[owner].add(shard)
+        self._totals[owner] += self._load_of(shard)
+
+    def _rank(self, shard: int, name: str) -> tuple[float, float]:
+        load = self._load_of(shard)
+        return self._level(name, load), -self._score(shard, name)
+
+    def _gain(self, shard: int, owner: str, to: str) -> float:
+        """Return by how much the higher of the two levels falls."""
+        load = self._load_of(shard)
+        left = self._level(owner, -load)
+        return self._level(owner) - max(left, self._level(to, load))
+
+    def _level(self, name: str, extra: float = 0) -> float:
+        total = self._totals[name] + extra
+        return total / self._weights[name]
+
+    def _load_of(self, shard: int) -> float:
+        return self._loads.get(shard, 1)
+
+    def _score(self, shard: int, name: str) -> float:
+        subject = f'{self._service}/{shard}'
+        return score_candidate(subject, name, self._weights[name])
--- /dev/null
+++ b/src/ibisjunction/placement/losses.py
@@ -0,0 +1,117 @@
+"""Which ownerships have surely ended, as the control leader counts them."""
+
+import math
+from dataclasses import dataclass
+
+from ibisjunction.control.state import ControlState
+from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
+from ibisjunction.settings import TimingSettings
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    report: UpstreamLost
+    expires_at: int
+
+
+class LossTable:
+    """Reports of lost upstreams and released shards.
+
+    An upstream that checks fences runs nothing after its grant lease. One that
+    does not may get a late request until every VM has seen the start of the
+    move, one VM lease after its commit.
+    """
+
+    def __init__(self, timing: TimingSettings) -> None:
+        """Start without reports; dispatchers repeat theirs."""
+        self._clock_error = timing.clock_error
+        self._vm_lease_ms = self._lengthen(timing.vm_lease_ms)
+        self._losses: dict[str, _Loss] = {}
+        self._released: set[int] = set()
+        self._moving_since: dict[int, int] = {}
+
+    def take_release(self, released: ShardReleased) -> None:
+        """Take a dispatcher's report about a moving shard."""
+        self._released.add(released.fence)
+
+    def take_loss(self, report: UpstreamLost, now: int) -> None:
+        """Take a report; the first one about a loss has the best bound."""
+        known = self._losses.get(report.upstream)
+        if known is not None and _is_same_loss(known.report, report):
+            return
+        expires_at = now + self._lengthen(report.remaining_ms)
+        self._losses[report.upstream] = _Loss(report, expires_at)
+
+    def follow(self, state: ControlState, now: int) -> None:
+        """Drop what the control state has outrun.
+
+        A new dispatcher may renew grants again, and a new process of the
+        upstream gets grants of its own, so their reports count anew.
+        """
+        self._losses = {
+            upstream: loss
+            for upstream, loss in self._losses.items()
+            if _is_current(state, loss.report)
+        }
+        moving = {
+            grant.fence
+            for grants in state.grants.values()
+            for grant in grants.values()
+            if grant.moving_to is not None
+        }
+        self._released &= moving
+        self._moving_since = {
+            fence: self._moving_since.get(fence, now) for fence in moving
+        }
+
+    @property
+    def lost(self) -> frozenset[str]:
+        """The upstreams that are reported lost."""
+        return frozenset(self._losses)
+
+    def find_expired(self, state: ControlState, now: int) -> frozenset[str]:
+        """Return the lost upstreams that surely run nothing any more."""
+        return frozenset(
+            upstream
+            for upstream, loss in self._losses.items()
+            if now >= loss.expires_at + self._extra_ms(state, upstream)
+        )
+
+    def find_ended(self, state: ControlState, now: int) -> frozenset[int]:
+        """Return the fences of moving shards whose owner has surely ended."""
+        ended = set(self._released)
+        for upstream, loss in self._losses.items():
+            for grant in state.grants_of(upstream):
+                since = self._moving_since.get(grant.fence)
+                if since is None:
+                    continue
+                stopped_at = since + self._extra_ms(state, upstream)
+                if now >= max(stopped_at, loss.expires_at):
+                    ended.add(grant.fence)
+        return frozenset(ended)
+
+    def _extra_ms(self, state: ControlState, upstream: str) -> int:
+        if state.upstreams[upstream].checks_fence:
+            return 0
+        return self._vm_lease_ms
+
+    def _lengthen(self, duration_ms: int) -> int:
+        return math.ceil(duration_ms * (1 + self._clock_error))
+
+
+def _is_same_loss(first: UpstreamLost, second: UpstreamLost) -> bool:
+    return (first.epoch, first.incarnation) == (
+        second.epoch,
+        second.incarnation,
+    )
+
+
+def _is_current(state: ControlState, report: UpstreamLost) -> bool:
+    record = state.upstreams.get(report.upstream)
+    dispatcher = state.dispatchers.get(report.upstream)
+    if record is None or dispatcher is None:
+        return False
+    return (dispatcher.epoch, record.incarnation) == (
+        report.epoch,
+        report.incarnation,
+    )
--- a/src/ibisjunction/placement/planner.py
+++ b/src/ibisjunction/placement/planner.py
@@ -1,17 +1,29 @@
 """The placement decision."""
 
-from collections import defaultdict
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Final
 
 from ibisjunction.control.commands import (
     AssignDispatcher,
     AssignShards,
+    BeginMove,
     Command,
+    CompleteMove,
+    RemoveUpstream,
     RemoveVm,
 )
+from ibisjunction.control.records import Grant, UpstreamRecord, VmRecord
 from ibisjunction.control.state import ControlState
-from ibisjunction.placement.rendezvous import choose_owner
+from ibisjunction.placement.balance import Balance
+from ibisjunction.placement.rendezvous import score_candidate
+
+#: Planned moves of one service at a time; each interrupts one shard for tens
+#: of ms, so a drain of 64 shards still takes about a second.
+_CONCURRENT_MOVES: Final = 4
+#: A dispatcher is moved only to a VM with at least this many fewer.
+_DISPATCHER_GAP: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,12 +31,22 @@
     """What the planner knows.
 
     ``live_vms`` are the VMs whose lease may still run. ``shards`` is the
-    number of shards of each published service.
+    number of shards of each published service. ``lost`` are upstreams reported
+    lost and ``expired`` those of them that surely run nothing any more;
+    ``ended`` are fences of moving shards whose owner has surely ended.
+    ``speeds`` is the measured speed of upstreams in requests per slot and
+    second; shards are moved to balance load only for services that have it for
+    each upstream. ``loads`` holds the load of shards of a service.
     """
 
     state: ControlState
     live_vms: frozenset[str]
     shards: dict[str, int]
+    lost: frozenset[str] = frozenset()
+    expired: frozenset[str] = frozenset()
+    ended: frozenset[int] = frozenset()
+    speeds: Mapping[str, float] = field(default_factory=dict)
+    loads: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
 
 
 def plan_commands(known: PlacementInput) -> list[Command]:
@@ -32,7 +54,9 @@
     return [
         *_plan_removals(known),
         *_plan_dispatchers(known),
-        *_plan_assignments(known),
+        *_plan_completions(known),
+        *_plan_departures(known),
+        *_plan_services(known),
     ]
 
 
@@ -43,32 +67,191 @@
 
 
 def _plan_dispatchers(known: PlacementInput) -> Iterator[Command]:
-    candidates = {vm: 1.0 for vm in known.state.vms if vm in known.live_vms}
-    for upstream in sorted(known.state.upstreams):
-        record = known.state.dispatchers.get(upstream)
-        if record is not None and record.vm in known.live_vms:
-            continue
-        vm = choose_owner(upstream, candidates)
+    state = known.state
+    spread = _DispatcherSpread(known)
+    for upstream in sorted(state.upstreams):
+        record = state.dispatchers.get(upstream)
+        if record is None or record.vm not in spread.vms:
+            # The removal of a lost VM removes its dispatchers.
+            vm = spread.choose(upstream)
+            if vm is not None:
+                yield AssignDispatcher(upstream, vm, replaces_epoch=0)
+    yield from spread.plan_move()
+
+
+class _DispatcherSpread:
+    """Dispatchers by VM while they are assigned.
+
+    A VM with few dispatchers comes first, then a failure domain with few
+    dispatchers of the same service, so that the loss of a domain stops as
+    little of each service as possible.
+    """
+
+    def __init__(self, known: PlacementInput) -> None:
+        state = known.state
+        self.vms: dict[str, VmRecord] = {
+            vm: record
+            for vm, record in state.vms.items()
+            if vm in known.live_vms
+        }
+        self._known = known
+        self._counts: Counter[str] = Counter()
+        self._domains: Counter[tuple[str, str]] = Counter()
+        for upstream, record in state.dispatchers.items():
+            if record.vm in self.vms:
+                self._note(upstream, record.vm)
+
+    def choose(self, upstream: str) -> str | None:
+        ranks = {vm: self._rank(upstream, vm) for vm in self.vms}
+        vm = min(ranks, key=ranks.__getitem__, default=None)
         if vm is not None:
-            yield AssignDispatcher(upstream, vm)
+            self._note(upstream, vm)
+        return vm
+
+    def plan_move(self) -> Iterator[Command]:
+        """Move one dispatcher to a VM that has far fewer."""
+        state = self._known.state
+        least = min((self._counts[vm] for vm in self.vms), default=0)
+        for upstream, record in sorted(state.dispatchers.items()):
+            gap = self._counts[record.vm] - least
+            if gap >= _DISPATCHER_GAP and self._is_movable(upstream):
+                vm = self.choose(upstream)
+                if vm is not None:
+                    yield AssignDispatcher(upstream, vm, record.epoch)
+                return
+
+    def _is_movable(self, upstream: str) -> bool:
+        if upstream in self._known.lost:
+            return False
+        grants = self._known.state.grants_of(upstream)
+        return all(grant.moving_to is None for grant in grants)
+
+    def _rank(self, upstream: str, vm: str) -> tuple[int, int, float]:
+        upstreams = self._known.state.upstreams
+        service = upstreams[upstream].service
+        domain = (service, self.vms[vm].failure_domain)
+        score = score_candidate(upstream, vm, 1)
+        return self._counts[vm], self._domains[domain], -score
+
+    def _note(self, upstream: str, vm: str) -> None:
+        upstreams = self._known.state.upstreams
+        service = upstreams[upstream].service
+        self._counts[vm] += 1
+        self._domains[service, self.vms[vm].failure_domain] += 1
+
+
+def _plan_completions(known: PlacementInput) -> Iterator[Command]:
+    for service, grants in sorted(known.state.grants.items()):
+        for shard, grant in sorted(grants.items()):
+            if grant.moving_to is not None and grant.fence in known.ended:
+                yield CompleteMove(service, shard, grant.fence)
 
 
-def _plan_assignments(known: PlacementInput) -> Iterator[Command]:
+def _plan_departures(known: PlacementInput) -> Iterator[Command]:
+    for upstream, record in sorted(known.state.upstreams.items()):
+        is_leaving = record.draining or upstream in known.expired
+        if is_leaving and not known.state.grants_of(upstream):
+            yield RemoveUpstream(upstream)
+
+
+def _plan_services(known: PlacementInput) -> Iterator[Command]:
     for service, shards in sorted(known.shards.items()):
-        weights = _weigh_upstreams(known.state, service)
+        plan = _ServicePlan(known, service)
+        yield from plan.assign(shards)
+        yield from plan.evacuate()
+        yield from plan.rebalance()
+
+
+class _ServicePlan:
+    """Owners of one service's shards while they are planned."""
+
+    def __init__(self, known: PlacementInput, service: str) -> None:
+        self._known = known
+        self._service = service
+        self._grants = known.state.grants.get(service, {})
+        records = [
+            record
+            for record in known.state.upstreams.values()
+            if record.service == service
+        ]
+        self._is_measured = all(
+            record.upstream in known.speeds for record in records
+        )
+        self._weights = {
+            record.upstream: self._weigh(record)
+            for record in records
+            if not record.draining and record.upstream not in known.lost
+        }
+        self._moving = sum(
+            grant.moving_to is not None and grant.upstream not in known.lost
+            for grant in self._grants.values()
+        )
+        owners = {
+            shard: _expected_owner(grant)
+            for shard, grant in self._grants.items()
+        }
+        self._balance = Balance(
+            service,
+            {
+                shard: owner
+                for shard, owner in owners.items()
+                if owner in self._weights
+            },
+            self._weights,
+            known.loads.get(service, {}),
+        )
+
+    def assign(self, shards: int) -> Iterator[Command]:
+        """Assign the shards that have no owner."""
         chosen = defaultdict(list)
         for shard in range(shards):
-            if known.state.grant_of(service, shard) is None:
-                owner = choose_owner(f'{service}/{shard}', weights)
-                chosen[owner].append(shard)
-        for upstream, shard_list in sorted(chosen.items(), key=str):
-            if upstream is not None:
-                yield AssignShards(service, upstream, tuple(shard_list))
-
-
-def _weigh_upstreams(state: ControlState, service: str) -> dict[str, float]:
-    return {
-        record.upstream: float(record.slots)
-        for record in state.upstreams.values()
-        if record.service == service and not record.draining
-    }
+            if shard not in self._grants:
+                owner = self._balance.place(shard)
+                if owner is not None:
+                    chosen[owner].append(shard)
+        for upstream, shard_list in sorted(chosen.items()):
+            yield AssignShards(self._service, upstream, tuple(shard_list))
+
+    def evacuate(self) -> Iterator[Command]:
+        """Move shards away from lost and draining upstreams."""
+        for _, grant in sorted(self._grants.items()):
+            if _expected_owner(grant) in self._weights:
+                continue
+            if self._weights:
+                yield from self._move_away(grant)
+            elif grant.upstream in self._known.expired:
+                yield CompleteMove(self._service, grant.shard, grant.fence)
+
+    def _move_away(self, grant: Grant) -> Iterator[Command]:
+        is_lost = grant.upstream in self._known.lost
+        if is_lost or grant.moving_to or self._moving < _CONCURRENT_MOVES:
+            self._moving += not is_lost
+            to = self._balance.place(grant.shard)
+            if to is not None:
+                yield self._begin(grant, to)
+
+    def rebalance(self) -> Iterator[Command]:
+        """Move shards to even out load, a few at a time."""
+        if not self._is_measured:
+            return
+        while self._moving < _CONCURRENT_MOVES:
+            move = self._balance.improve()
+            if move is None:
+                return
+            grant = self._grants.get(move.shard)
+            if grant is None or grant.moving_to is not None:
+                return
+            self._moving += 1
+            yield self._begin(grant, move.upstream)
+
+    def _begin(self, grant: Grant, to: str) -> BeginMove:
+        return BeginMove(self._service, grant.shard, grant.fence, to)
+
+    def _weigh(self, record: UpstreamRecord) -> float:
+        if not self._is_measured:
+            return record.slots
+        return record.slots * self._known.speeds[record.upstream]
+
+
+def _expected_owner(grant: Grant) -> str:
+    return grant.moving_to or grant.upstream
--- a/src/ibisjunction/placement/rendezvous.py
+++ b/src/ibisjunction/placement/rendezvous.py
@@ -22,12 +22,13 @@
     """
     return max(
         weights,
-        key=lambda name: (_score(subject, name, weights[name]), name),
+        key=lambda name: (score_candidate(subject, name, weights[name]), name),
         default=None,
     )
 
 
-def _score(subject: str, candidate: str, weight: float) -> float:
+def score_candidate(subject: str, candidate: str, weight: float) -> float:
+    """Return the score of a candidate for a subject; the highest owns it."""
     digest = xxhash.xxh3_64_intdigest(f'{candidate}/{subject}'.encode())
     uniform = (digest + 1) / (_HASH_RANGE + 1)
     return -weight / math.log(uniform)
--- a/src/ibisjunction/placement/task.py
+++ b/src/ibisjunction/placement/task.py
@@ -1,61 +1,110 @@
 """Runs the planner on the leader and proposes its commands."""
 
+import asyncio
 import logging
 from typing import Any
 
+from ibisjunction.clock import Clock
 from ibisjunction.control.client import ControlClient
 from ibisjunction.control.commands import (
     AssignDispatcher,
     AssignShards,
     BeginMove,
     Command,
+    CompleteMove,
+    RemoveUpstream,
     RemoveVm,
 )
 from ibisjunction.control.messages import ControlView, Leadership, LiveVms
+from ibisjunction.control.state import ControlState
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import Mailbox
+from ibisjunction.mailbox import Mailbox, run_task
+from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
+from ibisjunction.peers.link import PeerNetwork, Received
+from ibisjunction.placement.losses import LossTable
 from ibisjunction.placement.planner import PlacementInput, plan_commands
 from ibisjunction.services.collection import parse_collection
+from ibisjunction.settings import Settings
 
 _logger = logging.getLogger(__name__)
 
 
 class PlacementTask:
-    """Plans while this VM leads the control log."""
+    """Plans while this VM leads the control log.
 
-    def __init__(self, control: ControlClient) -> None:
+    Messages are handled while proposals are under way, so that each plan
+    starts from the latest that is known.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        peers: PeerNetwork,
+        control: ControlClient,
+    ) -> None:
         """Start as a follower without a view."""
+        self._clock = clock
         self._control = control
-        self._view: ControlView | None = None
+        self._losses = LossTable(settings.timing)
+        self._state: ControlState | None = None
+        self._live_vms: frozenset[str] | None = None
         self._is_leader = False
         self._revision = 0
         self._shards: dict[str, int] = {}
+        self._is_due = asyncio.Event()
         self.mailbox: Mailbox[Any] = Mailbox()
+        peers.subscribe(self.mailbox, ShardReleased, UpstreamLost)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
+        async with run_task(self._run_planner(), 'planner'):
+            while True:
+                self.handle(await self.mailbox.get())
+
+    def handle(self, message: Any) -> None:
+        """Process one message."""
+        match message:
+            case ControlView(state=state):
+                self._state = state
+            case Leadership(is_leader=is_leader):
+                self._is_leader = is_leader
+            case LiveVms(vms=live_vms, settled=settled):
+                self._live_vms = live_vms if settled else None
+            case Received(message=ShardReleased() as released):
+                self._losses.take_release(released)
+            case Received(message=UpstreamLost() as lost):
+                self._losses.take_loss(lost, self._clock.now())
+        self._is_due.set()
+
+    async def _run_planner(self) -> None:
         while True:
-            message = await self.mailbox.get()
-            match message:
-                case ControlView():
-                    self._view = message
-                case Leadership(is_leader=is_leader):
-                    self._is_leader = is_leader
-                case LiveVms(vms=live_vms, settled=True):
-                    await self._plan(live_vms)
+            await self._is_due.wait()
+            self._is_due.clear()
+            for command in self._plan():
+                _log_command(command)
+                await self._control.propose(command)
 
-    async def _plan(self, live_vms: frozenset[str]) -> None:
-        if not self._is_leader or self._view is None:
-            return
-        state = self._view.state
+    def _plan(self) -> list[Command]:
+        state = self._state
+        if not self._is_leader or state is None or self._live_vms is None:
+            return []
         if state.revision != self._revision:
             specs = parse_collection(state.files)
             self._shards = {spec.service: spec.shards for spec in specs}
             self._revision = state.revision
-        known = PlacementInput(state, live_vms, self._shards)
-        for command in plan_commands(known):
-            _log_command(command)
-            await self._control.propose(command)
+        now = self._clock.now()
+        self._losses.follow(state, now)
+        return plan_commands(
+            PlacementInput(
+                state=state,
+                live_vms=self._live_vms,
+                shards=self._shards,
+                lost=self._losses.lost,
+                expired=self._losses.find_expired(state, now),
+                ended=self._losses.find_ended(state, now),
+            ),
+        )
 
 
 def _log_command(command: Command) -> None:
@@ -83,5 +132,15 @@
                 shard=shard,
                 to=upstream,
             )
+        case CompleteMove(service=service, shard=shard, fence=fence):
+            log_event(
+                _logger,
+                Event.MOVE_COMPLETED,
+                service=service,
+                shard=shard,
+                ended_fence=fence,
+            )
         case RemoveVm(vm=vm):
             log_event(_logger, Event.VM_LOST, vm=vm)
+        case RemoveUpstream(upstream=upstream):
+            log_event(_logger, Event.UPSTREAM_REMOVED, upstream=upstream)
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -36,12 +36,15 @@
 class GrantCall(msgspec.Struct, frozen=True):
     """All grants of an upstream; replaces what it held before.
 
+    ``sequence`` increases within an epoch. A call may be delayed on a broken
+    connection, so the upstream ignores one that is older than the last.
     ``echo`` is the clock reading of the upstream's last answer, or ``None`` on
     the first call, which then only obtains a reading.
     """
 
     vm: str
     epoch: int
+    sequence: int
     echo: int | None
     lease_ms: int
     grants: list[GrantedShard]
--- a/tests/session.py
+++ b/tests/session.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ibisjunction.bench.grants import GrantBook
-from ibisjunction.clock import ManualClock
+from ibisjunction.clock import ManualClock, in_seconds
 from ibisjunction.control.codec import decode_command
 from ibisjunction.control.messages import (
     CommittedEntries,
@@ -45,7 +45,10 @@
     BodyChunk,
     BodyEnd,
 )
-from ibisjunction.upstreams.protocol import GrantCall
+from ibisjunction.upstreams.protocol import (
+    GrantCall,
+    UpstreamUnreachableError,
+)
 from ibisjunction.verdict import Verdict
 from tests.samples import make_settings
 
@@ -101,15 +104,30 @@
 
 
 class SessionUpstreams:
-    """Stand-ins that take grants and answer requests at once."""
+    """Stand-ins that take grants and answer requests at once.
+
+    ``unreachable`` holds the addresses that answer no call. A request to an
+    address in ``slow`` is answered once the address is removed.
+    """
 
     def __init__(self, recorder, clock) -> None:
         self._recorder = recorder
         self._clock = clock
         self._books: dict[str, GrantBook] = {}
         self._last_calls: dict[str, GrantCall] = {}
+        self._delivered: dict[str, GrantCall] = {}
+        self.unreachable: set[str] = set()
+        self.slow: set[str] = set()
+
+    def allows(self, address, service, shard, fence) -> bool:
+        """Return whether a stand-in that checks fences accepts a request."""
+        book = self._books.get(address, GrantBook())
+        return book.allows(service, shard, fence, self._clock.now())
 
     async def call(self, address, call, _timeout_ms):
+        if address in self.unreachable:
+            raise UpstreamUnreachableError(f'{address}: no answer')
+        self._delivered[address] = call
         book = self._books.setdefault(address, GrantBook())
         answer = book.accept(call, self._clock.now())
         if self._is_new(address, call):
@@ -117,24 +135,34 @@
             self._recorder.write(address, call.vm, answer)
         return answer
 
+    async def replay(self, address) -> None:
+        """Deliver the last call again, as a broken connection may do."""
+        await self.call(address, self._delivered[address], 0)
+
     def _is_new(self, address, call) -> bool:
         """Return whether a call is more than a renewal of the last one."""
-        content = msgspec.structs.replace(call, echo=min(call.echo or 0, 1))
+        content = msgspec.structs.replace(
+            call,
+            echo=min(call.echo or 0, 1),
+            sequence=0,
+        )
         last = self._last_calls.get(address)
         self._last_calls[address] = content
         return content != last
 
     @contextlib.asynccontextmanager
     async def borrow(self, address):
-        connection = _SessionConnection(self._recorder, address)
+        connection = _SessionConnection(self._recorder, str(address), self)
         async with run_task(connection.run(), 'connection'):
             yield connection
 
 
 class _SessionConnection:
-    def __init__(self, recorder, address) -> None:
+    def __init__(self, recorder, address, upstreams) -> None:
         self._recorder = recorder
         self._address = address
+        self._upstreams = upstreams
+        self.is_open = True
         self.mailbox: Mailbox = Mailbox()
 
     async def run(self) -> None:
@@ -149,6 +177,8 @@
             body += part.chunk
             part = await exchange.body.get()
         self._recorder.lines.append(f'    body: {body.decode()}')
+        while self._address in self._upstreams.slow:
+            await asyncio.sleep(0)
         answer = f'answer to {exchange.target}'.encode()
         head = (('Content-Length', str(len(answer))),)
         await exchange.answers.put(AnswerHead(200, head))
@@ -187,6 +217,8 @@
         self.upstreams = SessionUpstreams(self.recorder, self.clock)
         self._codec = Codec(PEER_MESSAGES)
         self._numbers = itertools.count(1)
+        self.paused: set[str] = set()
+        self._kept: list[tuple[str, str, object]] = []
         self.networks = {vm: SessionNetwork(vm, self) for vm in vms}
         self.settings = {vm: make_settings(vm, voters) for vm in vms}
         self.tasks = {
@@ -203,6 +235,12 @@
     def deliver(self, sender, receiver, message) -> None:
         if not isinstance(message, _NOT_RECORDED):
             self.recorder.write(sender, receiver, message)
+        if receiver in self.paused:
+            self._kept.append((sender, receiver, message))
+            return
+        self._post(sender, receiver, message)
+
+    def _post(self, sender, receiver, message) -> None:
         network = self.networks[receiver]
         decoded = self._codec.decode(self._codec.encode(message))
         for mailbox in network.subscribers.get(type(message), ()):
@@ -210,6 +248,9 @@
 
     @contextlib.asynccontextmanager
     async def run(self):
+        # Sleeps and timeouts of requests follow the manual clock as well.
+        loop = asyncio.get_running_loop()
+        loop.time = lambda: in_seconds(self.clock.now())
         async with contextlib.AsyncExitStack() as stack:
             for tasks in self.tasks.values():
                 for task in tasks.all():
@@ -218,10 +259,22 @@
                     )
             yield self
 
+    def resume(self, vm) -> None:
+        """Deliver what a paused VM was sent."""
+        self.paused.discard(vm)
+        kept, self._kept = self._kept, []
+        for sender, receiver, message in kept:
+            if receiver == vm:
+                self._post(sender, receiver, message)
+            else:
+                self._kept.append((sender, receiver, message))
+
     async def step(self, delta_ms=100) -> None:
-        """Advance the clock and let every task look at it."""
+        """Advance the clock and let every task look at it, unless paused."""
         self.clock.advance(delta_ms)
-        for tasks in self.tasks.values():
+        for vm, tasks in self.tasks.items():
+            if vm in self.paused:
+                continue
             tasks.membership.mailbox.post(HeartbeatDue())
             await self.settle()
             tasks.ownership.mailbox.post(RenewalDue())
