Count grants by the process that may hold them

Change: a grant names the incarnation of the process it was issued to. A new announcement starts a move of such shards to the new process; no dispatcher grants them again, and they are released once the former process's grant lease has surely run out.

--- a/src/ibisjunction/control/records.py
+++ b/src/ibisjunction/control/records.py
@@ -52,14 +52,17 @@
 class Grant:
     """Ownership of one shard.
 
-    ``moving_to`` is set between the start of a planned move and its end; no
-    ticket is issued for the shard meanwhile.
+    ``incarnation`` is that of the upstream's process that may hold the grant.
+    ``moving_to`` is set between the start of a move and its end; no ticket is
+    issued for the shard meanwhile. After a restart the shards of an upstream
+    move from its former to its new process.
     """
 
     service: str
     shard: int
     upstream: str
     fence: int
+    incarnation: int
     moving_to: str | None = None
 
 
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -157,9 +157,23 @@
         is_draining = known.draining or record.draining
         record = replace(record, draining=is_draining)
     upstreams = {**state.upstreams, record.upstream: record}
+    state = _move_to_new_process(state, record)
     return replace(state, upstreams=upstreams), Accepted()
 
 
+def _move_to_new_process(
+    state: ControlState,
+    record: UpstreamRecord,
+) -> ControlState:
+    """Start to move the shards of a former process of the upstream."""
+    for grant in state.grants_of(record.upstream):
+        is_former = grant.incarnation != record.incarnation
+        if is_former and grant.moving_to is None:
+            moving = replace(grant, moving_to=record.upstream)
+            state = _with_grant(state, moving)
+    return state
+
+
 def _remove_upstream(state: ControlState, upstream: str) -> Applied:
     record = state.upstreams.get(upstream)
     if record is None:
@@ -204,7 +218,8 @@
 
 
 def _assign_shards(state: ControlState, command: AssignShards) -> Applied:
-    if command.upstream not in state.upstreams:
+    record = state.upstreams.get(command.upstream)
+    if record is None:
         return state, Rejected(f'upstream {command.upstream} is not known')
     held = dict(state.grants.get(command.service, {}))
     fence = state.last_fence
@@ -214,7 +229,13 @@
                 f'shard {shard} of {command.service} has an owner',
             )
         fence += 1
-        held[shard] = Grant(command.service, shard, command.upstream, fence)
+        held[shard] = Grant(
+            command.service,
+            shard,
+            command.upstream,
+            fence,
+            record.incarnation,
+        )
     grants = {**state.grants, command.service: held}
     return replace(state, grants=grants, last_fence=fence), Accepted()
 
@@ -238,7 +259,13 @@
         grants = {**state.grants, command.service: held}
         return replace(state, grants=grants), Accepted()
     fence = state.last_fence + 1
-    moved = Grant(command.service, command.shard, grant.moving_to, fence)
+    moved = Grant(
+        command.service,
+        command.shard,
+        grant.moving_to,
+        fence,
+        state.upstreams[grant.moving_to].incarnation,
+    )
     return _with_grant(replace(state, last_fence=fence), moved), Accepted()
 
 
--- a/src/ibisjunction/dispatch/handover.py
+++ b/src/ibisjunction/dispatch/handover.py
@@ -19,8 +19,8 @@
     """One upstream of which this VM is the dispatcher, under one epoch.
 
     A shard is held, so that requests for it wait, until the survey is
-    complete and the upstream's present process has confirmed its grant, and
-    again from the start of its move.
+    complete and the upstream has confirmed its grant, and again from the
+    start of its move.
     """
 
     def __init__(
@@ -32,7 +32,6 @@
         """Start the survey of a new epoch."""
         self.dispatcher = Dispatcher(record.upstream, epoch, record.slots)
         self.survey = TicketSurvey(epoch, vms)
-        self._record = record
         self._vms = dict(vms)
         self._grants: dict[int, Grant] = {}
         self._confirmed: GrantsInForce | None = None
@@ -42,7 +41,6 @@
     def follow(self, state: ControlState, now: int) -> list[SendToVm]:
         """Take a new control state."""
         upstream = self.dispatcher.upstream
-        self._record = state.upstreams[upstream]
         grants = state.grants_of(upstream)
         self._grants = {grant.shard: grant for grant in grants}
         self.survey.follow(state.vms)
@@ -138,6 +136,4 @@
         confirmed = self._confirmed
         if confirmed is None or grant.moving_to is not None:
             return False
-        if confirmed.incarnation != self._record.incarnation:
-            return False
         return confirmed.fences.get(grant.shard) == grant.fence
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -71,15 +71,13 @@
 class GrantsInForce:
     """The grants that an upstream confirmed, valid until ``until_ms``.
 
-    ``fences`` maps shards to fences. ``incarnation`` is that of the upstream's
-    process that confirmed them.
+    ``fences`` maps shards to fences.
     """
 
     upstream: str
     epoch: int
     fences: dict[int, int]
     until_ms: int
-    incarnation: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/ownership/handover.py
+++ b/src/ibisjunction/ownership/handover.py
@@ -93,7 +93,7 @@
             timing.vm_lease_ms + timing.grant_lease_ms,
             timing,
         )
-        self._grants_from = now
+        self._former_until = self._expires_at
 
     def follow(
         self,
@@ -176,10 +176,10 @@
     def _restart(self, now: int) -> None:
         """Start over with a new process of the upstream.
 
-        The former process may only be frozen, so the new one gets grants
-        after the former's grant lease has surely run out.
+        The former process may only be frozen, so its shards are released when
+        its grant lease has surely run out.
         """
-        self._grants_from = self._expires_at
+        self._former_until = self._expires_at
         self._echo = None
         self._pending = None
         self._last = None
@@ -191,9 +191,7 @@
     def _call_if_changed(self, now: int) -> list[GrantEffect]:
         """Send a call at once if the grants differ from the accepted ones."""
         last = self._last
-        is_unchanged = (
-            last is not None and self._list_grants(now) == last.grants
-        )
+        is_unchanged = last is not None and self._list_grants() == last.grants
         return [] if is_unchanged or self.is_lost else self._call(now)
 
     def _call(self, now: int) -> list[GrantEffect]:
@@ -206,24 +204,30 @@
             sequence=self._sequence,
             echo=None if self._echo is None else self._echo.clock,
             lease_ms=self._timing.grant_lease_ms,
-            grants=self._list_grants(now),
+            grants=self._list_grants(),
         )
         return [
             SendCall(self._record.address, self._pending),
         ]
 
-    def _list_grants(self, now: int) -> list[GrantedShard]:
-        if now < self._grants_from:
-            return []
+    def _list_grants(self) -> list[GrantedShard]:
         return [
             GrantedShard(grant.service, grant.shard, grant.fence)
             for grant in self._grants.values()
-            if grant.moving_to is None or self._is_kept(grant.fence)
+            if self._is_granted(grant)
         ]
 
-    def _is_kept(self, fence: int) -> bool:
-        """Return whether a moving shard still has tickets under this grant."""
-        return fence in self._in_force and fence not in self._idle
+    def _is_granted(self, grant: Grant) -> bool:
+        """Return whether the upstream is to hold the grant.
+
+        A moving shard is kept until its tickets are back, but never granted
+        anew.
+        """
+        if grant.incarnation != self._record.incarnation:
+            return False
+        if grant.moving_to is None:
+            return True
+        return grant.fence in self._in_force and grant.fence not in self._idle
 
     def _confirm(self, call: GrantCall, echoed: _Echo) -> GrantsInForce:
         lease_ms = math.floor(
@@ -234,29 +238,36 @@
             epoch=self.epoch,
             fences={grant.shard: grant.fence for grant in call.grants},
             until_ms=echoed.sent_at + lease_ms,
-            incarnation=self._record.incarnation,
         )
 
     def _report_released(self, now: int) -> list[GrantEffect]:
-        if self._last is None or now < self._grants_from:
+        if self._last is None:
             return []
         return [
             ShardReleased(grant.service, grant.shard, grant.fence)
             for grant in self._grants.values()
-            if self._is_released(grant)
+            if self._is_released(grant, now)
         ]
 
-    def _is_released(self, grant: Grant) -> bool:
+    def _is_released(self, grant: Grant, now: int) -> bool:
         if grant.moving_to is None or grant.fence not in self._idle:
             return False
+        if grant.incarnation != self._record.incarnation:
+            return now >= self._former_until
         return grant.fence not in self._in_force
 
     def _describe_loss(self, now: int) -> UpstreamLost:
+        expires_at = self._expires_at
+        incarnation = self._record.incarnation
+        if any(
+            grant.incarnation != incarnation for grant in self._grants.values()
+        ):
+            expires_at = max(expires_at, self._former_until)
         return UpstreamLost(
             upstream=self._record.upstream,
             epoch=self.epoch,
-            incarnation=self._record.incarnation,
-            remaining_ms=max(0, self._expires_at - now),
+            incarnation=incarnation,
+            remaining_ms=max(0, expires_at - now),
         )
 
 
