Place shards by slots and measured speed with least movement

The planner keeps owners and moves a shard only if that lowers the higher of two loads per weight by a tenth of the mean, at most four planned moves of a service at a time; a new leader waits for the reports of each upstream. Weighted rendezvous hashing decides ties.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -27,6 +27,7 @@
     TicketRefused,
     TicketRequest,
     TicketsHeld,
+    UpstreamSpeed,
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
@@ -67,6 +68,7 @@
     TicketRequest,
     TicketsHeld,
     UpstreamLost,
+    UpstreamSpeed,
 )
 
 
@@ -151,7 +153,7 @@
     client = ControlClient(settings, incarnation, peers)
     admin = AdminTask(settings.vm, clock)
     grants: Mailbox[Any] = Mailbox()
-    dispatch = DispatchTask(settings.vm, clock, peers, grants)
+    dispatch = DispatchTask(settings, clock, peers, grants)
     ownership = OwnershipTask(
         settings,
         clock,
--- a/src/ibisjunction/dispatch/handover.py
+++ b/src/ibisjunction/dispatch/handover.py
@@ -10,7 +10,13 @@
     Outstanding,
     SendToVm,
 )
-from ibisjunction.dispatch.messages import GrantsInForce, TicketsHeld
+from ibisjunction.dispatch.messages import (
+    GrantsInForce,
+    TicketDone,
+    TicketsHeld,
+    UpstreamSpeed,
+)
+from ibisjunction.dispatch.speed import SpeedMeter
 from ibisjunction.dispatch.takeover import TicketSurvey
 from ibisjunction.ownership.messages import ShardsIdle
 
@@ -32,6 +38,8 @@
         """Start the survey of a new epoch."""
         self.dispatcher = Dispatcher(record.upstream, epoch, record.slots)
         self.survey = TicketSurvey(epoch, vms)
+        self._incarnation = record.incarnation
+        self._speed = SpeedMeter()
         self._vms = dict(vms)
         self._grants: dict[int, Grant] = {}
         self._confirmed: GrantsInForce | None = None
@@ -41,14 +49,18 @@
     def follow(self, state: ControlState, now: int) -> list[SendToVm]:
         """Take a new control state."""
         upstream = self.dispatcher.upstream
+        record = state.upstreams[upstream]
+        if record.incarnation != self._incarnation:
+            self._incarnation = record.incarnation
+            self._speed = SpeedMeter()
         grants = state.grants_of(upstream)
         self._grants = {grant.shard: grant for grant in grants}
         self.survey.follow(state.vms)
         self._hold()
         effects = []
-        for vm, record in self._vms.items():
+        for vm, former in self._vms.items():
             present = state.vms.get(vm)
-            if present is None or present.incarnation != record.incarnation:
+            if present is None or present.incarnation != former.incarnation:
                 effects += self.dispatcher.drop_vm(vm, now)
         self._vms = dict(state.vms)
         return effects + self._confirm(now)
@@ -83,6 +95,20 @@
         self._hold()
         return self.dispatcher.issue(now)
 
+    def finish(self, done: TicketDone, now: int) -> list[SendToVm]:
+        """Take a ticket back and measure the upstream's speed."""
+        if done.succeeded:
+            self._speed.record(done.service_ms)
+        return self.dispatcher.finish(done, now)
+
+    def describe_speed(self) -> UpstreamSpeed:
+        """Return the report for the leader."""
+        return UpstreamSpeed(
+            self.dispatcher.upstream,
+            self._incarnation,
+            self._speed.hint,
+        )
+
     def set_leased(self, *, is_leased: bool) -> None:
         """Hold every shard while the VM has no lease."""
         if is_leased != self._is_leased:
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -107,3 +107,15 @@
     upstream: str
     epoch: int
     tickets: list[HeldTicket]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """Tells the leader the measured speed of an upstream, each second.
+
+    ``speed`` is in requests per slot and second, 0 while unknown.
+    """
+
+    upstream: str
+    incarnation: int
+    speed: float
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -26,10 +26,12 @@
 from ibisjunction.membership.messages import LeaseExtended
 from ibisjunction.outcomes import Reason
 from ibisjunction.peers.link import PeerNetwork, Received
+from ibisjunction.settings import Settings
 
 _logger = logging.getLogger(__name__)
 
 _TICK_MS: Final = 20
+_SPEED_INTERVAL_MS: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,13 +47,15 @@
 
     def __init__(
         self,
-        vm: str,
+        settings: Settings,
         clock: Clock,
         peers: PeerNetwork,
         ownership: Mailbox[Any],
     ) -> None:
         """Subscribe to the messages of accepting VMs."""
-        self._vm = vm
+        self._vm = settings.vm
+        self._voters = [voter.vm for voter in settings.voters]
+        self._speeds_due_at = 0
         self._clock = clock
         self._peers = peers
         self._upstreams: dict[str, DispatchedUpstream] = {}
@@ -97,6 +101,7 @@
                 for dispatched in self._upstreams.values():
                     self._ask_awaited(dispatched)
                     self._carry_out(dispatched.dispatcher.issue(now))
+                self._report_speeds(now)
         self._report_idle()
 
     def _check_lease(self, now: int) -> None:
@@ -160,7 +165,7 @@
                     return
                 effects = dispatcher.request(received.sender, message, now)
             case TicketDone():
-                effects = dispatcher.finish(message, now)
+                effects = dispatched.finish(message, now)
             case TicketCancel():
                 effects = dispatcher.cancel(message, now)
             case TicketsHeld():
@@ -199,6 +204,14 @@
             if idle is not None:
                 self._ownership.post(idle)
 
+    def _report_speeds(self, now: int) -> None:
+        if now < self._speeds_due_at:
+            return
+        self._speeds_due_at = now + _SPEED_INTERVAL_MS
+        for dispatched in self._upstreams.values():
+            for voter in self._voters:
+                self._peers.send(voter, dispatched.describe_speed())
+
     def _carry_out(self, effects: Iterable[SendToVm]) -> None:
         for effect in effects:
             _log_effect(effect)
--- a/src/ibisjunction/placement/balance.py
+++ b/src/ibisjunction/placement/balance.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Final
 
 from ibisjunction.placement.rendezvous import score_candidate
@@ -14,6 +15,7 @@
 #: A move interrupts a shard for tens of ms, so it must lower the higher of the
 #: two loads per weight by this fraction of the mean; noise stays below it.
 _LEAST_GAIN: Final = 0.1
+_EQUAL_LOADS: Final[Mapping[int, float]] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +39,7 @@
         service: str,
         owners: Mapping[int, str],
         weights: Mapping[str, float],
-        loads: Mapping[int, float],
+        loads: Mapping[int, float] = _EQUAL_LOADS,
     ) -> None:
         """Add up the loads."""
         self._service = service
--- a/src/ibisjunction/placement/planner.py
+++ b/src/ibisjunction/placement/planner.py
@@ -1,7 +1,8 @@
 """The placement decision."""
 
+import statistics
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -35,8 +36,10 @@
     lost and ``expired`` those of them that surely run nothing any more;
     ``ended`` are fences of moving shards whose owner has surely ended.
     ``speeds`` is the measured speed of upstreams in requests per slot and
-    second; shards are moved to balance load only for services that have it for
-    each upstream. ``loads`` holds the load of shards of a service.
+    second, 0 where the dispatcher has reported but knows none yet. Shards are
+    moved to balance load only where each upstream of a service was reported,
+    so that a new leader moves nothing before it knows what its predecessor
+    knew.
     """
 
     state: ControlState
@@ -46,7 +49,6 @@
     expired: frozenset[str] = frozenset()
     ended: frozenset[int] = frozenset()
     speeds: Mapping[str, float] = field(default_factory=dict)
-    loads: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
 
 
 def plan_commands(known: PlacementInput) -> list[Command]:
@@ -173,15 +175,13 @@
             record
             for record in known.state.upstreams.values()
             if record.service == service
+            and not record.draining
+            and record.upstream not in known.lost
         ]
         self._is_measured = all(
             record.upstream in known.speeds for record in records
         )
-        self._weights = {
-            record.upstream: self._weigh(record)
-            for record in records
-            if not record.draining and record.upstream not in known.lost
-        }
+        self._weights = weigh_upstreams(records, known.speeds)
         self._moving = sum(
             grant.moving_to is not None and grant.upstream not in known.lost
             for grant in self._grants.values()
@@ -198,7 +198,6 @@
                 if owner in self._weights
             },
             self._weights,
-            known.loads.get(service, {}),
         )
 
     def assign(self, shards: int) -> Iterator[Command]:
@@ -247,10 +246,26 @@
     def _begin(self, grant: Grant, to: str) -> BeginMove:
         return BeginMove(self._service, grant.shard, grant.fence, to)
 
-    def _weigh(self, record: UpstreamRecord) -> float:
-        if not self._is_measured:
-            return record.slots
-        return record.slots * self._known.speeds[record.upstream]
+
+def weigh_upstreams(
+    records: Iterable[UpstreamRecord],
+    speeds: Mapping[str, float],
+) -> dict[str, float]:
+    """Return slots times speed of each upstream.
+
+    One whose speed is unknown counts as the median of the others.
+    """
+    records = list(records)
+    known = [
+        speeds[record.upstream]
+        for record in records
+        if speeds.get(record.upstream)
+    ]
+    usual = statistics.median(known) if known else 1
+    return {
+        record.upstream: record.slots * (speeds.get(record.upstream) or usual)
+        for record in records
+    }
 
 
 def _expected_owner(grant: Grant) -> str:
--- a/src/ibisjunction/placement/task.py
+++ b/src/ibisjunction/placement/task.py
@@ -17,6 +17,7 @@
 )
 from ibisjunction.control.messages import ControlView, Leadership, LiveVms
 from ibisjunction.control.state import ControlState
+from ibisjunction.dispatch.messages import UpstreamSpeed
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
@@ -47,6 +48,7 @@
         self._clock = clock
         self._control = control
         self._losses = LossTable(settings.timing)
+        self._speeds: dict[str, UpstreamSpeed] = {}
         self._state: ControlState | None = None
         self._live_vms: frozenset[str] | None = None
         self._is_leader = False
@@ -54,7 +56,9 @@
         self._shards: dict[str, int] = {}
         self._is_due = asyncio.Event()
         self.mailbox: Mailbox[Any] = Mailbox()
-        peers.subscribe(self.mailbox, ShardReleased, UpstreamLost)
+        peers.subscribe(
+            self.mailbox, ShardReleased, UpstreamLost, UpstreamSpeed
+        )
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -69,14 +73,27 @@
                 self._state = state
             case Leadership(is_leader=is_leader):
                 self._is_leader = is_leader
+                self._speeds.clear()
             case LiveVms(vms=live_vms, settled=settled):
                 self._live_vms = live_vms if settled else None
             case Received(message=ShardReleased() as released):
                 self._losses.take_release(released)
             case Received(message=UpstreamLost() as lost):
                 self._losses.take_loss(lost, self._clock.now())
+            case Received(message=UpstreamSpeed() as report):
+                self._take_speed(report)
         self._is_due.set()
 
+    def _take_speed(self, report: UpstreamSpeed) -> None:
+        """Keep a known speed until the same process has another one.
+
+        A new dispatcher has no measurement for some time.
+        """
+        known = self._speeds.get(report.upstream)
+        is_same = known is not None and known.incarnation == report.incarnation
+        if report.speed or not is_same:
+            self._speeds[report.upstream] = report
+
     async def _run_planner(self) -> None:
         while True:
             await self._is_due.wait()
@@ -103,6 +120,10 @@
                 lost=self._losses.lost,
                 expired=self._losses.find_expired(state, now),
                 ended=self._losses.find_ended(state, now),
+                speeds={
+                    upstream: report.speed
+                    for upstream, report in self._speeds.items()
+                },
             ),
         )
 
--- a/tests/session.py
+++ b/tests/session.py
@@ -25,6 +25,7 @@
     build_tasks,
     describe_vm,
 )
+from ibisjunction.dispatch.messages import UpstreamSpeed
 from ibisjunction.dispatch.task import Tick as DispatchTick
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
@@ -53,8 +54,8 @@
 from tests.samples import make_settings
 
 _SETTLE_ROUNDS = 60
-#: Heartbeats repeat at each step; they would hide what a session shows.
-_NOT_RECORDED = (Heartbeat, LeaseRenewal)
+#: These repeat without change; they would hide what a session shows.
+_NOT_RECORDED = (Heartbeat, LeaseRenewal, UpstreamSpeed)
 
 
 class Recorder:
