Renew grants over one kept connection per upstream

Cause: each renewal opened a connection with AsyncHTTPClient. The connection task also ended with an exception when the upstream closed without a byte of an answer, and the exchange then waited for its timeout.

Change: GrantConnections keeps one ConnectionTask per upstream and closes it after a failure, so the next call uses a new one. The connection task reports CONNECTION_LOST in that case.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -45,8 +45,8 @@
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
+from ibisjunction.upstreams.grants import GrantConnections
 from ibisjunction.upstreams.pool import ConnectionPool
-from ibisjunction.upstreams.protocol import call_grants
 
 _logger = logging.getLogger(__name__)
 
@@ -196,17 +196,12 @@
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
     peers = make_peers(settings, incarnation, clock)
-    tasks = build_tasks(settings, incarnation, clock, peers, call_grants)
+    calls = GrantConnections(clock)
+    tasks = build_tasks(settings, incarnation, clock, peers, calls.call)
     async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(calls.close)
         await stack.enter_async_context(peers.run())
-        for task in tasks.all():
-            await stack.enter_async_context(
-                run_task(task.run(), type(task).__name__),
-            )
-        for timed in tasks.with_timer():
-            await stack.enter_async_context(
-                run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
-            )
+        await _start_tasks(stack, tasks)
         pool = ConnectionPool(clock)
         stack.push_async_callback(pool.close)
         server = make_admin_server(
@@ -228,6 +223,21 @@
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
+async def _start_tasks(
+    stack: contextlib.AsyncExitStack,
+    tasks: DaemonTasks,
+) -> None:
+    """Run the tasks until the stack is closed."""
+    for task in tasks.all():
+        await stack.enter_async_context(
+            run_task(task.run(), type(task).__name__),
+        )
+    for timed in tasks.with_timer():
+        await stack.enter_async_context(
+            run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
+        )
+
+
 def make_peers(
     settings: Settings,
     incarnation: int,
--- a/src/ibisjunction/upstreams/connection.py
+++ b/src/ibisjunction/upstreams/connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable
 from typing import Final
 
@@ -106,7 +107,9 @@
         )
         receiver = _AnswerReceiver(exchange.answers)
         async with run_task(_send(connection, exchange), 'send request'):
-            await connection.read_response(receiver)
+            # Raised if the upstream closes without a byte of an answer.
+            with contextlib.suppress(StreamClosedError):
+                await connection.read_response(receiver)
         if receiver.is_complete:
             await exchange.answers.put(AnswerEnd())
             return not stream.closed()
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -9,11 +9,9 @@
 from typing import Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.httputil import HTTPHeaders
-
-from ibisjunction.clock import in_seconds
 
+#: Where the dispatcher sends grants at an upstream.
+GRANTS_PATH: Final = '/ibis/grants'
 SHARD_HEADER: Final = 'Ibis-Shard'
 FENCE_HEADER: Final = 'Ibis-Fence'
 EPOCH_HEADER: Final = 'Ibis-Epoch'
@@ -73,27 +71,3 @@
     connections: int
     checks_fence: bool
     incarnation: int
-
-
-async def call_grants(
-    address: str,
-    call: GrantCall,
-    timeout_ms: int,
-) -> GrantAnswer:
-    """Send grants to the upstream at ``host:port``.
-
-    :raises UpstreamUnreachableError: without a valid answer in time.
-    """
-    request = HTTPRequest(
-        f'http://{address}/ibis/grants',
-        method='PUT',
-        headers=HTTPHeaders({'Content-Type': 'application/json'}),
-        body=msgspec.json.encode(call),
-        connect_timeout=in_seconds(timeout_ms),
-        request_timeout=in_seconds(timeout_ms),
-    )
-    try:
-        response = await AsyncHTTPClient().fetch(request)
-        return msgspec.json.decode(response.body, type=GrantAnswer)
-    except (HTTPClientError, OSError, msgspec.DecodeError) as error:
-        raise UpstreamUnreachableError(f'{address}: {error}') from error
