Report every mistake in settings and service files at once

Cause: msgspec stops at the first mistake, so a file with three took three tries. Change: validation.find_mistakes walks the model and lets msgspec judge each value; both loaders use it. A client's published level must exist on the ladder.

--- a/src/ibisjunction/services/collection.py
+++ b/src/ibisjunction/services/collection.py
@@ -23,4 +23,4 @@
 def _check_unique(field: str, values: list[str]) -> None:
     for position, text in enumerate(values):
         if text in values[:position]:
-            raise ServiceFileError(f'two files have {field} "{text}"')
+            raise ServiceFileError(field, [f'two files have "{text}"'])
--- a/src/ibisjunction/services/model.py
+++ b/src/ibisjunction/services/model.py
@@ -1,5 +1,6 @@
 """The service file as operators write it, validated at the border."""
 
+from collections.abc import Iterator
 from typing import Annotated, Final, Literal
 
 import msgspec
@@ -12,6 +13,7 @@
     ServiceSpec,
     TermsLevel,
 )
+from ibisjunction.validation import find_mistakes
 
 _Name = Annotated[str, msgspec.Meta(pattern='^[a-z][a-z0-9-]*$')]
 _Positive = Annotated[int, msgspec.Meta(gt=0)]
@@ -22,7 +24,15 @@
 
 
 class ServiceFileError(Exception):
-    """A service file is not valid; the text names the file and the field."""
+    """A service file is not valid.
+
+    ``mistakes`` lists all that were found, each with the key it concerns.
+    """
+
+    def __init__(self, name: str, mistakes: list[str]) -> None:
+        """Keep the mistakes; the message has one line for each."""
+        super().__init__('\n'.join(f'{name}: {text}' for text in mistakes))
+        self.mistakes = mistakes
 
 
 class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -75,26 +85,31 @@
     :raises ServiceFileError: if the text is not a valid service file.
     """
     try:
-        model = msgspec.toml.decode(text, type=_ServiceModel)
+        raw = msgspec.toml.decode(text)
     except msgspec.DecodeError as error:
-        raise ServiceFileError(f'{name}: {error}') from error
-    _check_consistency(model, name)
+        raise ServiceFileError(name, [str(error)]) from error
+    mistakes = list(find_mistakes(raw, _ServiceModel))
+    if mistakes:
+        raise ServiceFileError(name, mistakes)
+    model = msgspec.convert(raw, _ServiceModel)
+    mistakes = list(_find_inconsistencies(model))
+    if mistakes:
+        raise ServiceFileError(name, mistakes)
     return _to_spec(model)
 
 
-def _check_consistency(model: _ServiceModel, name: str) -> None:
-    missing = [rank.value for rank in Rank if rank not in model.ranks]
-    if missing:
-        raise ServiceFileError(f'{name}: ranks: missing {", ".join(missing)}')
+def _find_inconsistencies(model: _ServiceModel) -> Iterator[str]:
+    for rank in Rank:
+        if rank not in model.ranks:
+            yield f'ranks.{rank.value}: missing'
     total_share = sum(rank.min_share for rank in model.ranks.values())
     if total_share > 1:
-        raise ServiceFileError(
-            f'{name}: ranks: min_share adds up to {total_share}, at most 1',
-        )
+        yield f'ranks: min_share adds up to {total_share}, at most 1'
     if model.key.source != 'path' and not model.key.name:
-        raise ServiceFileError(
-            f'{name}: key.name: required for source {model.key.source}',
-        )
+        yield f'key.name: required for source {model.key.source}'
+    for client, level in model.clients.items():
+        if not 0 <= level < len(model.terms):
+            yield f'clients.{client}: there is no level {level} in terms'
 
 
 def _to_spec(model: _ServiceModel) -> ServiceSpec:
--- a/src/ibisjunction/settings/loader.py
+++ b/src/ibisjunction/settings/loader.py
@@ -14,6 +14,7 @@
     TimingSettings,
     VoterAddress,
 )
+from ibisjunction.validation import find_mistakes
 
 _Positive = Annotated[int, msgspec.Meta(gt=0)]
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
@@ -80,9 +81,13 @@
     :raises SettingsError: if the file cannot be read or is not valid.
     """
     try:
-        model = msgspec.toml.decode(path.read_text(), type=_SettingsModel)
+        raw = msgspec.toml.decode(path.read_text())
     except (OSError, UnicodeError, msgspec.DecodeError) as error:
         raise SettingsError(path, [str(error)]) from error
+    mistakes = list(find_mistakes(raw, _SettingsModel))
+    if mistakes:
+        raise SettingsError(path, mistakes)
+    model = msgspec.convert(raw, _SettingsModel)
     problems = list(_find_problems(model))
     if problems:
         raise SettingsError(path, problems)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -66,3 +66,23 @@
         with self.assertRaises(SettingsError) as caught:
             _load(text)
         self.assertEqual(len(caught.exception.problems), 4)
+
+    def test_reports_all_mistakes_of_form(self):
+        text = (
+            _VALID.replace('region = "r"', 'regoin = "r"')
+            .replace('http = "127.0.0.1:8001"', 'http = 8001')
+            .replace('key_id = "k1"', 'key_id = ""')
+        )
+        with self.assertRaises(SettingsError) as caught:
+            _load(f'{text}[timing]\nheartbeat_ms = -1\n')
+        named = {line.split(':')[0] for line in caught.exception.problems}
+        self.assertEqual(
+            named,
+            {
+                'region',
+                'regoin',
+                'http',
+                'keys[0].key_id',
+                'timing.heartbeat_ms',
+            },
+        )
