--- a/src/ibisjunction/validation.py
+++ b/src/ibisjunction/validation.py
@@ -50,16 +50,14 @@
     path: str,
 ) -> Iterator[str]:
     hints = typing.get_type_hints(struct, include_extras=True)
-    fields = {field.name: field for field in msgspec.structs.fields(struct)}
-    for name in raw:
-        if name not in fields:
+    for field in msgspec.structs.fields(struct):
+        if field.required and field.name not in raw:
+            yield f'{_join(path, field.name)}: missing'
+    for name, inner in raw.items():
+        if name in hints:
+            yield from find_mistakes(inner, hints[name], _join(path, name))
+        else:
             yield f'{_join(path, name)}: unknown key'
-    for name, field in fields.items():
-        key = _join(path, name)
-        if name not in raw:
-            yield from [f'{key}: missing'] if field.required else []
-            continue
-        yield from find_mistakes(raw[name], hints[name], key)
 
 
 def _check_value(
