Keep the terms that clients earn in the control state

Cause: clients' terms grow at each renewal by the operators' published ladder and must outlive losses. Change: RenewTerms raises a client's level once for each renewal id, never above the ladder or beyond the slots of the fleet; what a level gives is read from the ladder in force. POST /v1/services/<s>/clients/<c>/renewals.

--- a/src/ibisjunction/admin/model.py
+++ b/src/ibisjunction/admin/model.py
@@ -17,6 +17,18 @@
     revision: int
 
 
+class RenewalRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/services/<service>/clients/<client>/renewals``."""
+
+    renewal_id: str
+
+
+class RenewalAnswer(msgspec.Struct, frozen=True):
+    """The client's level after the renewal."""
+
+    level: int
+
+
 class ErrorAnswer(msgspec.Struct, frozen=True):
     """Why a call had no effect, and what to do next."""
 
--- a/src/ibisjunction/admin/server.py
+++ b/src/ibisjunction/admin/server.py
@@ -13,6 +13,8 @@
     ErrorAnswer,
     PublishAnswer,
     PublishRequest,
+    RenewalAnswer,
+    RenewalRequest,
 )
 from ibisjunction.admin.task import AdminTask
 from ibisjunction.control.client import ControlClient
@@ -23,8 +25,10 @@
     DrainUpstream,
     PublishRevision,
     Rejected,
+    RenewTerms,
 )
 from ibisjunction.control.records import UpstreamRecord
+from ibisjunction.control.terms import Renewal
 from ibisjunction.events import Event, log_event
 from ibisjunction.services.collection import parse_collection
 from ibisjunction.services.model import ServiceFileError
@@ -143,6 +147,22 @@
         self.answer(PublishAnswer(outcome.revision))
 
 
+class _RenewalsHandler(_ApiHandler):
+    async def post(self, service: str, client: str) -> None:
+        self.check_token(self.context.settings.operator_token)
+        body = self.read_body(RenewalRequest)
+        renewal = Renewal(service, client, body.renewal_id)
+        outcome = await self.propose(RenewTerms(renewal))
+        log_event(
+            _logger,
+            Event.TERMS_RENEWED,
+            service=service,
+            client=client,
+            level=outcome.level,
+        )
+        self.answer(RenewalAnswer(outcome.level))
+
+
 class _UpstreamsHandler(_ApiHandler):
     async def post(self) -> None:
         self.check_token(self.context.settings.upstream_token)
@@ -177,6 +197,11 @@
                 ('/ready', _ReadyHandler, shared),
                 ('/v1/status', _StatusHandler, shared),
                 ('/v1/revisions', _RevisionsHandler, shared),
+                (
+                    '/v1/services/([^/]+)/clients/([^/]+)/renewals',
+                    _RenewalsHandler,
+                    shared,
+                ),
                 ('/v1/upstreams', _UpstreamsHandler, shared),
                 ('/v1/upstreams/([^/]+)/drain', _DrainHandler, shared),
             ],
--- a/src/ibisjunction/control/client.py
+++ b/src/ibisjunction/control/client.py
@@ -80,5 +80,5 @@
 
 def _to_outcome(outcome: ProposalResult) -> CommandOutcome:
     if outcome.accepted:
-        return Accepted(outcome.revision)
+        return Accepted(outcome.revision, outcome.level)
     return Rejected(outcome.detail)
--- a/src/ibisjunction/control/commands.py
+++ b/src/ibisjunction/control/commands.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ibisjunction.control.records import UpstreamRecord, VmRecord
+from ibisjunction.control.terms import Renewal
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,13 @@
     files: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class RenewTerms:
+    """Raises a client's level by one, once for each renewal id."""
+
+    renewal: Renewal
+
+
 Command = (
     RegisterVm
     | RemoveVm
@@ -99,14 +107,19 @@
     | BeginMove
     | CompleteMove
     | PublishRevision
+    | RenewTerms
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The command took effect; ``revision`` is set for publications."""
+    """The command took effect.
+
+    ``revision`` is set for publications and ``level`` for renewals.
+    """
 
     revision: int = 0
+    level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/control/messages.py
+++ b/src/ibisjunction/control/messages.py
@@ -23,6 +23,7 @@
     proposal_id: str
     accepted: bool
     revision: int = 0
+    level: int = 0
     detail: str = ''
 
 
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -18,6 +18,7 @@
     Rejected,
     RemoveUpstream,
     RemoveVm,
+    RenewTerms,
 )
 from ibisjunction.control.records import (
     DispatcherRecord,
@@ -26,6 +27,13 @@
     UpstreamRecord,
     VmRecord,
 )
+from ibisjunction.control.terms import (
+    ClientTerms,
+    Renewal,
+    find_spec,
+    level_of,
+    renew,
+)
 
 _Key = TypeVar('_Key')
 _Item = TypeVar('_Item')
@@ -48,11 +56,20 @@
     revision: int = 0
     last_fence: int = 0
     last_epoch: int = 0
+    terms: dict[str, dict[str, ClientTerms]] = field(default_factory=dict)
 
     def grant_of(self, service: str, shard: int) -> Grant | None:
         """Return the grant of a shard, or ``None`` if it has no owner."""
         return self.grants.get(service, {}).get(shard)
 
+    def slots_of(self, service: str) -> int:
+        """Return the slots of all upstreams of a service that stay."""
+        return sum(
+            record.slots
+            for record in self.upstreams.values()
+            if record.service == service and not record.draining
+        )
+
     def grants_of(self, upstream: str) -> list[Grant]:
         """Return the grants an upstream holds, by shard."""
         record = self.upstreams.get(upstream)
@@ -86,6 +103,8 @@
             return _complete_move(state, command)
         case PublishRevision():
             return _publish(state, command)
+        case RenewTerms(renewal=renewal):
+            return _renew_terms(state, renewal)
 
 
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
@@ -221,6 +240,17 @@
     )
 
 
+def _renew_terms(state: ControlState, renewal: Renewal) -> Applied:
+    spec = find_spec(state.files, renewal.service)
+    if spec is None:
+        return state, Rejected(f'service {renewal.service} is not published')
+    held = state.terms.get(renewal.service, {})
+    renewed = renew(spec, held, renewal, state.slots_of(renewal.service))
+    terms = {**state.terms, renewal.service: {**held, renewal.client: renewed}}
+    level = level_of(spec, terms[renewal.service], renewal.client)
+    return replace(state, terms=terms), Accepted(level=level)
+
+
 def _with_grant(state: ControlState, grant: Grant) -> ControlState:
     held = {**state.grants.get(grant.service, {}), grant.shard: grant}
     return replace(state, grants={**state.grants, grant.service: held})
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -126,7 +126,12 @@
 
 def _to_result(proposal_id: str, outcome: CommandOutcome) -> ProposalResult:
     match outcome:
-        case Accepted(revision=revision):
-            return ProposalResult(proposal_id, accepted=True, revision=revision)
+        case Accepted(revision=revision, level=level):
+            return ProposalResult(
+                proposal_id,
+                accepted=True,
+                revision=revision,
+                level=level,
+            )
         case Rejected(detail=detail):
             return ProposalResult(proposal_id, accepted=False, detail=detail)
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -42,6 +42,7 @@
     PEER_REDIALLED = (802, 'peer link redialled')
     REVISION_PUBLISHED = (901, 'revision published')
     PUBLICATION_REJECTED = (902, 'publication rejected')
+    TERMS_RENEWED = (903, 'terms renewed')
 
     def __init__(self, number: int, summary: str) -> None:
         """Store the number and the summary of the member."""
--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -7,6 +7,7 @@
 from ibisjunction.clock import Clock
 from ibisjunction.control.messages import ControlView
 from ibisjunction.control.state import ControlState
+from ibisjunction.control.terms import level_of
 from ibisjunction.dispatch.messages import (
     TicketCancel,
     TicketDone,
@@ -126,7 +127,8 @@
         now: int,
     ) -> TicketRequest:
         spec = ask.route.spec
-        terms = spec.terms_for(spec.client_levels.get(ask.client, 0))
+        held = self._state.terms.get(spec.service, {})
+        terms = spec.terms[level_of(spec, held, ask.client)]
         return TicketRequest(
             ticket_id=ask.ticket_id,
             upstream=upstream,
--- a/src/ibisjunction/services/model.py
+++ b/src/ibisjunction/services/model.py
@@ -64,6 +64,7 @@
 class _TermsModel(_Strict, frozen=True):
     weight: _Weight
     max_in_flight: _Positive
+    reserved_slots: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 class _ServiceModel(_Strict, frozen=True):
@@ -128,7 +129,11 @@
             for rank, policy in model.ranks.items()
         },
         terms=tuple(
-            TermsLevel(level.weight, level.max_in_flight)
+            TermsLevel(
+                level.weight,
+                level.max_in_flight,
+                level.reserved_slots,
+            )
             for level in model.terms
         ),
         client_levels=dict(model.clients),
--- a/src/ibisjunction/services/spec.py
+++ b/src/ibisjunction/services/spec.py
@@ -50,12 +50,14 @@
 class TermsLevel:
     """What a client is given at one level of the ladder.
 
-    ``weight`` is its share inside a rank relative to other clients, and
-    ``max_in_flight`` bounds its concurrent requests at one upstream.
+    ``weight`` is its share inside a rank relative to other clients,
+    ``max_in_flight`` bounds its concurrent requests at one upstream, and
+    ``reserved_slots`` is the part of the service's slots promised to it.
     """
 
     weight: float
     max_in_flight: int
+    reserved_slots: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +76,3 @@
     ranks: dict[Rank, RankPolicy]
     terms: tuple[TermsLevel, ...]
     client_levels: dict[str, int]
-
-    def terms_for(self, level: int) -> TermsLevel:
-        """Return the terms at ``level``, or the top of the ladder above it."""
-        return self.terms[min(level, len(self.terms) - 1)]
--- a/src/ibisjunction/validation.py
+++ b/src/ibisjunction/validation.py
@@ -54,10 +54,11 @@
         if field.required and field.name not in raw:
             yield f'{_join(path, field.name)}: missing'
     for name, inner in raw.items():
-        if name in hints:
-            yield from find_mistakes(inner, hints[name], _join(path, name))
-        else:
+        hint = hints.get(name)
+        if hint is None:
             yield f'{_join(path, name)}: unknown key'
+        else:
+            yield from find_mistakes(inner, hint, _join(path, name))
 
 
 def _check_value(
