Report revisions per VM and explain keys in the administration API

Cause: operators must see where a revision is in force and why a key is where it is. Change: GET /v1/revisions, /v1/vms and /v1/services/<s>/keys/<k>; the leader answers with what live VMs reported; /ready says why a VM is not ready; handlers are split into changes and inspection.

--- /dev/null
+++ b/src/ibisjunction/admin/changes.py
@@ -0,0 +1,127 @@
+"""Calls that change the control state."""
+
+import logging
+from http import HTTPStatus
+
+import msgspec
+
+from ibisjunction.admin.context import ApiError, ApiHandler
+from ibisjunction.admin.model import (
+    PublishAnswer,
+    PublishRequest,
+    RenewalAnswer,
+    RenewalRequest,
+    RevisionAnswer,
+)
+from ibisjunction.control.commands import (
+    AnnounceUpstream,
+    DrainUpstream,
+    PublishRevision,
+    RenewTerms,
+)
+from ibisjunction.control.records import UpstreamRecord
+from ibisjunction.control.terms import Renewal
+from ibisjunction.events import Event, log_event
+from ibisjunction.services.collection import parse_collection
+from ibisjunction.services.model import ServiceFileError
+from ibisjunction.upstreams.protocol import Announcement
+
+_logger = logging.getLogger(__name__)
+
+
+class RevisionsHandler(ApiHandler):
+    """``/v1/revisions``: the published service files."""
+
+    def get(self) -> None:
+        """Return the revision in force on this VM, with its files."""
+        self.check_operator()
+        state = self.context.task.state
+        self.answer(RevisionAnswer(state.revision, state.files))
+
+    async def post(self) -> None:
+        """Publish files on top of a revision."""
+        self.check_operator()
+        publish = self.read_body(PublishRequest)
+        try:
+            parse_collection(publish.files)
+        except ServiceFileError as error:
+            raise ApiError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        try:
+            outcome = await self.propose(
+                PublishRevision(
+                    publish.base_revision,
+                    publish.publication_id,
+                    publish.files,
+                ),
+            )
+        except ApiError as error:
+            _log_rejection(publish, error)
+            raise
+        log_event(
+            _logger,
+            Event.REVISION_PUBLISHED,
+            revision=outcome.revision,
+            publication=publish.publication_id,
+        )
+        self.answer(PublishAnswer(outcome.revision))
+
+
+class RenewalsHandler(ApiHandler):
+    """``/v1/services/<service>/clients/<client>/renewals``."""
+
+    async def post(self, service: str, client: str) -> None:
+        """Renew a client's terms."""
+        self.check_operator()
+        body = self.read_body(RenewalRequest)
+        renewal = Renewal(service, client, body.renewal_id)
+        outcome = await self.propose(RenewTerms(renewal))
+        log_event(
+            _logger,
+            Event.TERMS_RENEWED,
+            service=service,
+            client=client,
+            level=outcome.level,
+        )
+        self.answer(RenewalAnswer(outcome.level))
+
+
+class UpstreamsHandler(ApiHandler):
+    """``/v1/upstreams``: upstreams announce themselves."""
+
+    async def post(self) -> None:
+        """Announce an upstream, or renew its announcement."""
+        self.check_upstream()
+        announcement = self.read_body(Announcement)
+        record = UpstreamRecord(**msgspec.structs.asdict(announcement))
+        if not self.context.task.knows(record):
+            await self.propose(AnnounceUpstream(record))
+            log_event(
+                _logger,
+                Event.UPSTREAM_ANNOUNCED,
+                upstream=record.upstream,
+                service=record.service,
+                address=record.address,
+            )
+        self.set_status(HTTPStatus.NO_CONTENT)
+
+
+class DrainHandler(ApiHandler):
+    """``/v1/upstreams/<upstream>/drain``."""
+
+    async def post(self, upstream: str) -> None:
+        """Tell that an upstream leaves; for upstreams and operators."""
+        self.check_either()
+        await self.propose(DrainUpstream(upstream))
+        log_event(_logger, Event.UPSTREAM_DRAINING, upstream=upstream)
+        self.set_status(HTTPStatus.NO_CONTENT)
+
+
+def _log_rejection(publish: PublishRequest, error: ApiError) -> None:
+    log_event(
+        _logger,
+        Event.PUBLICATION_REJECTED,
+        logging.WARNING,
+        base=publish.base_revision,
+        publication=publish.publication_id,
+        detail=error.text,
+    )
--- /dev/null
+++ b/src/ibisjunction/admin/context.py
@@ -0,0 +1,112 @@
+"""What the handlers of the administration API share."""
+
+import hmac
+import logging
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import msgspec
+from tornado.web import HTTPError, RequestHandler
+
+from ibisjunction.admin.model import ErrorAnswer
+from ibisjunction.admin.task import AdminTask
+from ibisjunction.control.client import ControlClient
+from ibisjunction.control.commands import Accepted, Command, Rejected
+from ibisjunction.events import Event, log_event
+from ibisjunction.membership.reports import ReportsClient
+from ibisjunction.settings import Settings
+
+_logger = logging.getLogger(__name__)
+_Body = TypeVar('_Body')
+
+
+class ApiError(HTTPError):
+    """An error with a text for the caller.
+
+    The text may have several lines, which tornado's ``reason`` may not.
+    """
+
+    def __init__(self, status: HTTPStatus, text: str) -> None:
+        """Keep the text."""
+        super().__init__(status)
+        self.text = text
+
+
+@dataclass(frozen=True, slots=True)
+class AdminContext:
+    """The parts of the daemon that the handlers use."""
+
+    settings: Settings
+    task: AdminTask
+    control: ControlClient
+    reports: ReportsClient
+
+
+class ApiHandler(RequestHandler):
+    """Base of all handlers: tokens, typed bodies and JSON errors."""
+
+    def initialize(self, context: AdminContext) -> None:
+        """Keep the shared parts."""
+        self.context = context
+
+    def check_operator(self) -> None:
+        """Refuse a caller that does not know the operators' token."""
+        self._check_token(self.context.settings.operator_token)
+
+    def check_upstream(self) -> None:
+        """Refuse a caller that does not know the upstreams' token."""
+        self._check_token(self.context.settings.upstream_token)
+
+    def check_either(self) -> None:
+        """Refuse a caller that knows neither token."""
+        settings = self.context.settings
+        self._check_token(settings.operator_token, settings.upstream_token)
+
+    def read_body(self, body_type: type[_Body]) -> _Body:
+        """Decode the body."""
+        try:
+            return msgspec.json.decode(self.request.body, type=body_type)
+        except msgspec.DecodeError as error:
+            raise ApiError(HTTPStatus.BAD_REQUEST, str(error)) from error
+
+    async def propose(self, command: Command) -> Accepted:
+        """Commit a command or answer with the reason it was not."""
+        outcome = await self.context.control.propose(command)
+        match outcome:
+            case Accepted():
+                return outcome
+            case Rejected(detail=detail):
+                raise ApiError(HTTPStatus.CONFLICT, detail)
+            case None:
+                raise ApiError(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    'outcome unknown; send the same call again',
+                )
+
+    def answer(self, body: msgspec.Struct) -> None:
+        """Send a body as JSON."""
+        self.set_header('Content-Type', 'application/json')
+        self.finish(msgspec.json.encode(body))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Send the reason of an error as JSON."""
+        match kwargs.get('exc_info', (None, None)):
+            case (_, ApiError(text=text), *_):
+                self.answer(ErrorAnswer(text))
+            case _:
+                self.answer(ErrorAnswer(self._reason))
+
+    def _check_token(self, *tokens: str) -> None:
+        given = self.request.headers.get('Authorization', '').encode()
+        for token in tokens:
+            if hmac.compare_digest(given, f'Bearer {token}'.encode()):
+                return
+        log_event(
+            _logger,
+            Event.MESSAGE_REJECTED,
+            logging.WARNING,
+            sender=self.request.remote_ip,
+            detail=f'token for {self.request.path}',
+        )
+        raise ApiError(HTTPStatus.UNAUTHORIZED, 'token is not valid')
--- /dev/null
+++ b/src/ibisjunction/admin/inspection.py
@@ -0,0 +1,71 @@
+"""Calls that report and change nothing."""
+
+from http import HTTPStatus
+
+from ibisjunction.admin.context import ApiError, ApiHandler
+from ibisjunction.admin.model import VmsAnswer, VmStatus
+from ibisjunction.control.state import ControlState
+from ibisjunction.membership.messages import VmReports
+
+
+class ReadyHandler(ApiHandler):
+    """``/ready``: for the platform's balancer."""
+
+    def get(self) -> None:
+        """Answer 200 if this VM serves requests, else 503 with the reason."""
+        reason = self.context.task.find_unready_reason()
+        if reason is not None:
+            raise ApiError(HTTPStatus.SERVICE_UNAVAILABLE, reason)
+        self.finish('ready\n')
+
+
+class StatusHandler(ApiHandler):
+    """``/v1/status``: the control state as this VM sees it."""
+
+    def get(self) -> None:
+        """Report VMs, upstreams, grants and the revision."""
+        self.check_operator()
+        self.answer(self.context.task.report_status())
+
+
+class VmsHandler(ApiHandler):
+    """``/v1/vms``: what each VM last reported to the leader."""
+
+    async def get(self) -> None:
+        """Report where which revision is in force."""
+        self.check_operator()
+        reports = await self.context.reports.fetch()
+        if reports is None:
+            raise ApiError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no leader answered; try again',
+            )
+        state = self.context.task.state
+        self.answer(VmsAnswer(state.revision, _list_vms(state, reports)))
+
+
+class KeyHandler(ApiHandler):
+    """``/v1/services/<service>/keys/<key>``: why a key is where it is."""
+
+    def get(self, service: str, key: str) -> None:
+        """Report shard, owner, fence and dispatcher of a key."""
+        self.check_operator()
+        placement = self.context.task.explain_key(service, key)
+        if placement is None:
+            raise ApiError(
+                HTTPStatus.NOT_FOUND,
+                f'service {service} is not published',
+            )
+        self.answer(placement)
+
+
+def _list_vms(state: ControlState, reports: VmReports) -> list[VmStatus]:
+    return [
+        VmStatus(
+            vm=vm,
+            failure_domain=record.failure_domain,
+            live=vm in reports.revisions,
+            revision=reports.revisions.get(vm),
+        )
+        for vm, record in sorted(state.vms.items())
+    ]
--- a/src/ibisjunction/admin/model.py
+++ b/src/ibisjunction/admin/model.py
@@ -11,6 +11,45 @@
     files: dict[str, str]
 
 
+class RevisionAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/revisions``."""
+
+    revision: int
+    files: dict[str, str]
+
+
+class VmStatus(msgspec.Struct, frozen=True):
+    """What a VM last reported; ``revision`` is null if it is not live."""
+
+    vm: str
+    failure_domain: str
+    live: bool
+    revision: int | None
+
+
+class VmsAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/vms``; ``revision`` is the one to be in force."""
+
+    revision: int
+    vms: list[VmStatus]
+
+
+class KeyAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /v1/services/<service>/keys/<key>``.
+
+    ``upstream`` and what follows it are null while the shard has no owner.
+    """
+
+    service: str
+    key: str
+    shard: int
+    upstream: str | None = None
+    fence: int | None = None
+    moving_to: str | None = None
+    dispatcher: str | None = None
+    epoch: int | None = None
+
+
 class PublishAnswer(msgspec.Struct, frozen=True):
     """The revision that the publication became."""
 
--- a/src/ibisjunction/admin/task.py
+++ b/src/ibisjunction/admin/task.py
@@ -3,13 +3,15 @@
 from dataclasses import replace
 from typing import Any
 
-from ibisjunction.admin.model import GrantStatus, StatusAnswer
+from ibisjunction.admin.model import GrantStatus, KeyAnswer, StatusAnswer
 from ibisjunction.clock import Clock
 from ibisjunction.control.messages import ControlView
 from ibisjunction.control.records import UpstreamRecord
 from ibisjunction.control.state import ControlState
+from ibisjunction.control.terms import find_spec
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
+from ibisjunction.services.keys import shard_of
 
 
 class AdminTask:
@@ -33,10 +35,43 @@
                 case LeaseExtended(until_ms=until_ms):
                     self._lease_until_ms = until_ms
 
-    def is_ready(self) -> bool:
-        """Return whether the balancer may send requests to this VM."""
-        is_leased = self._clock.now() < self._lease_until_ms
-        return is_leased and not self.is_draining
+    @property
+    def state(self) -> ControlState:
+        """The control state as this daemon sees it."""
+        return self._view.state
+
+    def find_unready_reason(self) -> str | None:
+        """Return why the balancer must not send requests here, if so."""
+        if self.is_draining:
+            return 'this VM is shutting down'
+        if self._clock.now() >= self._lease_until_ms:
+            return (
+                'this VM holds no lease, so it may not know the current'
+                ' revision; check the network to the voters'
+            )
+        return None
+
+    def explain_key(self, service: str, key: str) -> KeyAnswer | None:
+        """Return where a key is, or ``None`` for an unknown service."""
+        state = self._view.state
+        spec = find_spec(state.files, service)
+        if spec is None:
+            return None
+        shard = shard_of(key, spec.shards)
+        grant = state.grant_of(service, shard)
+        if grant is None:
+            return KeyAnswer(service, key, shard)
+        dispatcher = state.dispatchers.get(grant.upstream)
+        return KeyAnswer(
+            service=service,
+            key=key,
+            shard=shard,
+            upstream=grant.upstream,
+            fence=grant.fence,
+            moving_to=grant.moving_to,
+            dispatcher=None if dispatcher is None else dispatcher.vm,
+            epoch=None if dispatcher is None else dispatcher.epoch,
+        )
 
     def knows(self, record: UpstreamRecord) -> bool:
         """Return whether an announcement only renews what is recorded."""
@@ -48,7 +83,7 @@
         state = self._view.state
         return StatusAnswer(
             vm=self._vm,
-            ready=self.is_ready(),
+            ready=self.find_unready_reason() is None,
             revision=state.revision,
             index=self._view.index,
             vms=sorted(state.vms),
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -19,7 +19,11 @@
 from ibisjunction.control.state import ControlState, apply_command
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leases import LeaseTable
-from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.membership.messages import (
+    FetchReports,
+    Heartbeat,
+    VmReports,
+)
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
 
@@ -61,7 +65,7 @@
             clock.now(),
         )
         self.mailbox: Mailbox[Any] = Mailbox()
-        peers.subscribe(self.mailbox, ProposeCommand, Heartbeat)
+        peers.subscribe(self.mailbox, ProposeCommand, Heartbeat, FetchReports)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -85,6 +89,11 @@
                 self._commit(sender, proposal)
             case Received(sender=sender, message=Heartbeat() as heartbeat):
                 self._answer_heartbeat(sender, heartbeat, now)
+            case Received(sender=sender, message=FetchReports() as fetch):
+                self._peers.send(
+                    sender,
+                    VmReports(fetch.request_id, self._leases.revisions(now)),
+                )
             case Tick():
                 self._notify(
                     LiveVms(
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
-from ibisjunction.admin.server import AdminContext, make_admin_server
+from ibisjunction.admin.context import AdminContext
+from ibisjunction.admin.server import make_admin_server
 from ibisjunction.admin.task import AdminTask
 from ibisjunction.clock import Clock, SystemClock
 from ibisjunction.control.client import ControlClient
@@ -31,7 +32,13 @@
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
-from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.messages import (
+    FetchReports,
+    Heartbeat,
+    LeaseRenewal,
+    VmReports,
+)
+from ibisjunction.membership.reports import ReportsClient
 from ibisjunction.membership.task import MembershipTask
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
@@ -51,6 +58,7 @@
 #: Every message that crosses the network between daemons.
 PEER_MESSAGES: Final = (
     CommittedEntries,
+    FetchReports,
     Heartbeat,
     LeaseRenewal,
     ProposalResult,
@@ -61,6 +69,7 @@
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    VmReports,
 )
 
 
@@ -106,6 +115,7 @@
     """The tasks of one daemon; ``voter`` exists on voters only."""
 
     client: ControlClient
+    reports: ReportsClient
     admin: AdminTask
     dispatch: DispatchTask
     ownership: OwnershipTask
@@ -127,6 +137,7 @@
         """Return every task."""
         return [
             self.client,
+            self.reports,
             self.admin,
             self.routing,
             self.placement,
@@ -157,6 +168,7 @@
         voter = ControlTask(settings, clock, peers, [placement.mailbox])
     return DaemonTasks(
         client=client,
+        reports=ReportsClient(settings, peers),
         admin=admin,
         dispatch=dispatch,
         ownership=ownership,
@@ -194,7 +206,7 @@
         pool = ConnectionPool(clock)
         stack.push_async_callback(pool.close)
         server = make_admin_server(
-            AdminContext(settings, tasks.admin, tasks.client),
+            AdminContext(settings, tasks.admin, tasks.client, tasks.reports),
         )
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -96,6 +96,10 @@
         """Return whether every lease of an earlier leader has run out."""
         return now >= self._settled_at
 
+    def revisions(self, now: int) -> dict[str, int]:
+        """Return the revision that each live VM reported."""
+        return {vm: self.reports[vm].revision for vm in self.live_vms(now)}
+
     def live_vms(self, now: int) -> frozenset[str]:
         """Return the VMs whose lease may still run."""
         return frozenset(
--- a/src/ibisjunction/membership/messages.py
+++ b/src/ibisjunction/membership/messages.py
@@ -32,6 +32,21 @@
     committed_index: int
 
 
+@dataclass(frozen=True, slots=True)
+class FetchReports:
+    """Asks the leader what the live VMs reported."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class VmReports:
+    """The revision that each live VM has in force."""
+
+    request_id: int
+    revisions: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseExtended:
     """Published inside a daemon: its VM lease holds until ``until_ms``."""
