--- /dev/null
+++ b/src/ibisjunction/cli/__main__.py
@@ -0,0 +1,7 @@
+"""Lets ``python -m ibisjunction.cli`` run the command line."""
+
+import sys
+
+from ibisjunction.cli.command import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/ibisjunction/cli/changes.py
@@ -0,0 +1,63 @@
+"""Commands that change a deployment."""
+
+import sys
+import uuid
+from dataclasses import dataclass, field
+from typing import Annotated
+from urllib.parse import quote
+
+import cappa
+
+from ibisjunction.admin.model import RenewalAnswer, RenewalRequest
+from ibisjunction.cli.connection import Connection, print_answer
+
+
+@cappa.command(name='drain-upstream')
+@dataclass
+class DrainUpstreamCommand:
+    """Tell that an upstream leaves; it receives no new work."""
+
+    upstream: str
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+
+    def __call__(self) -> int:
+        """Record that the upstream leaves."""
+        path = f'/v1/upstreams/{quote(self.upstream)}/drain'
+        self.connection.open().send('POST', path)
+        sys.stderr.write(
+            f'{self.upstream} is draining; run "ibisjunction status" to see'
+            ' its shards leave\n',
+        )
+        return 0
+
+
+@cappa.command(name='renew-terms')
+@dataclass
+class RenewTermsCommand:
+    """Renew the terms of a client."""
+
+    service: str
+    client: str
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+    renewal_id: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help='Identifies this renewal when it is sent again.',
+        ),
+    ] = field(default_factory=lambda: uuid.uuid4().hex)
+
+    def __call__(self) -> int:
+        """Renew and print the level reached."""
+        service, client = quote(self.service), quote(self.client)
+        answer = self.connection.open().fetch(
+            'POST',
+            f'/v1/services/{service}/clients/{client}/renewals',
+            RenewalAnswer,
+            RenewalRequest(self.renewal_id),
+        )
+        if self.connection.json:
+            print_answer(answer)
+        else:
+            sys.stdout.write(f'{self.client}: level {answer.level}\n')
+        return 0
--- a/src/ibisjunction/cli/command.py
+++ b/src/ibisjunction/cli/command.py
@@ -1,50 +1,54 @@
-"""The ``ibisjunction`` command."""
+"""The ``ibisjunction`` command.
+
+Exit codes: 0 done, 1 invalid input, 2 wrong usage, 3 rejected, 4 not
+reachable or outcome unknown, 5 published but not yet in force everywhere.
+"""
 
 import sys
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Final
 
 import cappa
 
-from ibisjunction.services.collection import parse_collection
+from ibisjunction.cli.changes import DrainUpstreamCommand, RenewTermsCommand
+from ibisjunction.cli.connection import EXIT_INVALID, CommandError
+from ibisjunction.cli.inspection import (
+    ExplainEventCommand,
+    ExplainKeyCommand,
+    StatusCommand,
+    VmsCommand,
+)
+from ibisjunction.cli.publication import CheckCommand, PublishCommand
 from ibisjunction.services.model import ServiceFileError
 
-_EXIT_INVALID: Final = 1
-
-
-@cappa.command(name='check')
-@dataclass
-class CheckCommand:
-    """Check service files without publishing them.
-
-    :param files: TOML service files.
-    """
-
-    files: list[Path]
-
-    def __call__(self) -> int:
-        """Print each mistake; exit code 1 if there is one."""
-        try:
-            specs = parse_collection(
-                {str(path): path.read_text() for path in self.files},
-            )
-        except (OSError, ServiceFileError) as error:
-            sys.stderr.write(f'{error}\n')
-            return _EXIT_INVALID
-        for spec in specs:
-            sys.stdout.write(f'{spec.service}: valid\n')
-        return 0
-
 
 @cappa.command(name='ibisjunction')
 @dataclass
 class OperatorCommand:
-    """Operate a deployment."""
+    """Operate a deployment.
+
+    The operator token is read from IBISJUNCTION_TOKEN and the address of the
+    administration API from --admin or IBISJUNCTION_ADMIN.
+    """
 
-    command: cappa.Subcommands[CheckCommand]
+    command: cappa.Subcommands[
+        CheckCommand
+        | PublishCommand
+        | StatusCommand
+        | VmsCommand
+        | ExplainKeyCommand
+        | ExplainEventCommand
+        | DrainUpstreamCommand
+        | RenewTermsCommand
+    ]
 
 
 def main() -> int:
-    """Run the command line."""
-    return int(cappa.invoke(OperatorCommand) or 0)
+    """Run the command line and return the exit code."""
+    try:
+        return int(cappa.invoke(OperatorCommand) or 0)
+    except ServiceFileError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_INVALID
+    except CommandError as error:
+        sys.stderr.write(f'{error}\n')
+        return error.exit_code
--- /dev/null
+++ b/src/ibisjunction/cli/inspection.py
@@ -0,0 +1,152 @@
+"""Commands that show the state of a deployment."""
+
+import sys
+import time
+from dataclasses import dataclass
+from typing import Annotated, Final
+from urllib.parse import quote
+
+import cappa
+import msgspec
+
+from ibisjunction.admin.model import KeyAnswer, StatusAnswer, VmsAnswer
+from ibisjunction.cli.connection import (
+    EXIT_INVALID,
+    CommandError,
+    Connection,
+    print_answer,
+)
+from ibisjunction.events import Event
+
+_FOLLOW_S: Final = 1.0
+
+
+@cappa.command(name='status')
+@dataclass
+class StatusCommand:
+    """Show upstreams, their shards and dispatchers, and the revision."""
+
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+    follow: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Show it again each second.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Print the status, once or until interrupted."""
+        api = self.connection.open()
+        while True:
+            answer = api.fetch('GET', '/v1/status', StatusAnswer)
+            self._print(answer)
+            if not self.follow:
+                return 0
+            time.sleep(_FOLLOW_S)
+
+    def _print(self, answer: StatusAnswer) -> None:
+        if self.connection.json:
+            print_answer(answer)
+            return
+        ready = 'ready' if answer.ready else 'not ready'
+        sys.stdout.write(
+            f'{answer.vm}: {ready}, revision {answer.revision},'
+            f' control log index {answer.index}\n',
+        )
+        rows = [
+            (
+                entry.upstream,
+                entry.service,
+                entry.address,
+                str(entry.shards),
+                entry.dispatcher or '-',
+                'draining' if entry.draining else '',
+            )
+            for entry in answer.upstreams
+        ]
+        header = (
+            'UPSTREAM',
+            'SERVICE',
+            'ADDRESS',
+            'SHARDS',
+            'DISPATCHER',
+            'STATE',
+        )
+        print_table([header, *rows])
+
+
+@cappa.command(name='vms')
+@dataclass
+class VmsCommand:
+    """Show the VMs and which revision is in force on each."""
+
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+
+    def __call__(self) -> int:
+        """Print what the leader knows."""
+        answer = self.connection.open().fetch('GET', '/v1/vms', VmsAnswer)
+        if self.connection.json:
+            print_answer(answer)
+            return 0
+        rows = [
+            (
+                entry.vm,
+                entry.failure_domain,
+                'live' if entry.live else 'lost',
+                '-' if entry.revision is None else str(entry.revision),
+            )
+            for entry in answer.vms
+        ]
+        print_table([('VM', 'FAILURE DOMAIN', 'STATE', 'REVISION'), *rows])
+        return 0
+
+
+@cappa.command(name='explain-key')
+@dataclass
+class ExplainKeyCommand:
+    """Show the shard, owner, fence and dispatcher of a key."""
+
+    service: str
+    key: str
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+
+    def __call__(self) -> int:
+        """Print where the key is."""
+        path = f'/v1/services/{quote(self.service)}/keys/{quote(self.key)}'
+        answer = self.connection.open().fetch('GET', path, KeyAnswer)
+        if self.connection.json:
+            print_answer(answer)
+            return 0
+        fields = msgspec.structs.asdict(answer)
+        for name, text in fields.items():
+            shown = '-' if text is None else text
+            sys.stdout.write(f'{name}: {shown}\n')
+        return 0
+
+
+@cappa.command(name='explain-event')
+@dataclass
+class ExplainEventCommand:
+    """Explain a numbered log event, for example E501."""
+
+    number: str
+
+    def __call__(self) -> int:
+        """Print its summary."""
+        wanted = self.number.upper().removeprefix('E')
+        for event in Event:
+            if str(event.number) == wanted:
+                sys.stdout.write(f'E{event.number}: {event.summary}\n')
+                return 0
+        raise CommandError(
+            f'{self.number}: there is no such event; docs/log-events.md lists'
+            ' them all',
+            EXIT_INVALID,
+        )
+
+
+def print_table(rows: list[tuple[str, ...]]) -> None:
+    """Print rows with aligned columns; the first row is the header."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        cells = map(str.ljust, row, widths)
+        line = '  '.join(cells).rstrip()
+        sys.stdout.write(f'{line}\n')
--- /dev/null
+++ b/src/ibisjunction/cli/publication.py
@@ -0,0 +1,168 @@
+"""Commands that check and publish service files."""
+
+import sys
+import time
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Final
+
+import cappa
+
+from ibisjunction.admin.model import (
+    PublishAnswer,
+    PublishRequest,
+    RevisionAnswer,
+    VmsAnswer,
+)
+from ibisjunction.cli.connection import (
+    EXIT_INVALID,
+    EXIT_NOT_IN_FORCE,
+    EXIT_UNREACHABLE,
+    AdminApi,
+    CommandError,
+    Connection,
+    print_answer,
+)
+from ibisjunction.services.collection import parse_collection
+
+_POLL_S: Final = 0.2
+_RESENDS: Final = 3
+
+
+@cappa.command(name='check')
+@dataclass
+class CheckCommand:
+    """Check service files without publishing them."""
+
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help='Service files, or folders that hold them.'),
+    ]
+
+    def __call__(self) -> int:
+        """Print each mistake; exit code 1 if there is one."""
+        for spec in parse_collection(collect_files(self.files)):
+            sys.stdout.write(f'{spec.service}: valid\n')
+        return 0
+
+
+@cappa.command(name='publish')
+@dataclass
+class PublishCommand:
+    """Publish service files as the next revision.
+
+    The files replace those of the revision they are based on. The command
+    waits until every live VM reports the revision in force.
+    """
+
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help='Service files, or folders that hold them.'),
+    ]
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+    base: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help='Revision the files are based on; by default the current one.',
+        ),
+    ] = None
+    publication_id: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help='Identifies this publication when it is sent again.',
+        ),
+    ] = field(default_factory=lambda: uuid.uuid4().hex)
+    wait: Annotated[
+        float,
+        cappa.Arg(long=True, help='Seconds to wait until it is in force.'),
+    ] = 10.0
+
+    def __call__(self) -> int:
+        """Publish and wait."""
+        texts = collect_files(self.files)
+        parse_collection(texts)
+        api = self.connection.open()
+        base = self.base
+        if base is None:
+            base = api.fetch('GET', '/v1/revisions', RevisionAnswer).revision
+        request = PublishRequest(base, self.publication_id, texts)
+        answer = _publish(api, request)
+        sys.stderr.write(
+            f'published revision {answer.revision}'
+            f' (publication {self.publication_id})\n',
+        )
+        return self._wait_until_in_force(api, answer.revision)
+
+    def _wait_until_in_force(self, api: AdminApi, revision: int) -> int:
+        deadline = time.monotonic() + self.wait
+        while True:
+            answer = api.fetch('GET', '/v1/vms', VmsAnswer)
+            missing = find_missing(answer, revision)
+            if not missing or time.monotonic() >= deadline:
+                break
+            time.sleep(_POLL_S)
+        if self.connection.json:
+            print_answer(answer)
+        if missing:
+            raise CommandError(
+                f'revision {revision} is not yet in force on'
+                f' {", ".join(missing)}; run "ibisjunction vms" to follow it',
+                EXIT_NOT_IN_FORCE,
+            )
+        sys.stderr.write(f'in force on all {len(answer.vms)} live VMs\n')
+        return 0
+
+
+def find_missing(answer: VmsAnswer, revision: int) -> list[str]:
+    """Return the live VMs on which a revision is not in force."""
+    return [
+        entry.vm
+        for entry in answer.vms
+        if entry.live and (entry.revision or 0) < revision
+    ]
+
+
+def collect_files(paths: list[Path]) -> dict[str, str]:
+    """Return the texts of service files by name, folders expanded.
+
+    :raises CommandError: if a file can't be read or two have one name.
+    """
+    texts: dict[str, str] = {}
+    for path in paths:
+        found = sorted(path.glob('*.toml')) if path.is_dir() else [path]
+        for service_file in found:
+            if service_file.name in texts:
+                raise CommandError(
+                    f'{service_file}: another file has this name',
+                    EXIT_INVALID,
+                )
+            texts[service_file.name] = _read(service_file)
+    return texts
+
+
+def _read(path: Path) -> str:
+    try:
+        return path.read_text()
+    except (OSError, UnicodeError) as error:
+        raise CommandError(f'{path}: {error}', EXIT_INVALID) from error
+
+
+def _publish(api: AdminApi, request: PublishRequest) -> PublishAnswer:
+    """Send a publication; after a lost answer the same one is sent again."""
+    for _attempt in range(_RESENDS):
+        try:
+            return api.fetch('POST', '/v1/revisions', PublishAnswer, request)
+        except CommandError as error:
+            if error.exit_code != EXIT_UNREACHABLE:
+                raise
+            last_error = error
+            time.sleep(_POLL_S)
+    raise CommandError(
+        f'{last_error}; the outcome is unknown, so run the command again'
+        f' with --base {request.base_revision}'
+        f' --publication-id {request.publication_id}',
+        EXIT_UNREACHABLE,
+    )
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,107 @@
+"""Tests of the command line against a running daemon."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from parameterized import parameterized
+
+import ibisjunction
+from ibisjunction.bench.deployment import OPERATOR_TOKEN, run_deployment
+from ibisjunction.cli.connection import (
+    EXIT_INVALID,
+    EXIT_REJECTED,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+)
+
+_PROFILES = Path(ibisjunction.__file__).parent / 'bench' / 'profiles'
+_FILES = str(_PROFILES / 'consorcio')
+
+
+def _run(*arguments, token=OPERATOR_TOKEN) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, '-m', 'ibisjunction.cli', *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={**os.environ, 'IBISJUNCTION_TOKEN': token},
+    )
+
+
+class OfflineTest(unittest.TestCase):
+    """Guards against errors that don't tell what to do next."""
+
+    @parameterized.expand(
+        [
+            ('valid files', ['check', _FILES], 0, ''),
+            ('missing file', ['check', 'none.toml'], EXIT_INVALID, 'none.toml'),
+            (
+                'not a service',
+                ['check', 'setup.cfg'],
+                EXIT_INVALID,
+                'setup.cfg',
+            ),
+            ('event', ['explain-event', 'e501'], 0, ''),
+            ('no event', ['explain-event', '1'], EXIT_INVALID, 'log-events.md'),
+            ('no address', ['status'], EXIT_USAGE, '--admin'),
+            (
+                'nobody there',
+                ['status', '--admin=127.0.0.1:1'],
+                EXIT_UNREACHABLE,
+                'is the daemon running',
+            ),
+            ('unknown command', ['sttaus'], EXIT_USAGE, ''),
+        ]
+    )
+    def test_exit_code(self, _name, arguments, code, text):
+        done = _run(*arguments)
+        self.assertEqual(done.returncode, code, done.stderr)
+        self.assertIn(text, done.stderr)
+
+
+class PublishTest(unittest.TestCase):
+    """Guards against a publication that races, repeats or reverts."""
+
+    def test_session(self):
+        with run_deployment(1) as deployment:
+            admin = f'--admin={deployment.vms[0].admin}'
+            first = ['publish', _FILES, admin, '--base=0']
+            self._check(_run(*first, '--publication-id=p1'), 0, 'revision 1')
+            with self.subTest('resend gets the first outcome'):
+                done = _run(*first, '--publication-id=p1')
+                self._check(done, 0, 'revision 1')
+            with self.subTest('loser of a race is told'):
+                done = _run(*first, '--publication-id=p2')
+                self._check(done, EXIT_REJECTED, 'revision 1 is in force')
+            with self.subTest('next revision'):
+                done = _run('publish', _FILES, admin)
+                self._check(done, 0, 'revision 2')
+                self._check(done, 0, 'in force on all 1 live VMs')
+            with self.subTest('wrong token'):
+                done = _run('publish', _FILES, admin, token='wrong')
+                self._check(done, EXIT_REJECTED, 'IBISJUNCTION_TOKEN')
+            with self.subTest('status for scripts'):
+                done = _run('status', admin, '--json')
+                self.assertEqual(json.loads(done.stdout)['revision'], 2)
+            with self.subTest('key without an owner'):
+                done = _run('explain-key', 'mail-log', 'tenant/7', admin)
+                self.assertIn('upstream: -', done.stdout)
+            with self.subTest('terms'):
+                done = _run('renew-terms', 'mail-log', 'c', admin)
+                self.assertEqual(done.stdout, 'c: level 1\n')
+
+    def test_refuses_invalid_files_before_any_call(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'bad.toml'
+            path.write_text('service = 1\n')
+            done = _run('publish', folder, '--admin=127.0.0.1:1')
+        self._check(done, EXIT_INVALID, 'bad.toml: service: ')
+
+    def _check(self, done, code, text) -> None:
+        self.assertEqual(done.returncode, code, done.stderr)
+        self.assertIn(text, done.stderr)
