Record request percentiles with hdrhistogram and serve /metrics

Cause: service by rank is what users measure. Change: a metrics task owns the histograms; /metrics gives the Prometheus text format through prometheus-client.

--- a/src/ibisjunction/admin/context.py
+++ b/src/ibisjunction/admin/context.py
@@ -14,6 +14,7 @@
 from ibisjunction.control.client import ControlClient
 from ibisjunction.control.commands import Accepted, Command, Rejected
 from ibisjunction.events import Event, log_event
+from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.reports import ReportsClient
 from ibisjunction.settings import Settings
 
@@ -41,6 +42,7 @@
     task: AdminTask
     control: ControlClient
     reports: ReportsClient
+    metrics: Mailbox[Any]
 
 
 class ApiHandler(RequestHandler):
--- a/src/ibisjunction/admin/inspection.py
+++ b/src/ibisjunction/admin/inspection.py
@@ -2,10 +2,14 @@
 
 from http import HTTPStatus
 
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+
 from ibisjunction.admin.context import ApiError, ApiHandler
 from ibisjunction.admin.model import VmsAnswer, VmStatus
 from ibisjunction.control.state import ControlState
+from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import VmReports
+from ibisjunction.metrics import ReadMetrics
 
 
 class ReadyHandler(ApiHandler):
@@ -19,6 +23,17 @@
         self.finish('ready\n')
 
 
+class MetricsHandler(ApiHandler):
+    """``/metrics``: for monitoring systems, in the usual text format."""
+
+    async def get(self) -> None:
+        """Report percentiles and counts of this VM."""
+        reply: Mailbox[bytes] = Mailbox()
+        self.context.metrics.post(ReadMetrics(reply))
+        self.set_header('Content-Type', CONTENT_TYPE_PLAIN_0_0_4)
+        self.finish(await reply.get())
+
+
 class StatusHandler(ApiHandler):
     """``/v1/status``: the control state as this VM sees it."""
 
--- a/src/ibisjunction/admin/server.py
+++ b/src/ibisjunction/admin/server.py
@@ -12,6 +12,7 @@
 from ibisjunction.admin.context import AdminContext
 from ibisjunction.admin.inspection import (
     KeyHandler,
+    MetricsHandler,
     ReadyHandler,
     StatusHandler,
     VmsHandler,
@@ -19,6 +20,7 @@
 
 _ROUTES = (
     ('/ready', ReadyHandler),
+    ('/metrics', MetricsHandler),
     ('/v1/status', StatusHandler),
     ('/v1/vms', VmsHandler),
     ('/v1/revisions', RevisionsHandler),
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -40,6 +40,7 @@
 )
 from ibisjunction.membership.reports import ReportsClient
 from ibisjunction.membership.task import MembershipTask
+from ibisjunction.metrics import MetricsTask
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
@@ -116,6 +117,7 @@
 
     client: ControlClient
     reports: ReportsClient
+    metrics: MetricsTask
     admin: AdminTask
     dispatch: DispatchTask
     ownership: OwnershipTask
@@ -138,6 +140,7 @@
         return [
             self.client,
             self.reports,
+            self.metrics,
             self.admin,
             self.routing,
             self.placement,
@@ -169,6 +172,7 @@
     return DaemonTasks(
         client=client,
         reports=ReportsClient(settings, peers),
+        metrics=MetricsTask(),
         admin=admin,
         dispatch=dispatch,
         ownership=ownership,
@@ -206,7 +210,13 @@
         pool = ConnectionPool(clock)
         stack.push_async_callback(pool.close)
         server = make_admin_server(
-            AdminContext(settings, tasks.admin, tasks.client, tasks.reports),
+            AdminContext(
+                settings,
+                tasks.admin,
+                tasks.client,
+                tasks.reports,
+                tasks.metrics.mailbox,
+            ),
         )
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
--- /dev/null
+++ b/src/ibisjunction/metrics.py
@@ -0,0 +1,147 @@
+"""Latency percentiles and counts of requests.
+
+The task owns the histograms. Other tasks post measurements; the administration
+API posts a request for the text that monitoring systems read.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any, Final
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client.core import (
+    CounterMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import CollectorRegistry
+
+from ibisjunction.mailbox import Mailbox
+
+_MAX_MS: Final = 600_000
+_SIGNIFICANT_DIGITS: Final = 2
+_QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
+_PERCENT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class RequestMeasured:
+    """One request ended.
+
+    ``outcome`` is ``answered``, or the name of the reason. ``upstream`` is
+    empty if no ticket was held.
+    """
+
+    service: str
+    rank: str
+    upstream: str
+    outcome: str
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadMetrics:
+    """Asks for the text of all metrics."""
+
+    reply: Mailbox[bytes]
+
+
+@dataclass(slots=True)
+class _Series:
+    histogram: HdrHistogram
+    total_ms: int = 0
+
+
+class MetricsTask:
+    """Histograms by rank and by upstream, and counts by outcome."""
+
+    def __init__(self) -> None:
+        """Start with nothing measured."""
+        self._by_rank: dict[tuple[str, ...], _Series] = {}
+        self._by_upstream: dict[tuple[str, ...], _Series] = {}
+        self._outcomes: Counter[tuple[str, ...]] = Counter()
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+        self.mailbox: Mailbox[Any] = Mailbox()
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            self.handle(await self.mailbox.get())
+
+    def handle(self, message: Any) -> None:
+        """Process one message."""
+        match message:
+            case RequestMeasured():
+                self._measure(message)
+            case ReadMetrics(reply=reply):
+                reply.post(generate_latest(self._registry))
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics, for the exposition library."""
+        yield _summarise(
+            'ibisjunction_request_ms',
+            'Duration of requests by rank.',
+            ('service', 'rank'),
+            self._by_rank,
+        )
+        yield _summarise(
+            'ibisjunction_upstream_request_ms',
+            'Duration of requests by upstream.',
+            ('upstream',),
+            self._by_upstream,
+        )
+        outcomes = CounterMetricFamily(
+            'ibisjunction_requests',
+            'Requests by rank and outcome.',
+            labels=('service', 'rank', 'outcome'),
+        )
+        for labels, count in sorted(self._outcomes.items()):
+            outcomes.add_metric(labels, count)
+        yield outcomes
+
+    def _measure(self, measured: RequestMeasured) -> None:
+        rank_labels = (measured.service, measured.rank)
+        self._outcomes[(*rank_labels, measured.outcome)] += 1
+        _record(self._by_rank, rank_labels, measured.duration_ms)
+        if measured.upstream:
+            _record(
+                self._by_upstream,
+                (measured.upstream,),
+                measured.duration_ms,
+            )
+
+
+def _record(
+    series: dict[tuple[str, ...], _Series],
+    labels: tuple[str, ...],
+    duration_ms: int,
+) -> None:
+    entry = series.get(labels)
+    if entry is None:
+        entry = _Series(HdrHistogram(1, _MAX_MS, _SIGNIFICANT_DIGITS))
+        series[labels] = entry
+    entry.histogram.record_value(min(max(duration_ms, 1), _MAX_MS))
+    entry.total_ms += duration_ms
+
+
+def _summarise(
+    name: str,
+    text: str,
+    label_names: tuple[str, ...],
+    series: dict[tuple[str, ...], _Series],
+) -> SummaryMetricFamily:
+    family = SummaryMetricFamily(name, text, labels=label_names)
+    for labels, entry in sorted(series.items()):
+        count = entry.histogram.get_total_count()
+        family.add_metric(labels, count, entry.total_ms)
+        named = dict(zip(label_names, labels, strict=True))
+        for quantile in _QUANTILES:
+            family.add_sample(
+                name,
+                {**named, 'quantile': str(quantile)},
+                entry.histogram.get_value_at_percentile(_PERCENT * quantile),
+            )
+    return family
