Give the stand-in for an upstream faults and run records

Cause: scenarios need upstreams that start cold, shed, drain, freeze, lie, fall silent and crash, and checks need to see runs that a crash cut. Change: the stand-in is split into profile, service times, rules, reports, announcing and HTTP; a control endpoint on loopback switches faults; each run is recorded at its start and at its end.

--- /dev/null
+++ b/src/ibisjunction/bench/announcing.py
@@ -0,0 +1,74 @@
+"""A stand-in's calls to the administration API of the system."""
+
+import asyncio
+import logging
+from http import HTTPStatus
+from typing import Final
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from ibisjunction.bench.profile import UpstreamProfile
+from ibisjunction.bench.stand_in import StandIn
+from ibisjunction.clock import in_seconds
+from ibisjunction.upstreams.protocol import Announcement
+
+_logger = logging.getLogger(__name__)
+
+_ANNOUNCE_INTERVAL_MS: Final = 1000
+_CALL_TIMEOUT_S: Final = 2.0
+_CONNECTIONS: Final = 100
+
+
+async def announce(stand_in: StandIn, address: str) -> None:
+    """Announce the upstream until cancelled."""
+    profile = stand_in.profile
+    announcement = Announcement(
+        upstream=profile.upstream,
+        service=profile.service,
+        address=address,
+        failure_domain=profile.failure_domain,
+        slots=profile.slots,
+        connections=_CONNECTIONS,
+        checks_fence=profile.checks_fence,
+        incarnation=stand_in.clock.now(),
+    )
+    while True:
+        await stand_in.switches.thawed.wait()
+        if not stand_in.switches.is_draining:
+            await _call_any(
+                profile,
+                '/v1/upstreams',
+                msgspec.json.encode(announcement),
+            )
+        await asyncio.sleep(in_seconds(_ANNOUNCE_INTERVAL_MS))
+
+
+async def drain(profile: UpstreamProfile) -> bool:
+    """Tell the system that the upstream leaves."""
+    path = f'/v1/upstreams/{profile.upstream}/drain'
+    return await _call_any(profile, path, b'')
+
+
+async def _call_any(profile: UpstreamProfile, path: str, body: bytes) -> bool:
+    """Call the addresses in turn until one accepts."""
+    for address in profile.announce_to:
+        if await _call(f'http://{address}{path}', profile.token, body):
+            return True
+    _logger.warning('no VM accepted %s', path)
+    return False
+
+
+async def _call(url: str, token: str, body: bytes) -> bool:
+    request = HTTPRequest(
+        url,
+        method='POST',
+        headers={'Authorization': f'Bearer {token}'},
+        body=body,
+        request_timeout=_CALL_TIMEOUT_S,
+    )
+    try:
+        response = await AsyncHTTPClient().fetch(request, raise_error=False)
+    except OSError:
+        return False
+    return response.code == HTTPStatus.NO_CONTENT
--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -12,7 +12,11 @@
 
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
-from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
+from ibisjunction.bench.upstream import (
+    ServiceTime,
+    UpstreamProfile,
+    run_upstream,
+)
 
 
 @cappa.command(name='upstream')
@@ -27,7 +31,14 @@
     announce_to: Annotated[list[str], cappa.Arg(long=True)]
     failure_domain: Annotated[str, cappa.Arg(long=True)] = 'fd-1'
     slots: Annotated[int, cappa.Arg(long=True)] = 3
-    service_ms: Annotated[int, cappa.Arg(long=True)] = 2
+    service_ms: Annotated[float, cappa.Arg(long=True)] = 2
+    spread: Annotated[float, cappa.Arg(long=True)] = 0
+    cold_factor: Annotated[float, cappa.Arg(long=True)] = 1
+    cold_ms: Annotated[int, cappa.Arg(long=True)] = 0
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    max_queue: Annotated[int, cappa.Arg(long=True)] = 0
+    control_port: Annotated[int, cappa.Arg(long=True)] = 0
+    crash_on: Annotated[str, cappa.Arg(long=True)] = ''
     answer_bytes: Annotated[int, cappa.Arg(long=True)] = 128
     skip_fence_check: Annotated[bool, cappa.Arg(long=True)] = False
 
@@ -39,12 +50,21 @@
             service=self.service,
             failure_domain=self.failure_domain,
             slots=self.slots,
-            service_ms=self.service_ms,
+            service_time=ServiceTime(
+                self.service_ms,
+                self.spread,
+                self.cold_factor,
+                self.cold_ms,
+                self.seed,
+            ),
             download_bytes=self.answer_bytes,
             checks_fence=not self.skip_fence_check,
             announce_to=tuple(self.announce_to),
             token=self.token,
             record_file=self.records,
+            max_queue=self.max_queue,
+            control_port=self.control_port,
+            crash_on=self.crash_on,
         )
         asyncio.run(_run_until_signal(profile))
         return 0
--- /dev/null
+++ b/src/ibisjunction/bench/load_report.py
@@ -0,0 +1,78 @@
+"""What a stand-in tells about its health and load, truly or not."""
+
+from collections import deque
+from typing import Final
+
+import msgspec
+
+from ibisjunction.bench.faults import Report
+from ibisjunction.bench.stand_in import StandIn
+
+#: Age of the state that a lagging report shows.
+_LAG_MS: Final = 5000
+
+
+class HealthAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /ibis/health``."""
+
+    healthy: bool
+    draining: bool
+
+
+class LoadAnswer(msgspec.Struct, frozen=True):
+    """Answer of ``GET /ibis/load``."""
+
+    slots: int
+    running: int
+    queued: int
+
+
+class LoadReporter:
+    """Keeps past states, so that a report can lag."""
+
+    def __init__(self, stand_in: StandIn) -> None:
+        """Start without history."""
+        self._stand_in = stand_in
+        self._past: deque[tuple[int, HealthAnswer, LoadAnswer]] = deque()
+
+    def observe(self) -> None:
+        """Note the present state; call it periodically."""
+        now = self._stand_in.clock.now()
+        self._past.append((now, self._true_health(), self._true_load()))
+        while self._past[0][0] < now - _LAG_MS:
+            self._past.popleft()
+
+    def health(self) -> HealthAnswer:
+        """Return what the health endpoint tells."""
+        match self._stand_in.switches.report:
+            case Report.ACCURATE:
+                return self._true_health()
+            case Report.LAGGING:
+                return self._past[0][1] if self._past else self._true_health()
+            case Report.WRONG:
+                return HealthAnswer(healthy=True, draining=False)
+
+    def load(self) -> LoadAnswer:
+        """Return what the load endpoint tells."""
+        match self._stand_in.switches.report:
+            case Report.ACCURATE:
+                return self._true_load()
+            case Report.LAGGING:
+                return self._past[0][2] if self._past else self._true_load()
+            case Report.WRONG:
+                return LoadAnswer(self._stand_in.profile.slots, 0, 0)
+
+    def _true_health(self) -> HealthAnswer:
+        switches = self._stand_in.switches
+        return HealthAnswer(
+            healthy=not switches.is_shedding,
+            draining=switches.is_draining,
+        )
+
+    def _true_load(self) -> LoadAnswer:
+        stand_in = self._stand_in
+        return LoadAnswer(
+            stand_in.profile.slots,
+            stand_in.running,
+            stand_in.queued,
+        )
--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -1,175 +1,144 @@
 """A stand-in for an upstream.
 
-It speaks the upstream protocol over HTTP, runs requests for a set time on a
-set number of slots, and records each run in a file for the checks.
+It speaks the upstream protocol over HTTP, runs requests on a set number of
+slots, shows faults on demand and records each run in a file for the checks.
 """
 
 import asyncio
 import contextlib
 import hashlib
-import logging
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from http import HTTPStatus
-from pathlib import Path
-from typing import IO, Any, Final
+from typing import Any, Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from ibisjunction.bench.grants import GrantBook
-from ibisjunction.clock import Clock, SystemClock, in_seconds
-from ibisjunction.limits import CHUNK_BYTES
-from ibisjunction.mailbox import run_task
-from ibisjunction.upstreams.protocol import (
-    FENCE_HEADER,
-    REQUEST_ID_HEADER,
-    SHARD_HEADER,
-    Announcement,
-    GrantCall,
+from ibisjunction.bench.announcing import announce
+from ibisjunction.bench.answers import make_answer
+from ibisjunction.bench.load_report import LoadReporter
+from ibisjunction.bench.profile import ServiceTime, UpstreamProfile
+from ibisjunction.bench.run_records import RunWriter
+from ibisjunction.bench.stand_in import (
+    Fenced,
+    Ran,
+    Shed,
+    StandIn,
+    Work,
+    read_work,
 )
+from ibisjunction.bench.upstream_control import make_control_server
+from ibisjunction.clock import SystemClock, in_seconds
+from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
+from ibisjunction.mailbox import run_task
+from ibisjunction.upstreams.protocol import GrantCall
 from ibisjunction.verdict import VERDICT_HEADER, Verdict
 
-_logger = logging.getLogger(__name__)
-
-_ANNOUNCE_INTERVAL_MS: Final = 1000
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamProfile:
-    """How the stand-in behaves.
-
-    ``service_ms`` is the time a request takes on a slot. ``download_bytes`` is
-    the length of each answer; its content follows from the request's target.
-    ``announce_to`` are administration addresses, tried in order.
-    """
+__all__ = ('ServiceTime', 'UpstreamProfile', 'make_answer', 'run_upstream')
 
-    upstream: str
-    service: str
-    failure_domain: str
-    slots: int
-    service_ms: int
-    download_bytes: int
-    checks_fence: bool
-    announce_to: tuple[str, ...]
-    token: str
-    record_file: Path
+_OBSERVE_INTERVAL_MS: Final = 100
 
 
-class RunRecord(msgspec.Struct, frozen=True):
-    """One line of the record file: a request that ran."""
+class _StandInHandler(RequestHandler):
+    """Base of all handlers: none answers while the stand-in is frozen."""
 
-    upstream: str
-    request_id: str
-    shard: str
-    fence: int
-    started_ms: int
-    ended_ms: int
-    method: str
-    target: str
-    body_digest: str
+    def initialize(self, stand_in: StandIn, reporter: LoadReporter) -> None:
+        self.stand_in = stand_in
+        self.reporter = reporter
+        connection: Any = self.request.connection
+        self.stream = connection.stream
+        stand_in.connections.add(self.stream)
 
+    async def wait_until_thawed(self) -> None:
+        await self.stand_in.switches.thawed.wait()
 
-def make_answer(target: str, length: int) -> bytes:
-    """Return the answer to a target, so that a caller can check it whole."""
-    digest = hashlib.sha256(target.encode()).digest()
-    repeats = -(-length // len(digest))
-    return (digest * repeats)[:length]
 
+class _GrantsHandler(_StandInHandler):
+    async def put(self) -> None:
+        await self.wait_until_thawed()
+        call = msgspec.json.decode(self.request.body, type=GrantCall)
+        now = self.stand_in.clock.now()
+        answer = self.stand_in.grants.accept(call, now)
+        self.finish(msgspec.json.encode(answer))
 
-class _Upstream:
-    """State shared by the handlers."""
-
-    def __init__(self, profile: UpstreamProfile, records: IO[bytes]) -> None:
-        self.profile = profile
-        self.clock: Clock = SystemClock()
-        self.grants = GrantBook()
-        self.slots = asyncio.Semaphore(profile.slots)
-        self._records = records
-
-    def record(self, run: RunRecord) -> None:
-        """Append one line to the record file."""
-        self._records.write(msgspec.json.encode(run) + b'\n')
-        self._records.flush()
 
+class _HealthHandler(_StandInHandler):
+    async def get(self) -> None:
+        await self.wait_until_thawed()
+        self.finish(msgspec.json.encode(self.reporter.health()))
 
-class _GrantsHandler(RequestHandler):
-    def initialize(self, upstream: _Upstream) -> None:
-        self._upstream = upstream
 
-    def put(self) -> None:
-        call = msgspec.json.decode(self.request.body, type=GrantCall)
-        now = self._upstream.clock.now()
-        answer = self._upstream.grants.accept(call, now)
-        self.finish(msgspec.json.encode(answer))
+class _LoadHandler(_StandInHandler):
+    async def get(self) -> None:
+        await self.wait_until_thawed()
+        self.finish(msgspec.json.encode(self.reporter.load()))
 
 
 @stream_request_body
-class _WorkHandler(RequestHandler):
-    def initialize(self, upstream: _Upstream) -> None:
-        self._upstream = upstream
+class _WorkHandler(_StandInHandler):
+    def initialize(self, stand_in: StandIn, reporter: LoadReporter) -> None:
+        super().initialize(stand_in, reporter)
         self._digest = hashlib.sha256()
+        self._task: asyncio.Task[None] | None = None
 
     def data_received(self, chunk: bytes) -> None:
         self._digest.update(chunk)
 
     async def get(self) -> None:
-        await self._run()
+        await self._serve()
 
     async def post(self) -> None:
-        await self._run()
+        await self._serve()
 
     async def put(self) -> None:
-        await self._run()
-
-    async def _run(self) -> None:
-        upstream = self._upstream
-        started_ms = upstream.clock.now()
-        shard = self.request.headers.get(SHARD_HEADER, '')
-        fence = int(self.request.headers.get(FENCE_HEADER, '0'))
-        if not self._is_allowed(shard, fence, started_ms):
-            self.set_status(HTTPStatus.CONFLICT)
-            self.set_header(VERDICT_HEADER, Verdict.NOT_RUN.value)
-            return
-        async with upstream.slots:
-            await asyncio.sleep(in_seconds(upstream.profile.service_ms))
-            upstream.record(self._describe_run(shard, fence, started_ms))
-        await self._send_answer()
-
-    def _is_allowed(self, shard: str, fence: int, now: int) -> bool:
-        if not self._upstream.profile.checks_fence:
-            return True
-        service, _, number = shard.rpartition('/')
-        if not number.isdecimal():
-            return False
-        return self._upstream.grants.allows(service, int(number), fence, now)
-
-    def _describe_run(
-        self,
-        shard: str,
-        fence: int,
-        started_ms: int,
-    ) -> RunRecord:
-        return RunRecord(
-            upstream=self._upstream.profile.upstream,
-            request_id=self.request.headers.get(REQUEST_ID_HEADER, ''),
-            shard=shard,
-            fence=fence,
-            started_ms=started_ms,
-            ended_ms=self._upstream.clock.now(),
-            method=str(self.request.method),
-            target=str(self.request.uri),
-            body_digest=self._digest.hexdigest(),
-        )
+        await self._serve()
 
-    async def _send_answer(self) -> None:
-        answer = make_answer(
+    def on_connection_close(self) -> None:
+        """Cancel the run: whoever sent the request has gone.
+
+        A silenced connection is no cancellation; its run goes on.
+        """
+        is_silenced = self.stand_in.connections.is_silenced(self.stream)
+        if self._task is not None and not is_silenced:
+            self._task.cancel()
+
+    async def _serve(self) -> None:
+        work = read_work(
+            str(self.request.method),
             str(self.request.uri),
-            self._upstream.profile.download_bytes,
+            self.request.headers,
+            self._digest.digest(),
+            self.stand_in.clock.now(),
         )
+        self._task = asyncio.create_task(self._run(work))
+        await asyncio.wait({self._task})
+        if self._task.cancelled():
+            return
+        error = self._task.exception()
+        if error is not None and not isinstance(error, StreamClosedError):
+            raise error
+
+    async def _run(self, work: Work) -> None:
+        await self.wait_until_thawed()
+        async with self.stand_in.run(work) as admission:
+            await self.wait_until_thawed()
+            match admission:
+                case Ran():
+                    await self._send_answer(work.target)
+                case Fenced():
+                    self._refuse(HTTPStatus.CONFLICT)
+                case Shed():
+                    self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        self.set_status(status)
+        self.set_header(VERDICT_HEADER, Verdict.NOT_RUN.value)
+
+    async def _send_answer(self, target: str) -> None:
+        answer = make_answer(target, self.stand_in.profile.download_bytes)
         self.set_header('Content-Length', str(len(answer)))
         self.set_header('Content-Type', 'application/octet-stream')
         for start in range(0, len(answer), CHUNK_BYTES):
@@ -180,64 +149,43 @@
 @contextlib.asynccontextmanager
 async def run_upstream(profile: UpstreamProfile) -> AsyncIterator[str]:
     """Run a stand-in for the duration of the block; yields ``host:port``."""
-    with profile.record_file.open('ab') as records:
-        upstream = _Upstream(profile, records)
-        server = HTTPServer(_make_application(upstream))
+    async with contextlib.AsyncExitStack() as stack:
+        records = stack.enter_context(profile.record_file.open('ab'))
+        stand_in = StandIn(profile, SystemClock(), RunWriter(records))
+        stack.callback(stand_in.connections.close)
+        reporter = LoadReporter(stand_in)
+        server = _make_server(stand_in, reporter)
         sockets = bind_sockets(0, '127.0.0.1')
         server.add_sockets(sockets)
-        port = sockets[0].getsockname()[1]
-        address = f'127.0.0.1:{port}'
-        announcement = Announcement(
-            upstream=profile.upstream,
-            service=profile.service,
-            address=address,
-            failure_domain=profile.failure_domain,
-            slots=profile.slots,
-            connections=100,
-            checks_fence=profile.checks_fence,
-            incarnation=upstream.clock.now(),
-        )
-        async with run_task(_announce(profile, announcement), 'announce'):
-            yield address
-        server.stop()
-        await server.close_all_connections()
-
-
-def _make_application(upstream: _Upstream) -> Application:
-    shared: dict[str, Any] = {'upstream': upstream}
-    return Application(
-        [
-            ('/ibis/grants', _GrantsHandler, shared),
-            ('/.*', _WorkHandler, shared),
-        ],
-        log_function=lambda handler: None,
+        stack.push_async_callback(server.close_all_connections)
+        stack.callback(server.stop)
+        if profile.control_port:
+            control = make_control_server(stand_in)
+            control.listen(profile.control_port, '127.0.0.1')
+            stack.callback(control.stop)
+        address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        for work in (announce(stand_in, address), _observe(reporter)):
+            await stack.enter_async_context(run_task(work, 'stand-in'))
+        yield address
+
+
+def _make_server(stand_in: StandIn, reporter: LoadReporter) -> HTTPServer:
+    shared: dict[str, Any] = {'stand_in': stand_in, 'reporter': reporter}
+    return HTTPServer(
+        Application(
+            [
+                ('/ibis/grants', _GrantsHandler, shared),
+                ('/ibis/health', _HealthHandler, shared),
+                ('/ibis/load', _LoadHandler, shared),
+                ('/.*', _WorkHandler, shared),
+            ],
+            log_function=lambda handler: None,
+        ),
+        max_body_size=MAX_BODY_BYTES,
     )
 
 
-async def _announce(
-    profile: UpstreamProfile,
-    announcement: Announcement,
-) -> None:
+async def _observe(reporter: LoadReporter) -> None:
     while True:
-        for address in profile.announce_to:
-            if await _announce_to(address, profile.token, announcement):
-                break
-        await asyncio.sleep(in_seconds(_ANNOUNCE_INTERVAL_MS))
-
-
-async def _announce_to(
-    address: str,
-    token: str,
-    announcement: Announcement,
-) -> bool:
-    request = HTTPRequest(
-        f'http://{address}/v1/upstreams',
-        method='POST',
-        headers={'Authorization': f'Bearer {token}'},
-        body=msgspec.json.encode(announcement),
-    )
-    try:
-        response = await AsyncHTTPClient().fetch(request, raise_error=False)
-    except OSError:
-        return False
-    return response.code == HTTPStatus.NO_CONTENT
+        reporter.observe()
+        await asyncio.sleep(in_seconds(_OBSERVE_INTERVAL_MS))
--- /dev/null
+++ b/tests/test_upstream_server.py
@@ -0,0 +1,93 @@
+"""A stand-in over HTTP, on a port that the system chooses."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from parameterized import parameterized
+from tornado.httpclient import AsyncHTTPClient
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from ibisjunction.bench.profile import ServiceTime, UpstreamProfile
+from ibisjunction.bench.run_records import join_runs, read_events
+from ibisjunction.bench.silence import ConnectionBook
+from ibisjunction.bench.upstream import make_answer, run_upstream
+
+_TARGET = '/mail-log/key'
+_LENGTH = 100_000
+
+
+def _make_profile(folder):
+    return UpstreamProfile(
+        upstream='up-1',
+        service='mail-log',
+        failure_domain='fd-1',
+        slots=1,
+        service_time=ServiceTime(0.1),
+        download_bytes=_LENGTH,
+        checks_fence=False,
+        announce_to=(),
+        token='',
+        record_file=Path(folder) / 'runs.jsonl',
+    )
+
+
+class AnswerTest(unittest.TestCase):
+    """Guards against answers and records that the checks can't compare."""
+
+    def test_answer_is_whole_and_recorded(self):
+        async def run(profile):
+            async with run_upstream(profile) as address:
+                client = AsyncHTTPClient(force_instance=True)
+                return await client.fetch(f'http://{address}{_TARGET}')
+
+        with tempfile.TemporaryDirectory() as folder:
+            profile = _make_profile(folder)
+            response = asyncio.run(run(profile))
+            runs = join_runs(read_events([profile.record_file]))
+        self.assertEqual(response.body, make_answer(_TARGET, _LENGTH))
+        self.assertEqual([run.result for run in runs], ['done'])
+        self.assertEqual(runs[0].started.target, _TARGET)
+
+
+class SilenceTest(unittest.TestCase):
+    """Guards against a silenced connection whose peer sees its end."""
+
+    @parameterized.expand([(True,), (False,)])
+    def test_end_of_connection(self, silenced):
+        async def run():
+            book = ConnectionBook()
+            accepted = asyncio.get_running_loop().create_future()
+
+            class Listener(TCPServer):
+                async def handle_stream(self, stream, address):
+                    book.add(stream)
+                    accepted.set_result(stream)
+
+            listener = Listener()
+            sockets = bind_sockets(0, '127.0.0.1')
+            listener.add_sockets(sockets)
+            port = sockets[0].getsockname()[1]
+            caller = await TCPClient().connect('127.0.0.1', port)
+            stream = await accepted
+            if silenced:
+                self.assertEqual(book.silence(), 1)
+            else:
+                stream.close()
+            read = asyncio.ensure_future(caller.read_bytes(1))
+            await asyncio.wait({read}, timeout=0.05)
+            ended = read.done()
+            book.close()
+            await asyncio.wait({read})
+            listener.stop()
+            return ended, book.is_silenced(stream), read.exception()
+
+        ended, is_silenced, error = asyncio.run(run())
+        self.assertEqual(is_silenced, silenced)
+        self.assertIsInstance(error, StreamClosedError)
+        if silenced:
+            self.assertFalse(ended)
