Add the load generator

Cause: experiments need open-loop load whose latency includes the wait of a generator that falls behind, and a record of each attempt.

--- /dev/null
+++ b/src/ibisjunction/bench/caller.py
@@ -0,0 +1,129 @@
+"""One kept connection of a caller to a VM.
+
+It is written apart from the connections of the system itself, so that a fault
+there doesn't hide from the checks.
+"""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from tornado.http1connection import (
+    HTTP1Connection,
+    HTTP1ConnectionParameters,
+)
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
+from ibisjunction.settings import Address
+
+_PARAMETERS: Final = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES,
+    max_body_size=MAX_BODY_BYTES,
+)
+#: Bytes of a body kept for the text of a refusal.
+_TEXT_BYTES: Final = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request to send."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes = b''
+
+
+@dataclass(slots=True)
+class Reply(HTTPMessageDelegate):
+    """What arrived of an answer; its body is digested as it streams."""
+
+    status: int = 0
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
+    received_bytes: int = 0
+    text: bytes = b''
+    is_whole: bool = False
+    digest: 'hashlib._Hash' = field(default_factory=hashlib.sha256)
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Keep status and headers."""
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+            self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Digest a part of the body."""
+        self.received_bytes += len(chunk)
+        self.digest.update(chunk)
+        if len(self.text) < _TEXT_BYTES:
+            self.text += chunk[:_TEXT_BYTES]
+
+    def finish(self) -> None:
+        """Note that the answer is whole."""
+        self.is_whole = True
+
+
+class CallerConnection:
+    """Sends one request at a time over one stream."""
+
+    def __init__(self, stream: IOStream) -> None:
+        """Take over an open stream."""
+        self._stream = stream
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another request can be sent."""
+        return not self._stream.closed()
+
+    async def perform(self, call: Call, reply: Reply) -> None:
+        """Send a request and fill ``reply`` as far as the answer arrives."""
+        connection = HTTP1Connection(
+            self._stream,
+            is_client=True,
+            params=_PARAMETERS,
+        )
+        try:
+            await self._send(connection, call)
+            await connection.read_response(reply)
+        except StreamClosedError:
+            reply.is_whole = False
+        if not reply.is_whole:
+            self.close()
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+
+    async def _send(self, connection: HTTP1Connection, call: Call) -> None:
+        headers = HTTPHeaders(dict(call.headers))
+        headers['Host'] = 'system'
+        if call.body:
+            headers['Content-Length'] = str(len(call.body))
+        start_line = RequestStartLine(call.method, call.target, 'HTTP/1.1')
+        await connection.write_headers(start_line, headers)
+        if call.body:
+            await connection.write(call.body)
+        connection.finish()
+
+
+async def connect(address: Address) -> CallerConnection:
+    """Open a connection.
+
+    :raises OSError: if the VM does not accept it.
+    """
+    stream = await TCPClient().connect(address.host, address.port)
+    stream.set_nodelay(True)
+    return CallerConnection(stream)
--- /dev/null
+++ b/src/ibisjunction/bench/load.py
@@ -0,0 +1,163 @@
+"""Sends planned requests at their times, whatever the answers do."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+from ibisjunction.bench.arrivals import Arrival
+from ibisjunction.bench.balancer import Balancer
+from ibisjunction.bench.caller import Reply
+from ibisjunction.bench.request_records import Attempt, RequestRecord
+from ibisjunction.bench.workload import CallBuilder, PlannedCall
+from ibisjunction.clock import MS_PER_S, Clock, in_seconds
+from ibisjunction.upstreams.protocol import REQUEST_ID_HEADER
+from ibisjunction.verdict import VERDICT_HEADER, Verdict, parse_verdict
+
+_US_PER_S: Final = 1_000_000
+_MAX_ATTEMPTS: Final = 4
+#: Pause before a request is sent again. The balancer needs up to 400 ms to
+#: take a VM out, so a few attempts reach another one.
+_RESEND_MS: Final = 200
+#: How much longer than the service's timeout a caller waits for an answer.
+_PATIENCE_MS: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class LoadContext:
+    """What the tasks of all requests share."""
+
+    clock: Clock
+    balancer: Balancer
+    builder: CallBuilder
+
+
+async def run_load(
+    context: LoadContext,
+    arrivals: list[Arrival],
+) -> list[RequestRecord]:
+    """Send every request at its time and return the records."""
+    started = time.perf_counter()
+    started_ms = context.clock.now()
+    tasks: list[asyncio.Task[RequestRecord]] = []
+    for arrival in arrivals:
+        due = started + arrival.at_ms / MS_PER_S
+        await asyncio.sleep(max(0, due - time.perf_counter()))
+        sending = _send(context, arrival, due, started_ms)
+        tasks.append(asyncio.create_task(sending))
+    return list(await asyncio.gather(*tasks))
+
+
+async def _send(
+    context: LoadContext,
+    arrival: Arrival,
+    due: float,
+    started_ms: int,
+) -> RequestRecord:
+    planned = context.builder.build(arrival)
+    attempts = [await _attempt(context, planned)]
+    while len(attempts) < _MAX_ATTEMPTS and _is_resent(attempts[-1]):
+        await asyncio.sleep(in_seconds(_RESEND_MS))
+        attempts.append(await _attempt(context, planned))
+    elapsed = time.perf_counter() - due
+    route = planned.route
+    rank = route.operation.rank
+    return RequestRecord(
+        number=arrival.number,
+        kind=arrival.stream.kind,
+        phase=arrival.phase,
+        rank=rank.value,
+        target_ms=route.spec.ranks[rank].target_ms,
+        method=planned.call.method,
+        target=planned.call.target,
+        shard=f'{route.spec.service}/{route.shard}',
+        idempotency_key=planned.idempotency_key,
+        expected_bytes=planned.expected_bytes,
+        intended_ms=started_ms + round(arrival.at_ms),
+        latency_us=round(elapsed * _US_PER_S),
+        attempts=attempts,
+    )
+
+
+def _is_resent(attempt: Attempt) -> bool:
+    """Return whether a caller sends a request again.
+
+    It does so when the answer is missing; the idempotency key stays the same.
+    A refusal is final here, so that the load stays open-loop.
+    """
+    return attempt.status == 0
+
+
+async def _attempt(context: LoadContext, planned: PlannedCall) -> Attempt:
+    sent_ms = context.clock.now()
+    vm = context.balancer.choose()
+    if vm is None:
+        return Attempt(
+            '',
+            sent_ms,
+            sent_ms,
+            was_sent=False,
+            reason='no VM is ready',
+        )
+    patience_ms = planned.route.operation.timeout_ms + _PATIENCE_MS
+    reply = Reply()
+    try:
+        async with asyncio.timeout(in_seconds(patience_ms)):
+            await _perform(context, planned, vm, reply)
+    except TimeoutError:
+        reply.is_whole = False
+    except OSError as error:
+        return Attempt(
+            vm,
+            sent_ms,
+            context.clock.now(),
+            was_sent=False,
+            reason=f'not connected ({type(error).__name__})',
+        )
+    return _describe(vm, sent_ms, context.clock.now(), reply)
+
+
+async def _perform(
+    context: LoadContext,
+    planned: PlannedCall,
+    vm: str,
+    reply: Reply,
+) -> None:
+    async with context.balancer.borrow(vm) as connection:
+        await connection.perform(planned.call, reply)
+
+
+def _describe(vm: str, sent_ms: int, ended_ms: int, reply: Reply) -> Attempt:
+    verdict = parse_verdict(reply.headers.get(VERDICT_HEADER))
+    reason = ''
+    if not reply.is_whole:
+        reason = 'answer cut' if reply.status else 'connection lost'
+    elif verdict is not Verdict.RAN:
+        text = reply.text.decode(errors='replace')
+        reason = text.partition('\n')[0].partition(':')[0]
+    is_answer = reply.is_whole and reply.status == HTTPStatus.OK
+    return Attempt(
+        vm=vm,
+        sent_ms=sent_ms,
+        ended_ms=ended_ms,
+        status=reply.status if reply.is_whole else 0,
+        verdict=verdict,
+        request_id=reply.headers.get(REQUEST_ID_HEADER, ''),
+        received_bytes=reply.received_bytes,
+        digest=reply.digest.hexdigest() if is_answer else '',
+        reason=reason,
+    )
+
+
+@asynccontextmanager
+async def run_balancer(balancer: Balancer) -> AsyncIterator[Balancer]:
+    """Poll the VMs for the duration of the block."""
+    polling = asyncio.create_task(balancer.run())
+    try:
+        yield balancer
+    finally:
+        polling.cancel()
+        balancer.close()
--- /dev/null
+++ b/src/ibisjunction/bench/request_records.py
@@ -0,0 +1,75 @@
+"""Records of the load generator: one JSON object per request.
+
+Times are milliseconds since boot, which all processes of one machine share.
+"""
+
+import enum
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from ibisjunction.verdict import Verdict
+
+
+class Kind(enum.Enum):
+    """Kind of a request."""
+
+    READS = 'reads'
+    WRITES = 'writes'
+    DOWNLOADS = 'downloads'
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One sending of a request to one VM.
+
+    ``was_sent`` is false if no connection to a VM was obtained.
+    ``status`` is 0 if no whole answer arrived; ``received_bytes`` counts the
+    body. ``digest`` is the SHA-256 of a whole body. ``reason`` is the first
+    part of a refusal's text.
+    """
+
+    vm: str
+    sent_ms: int
+    ended_ms: int
+    was_sent: bool = True
+    status: int = 0
+    verdict: Verdict | None = None
+    request_id: str = ''
+    received_bytes: int = 0
+    digest: str = ''
+    reason: str = ''
+
+
+class RequestRecord(msgspec.Struct, frozen=True):
+    """One request with all its attempts.
+
+    ``intended_ms`` is the planned time of sending; latency counts from it, so
+    a generator that falls behind doesn't hide the wait.
+    """
+
+    number: int
+    kind: Kind
+    phase: str
+    rank: str
+    target_ms: int
+    method: str
+    target: str
+    shard: str
+    idempotency_key: str
+    expected_bytes: int
+    intended_ms: int
+    latency_us: int
+    attempts: list[Attempt]
+
+
+def write_requests(path: Path, records: Iterable[RequestRecord]) -> None:
+    """Write one line per record."""
+    encoder = msgspec.json.Encoder()
+    path.write_bytes(encoder.encode_lines(records))
+
+
+def read_requests(path: Path) -> list[RequestRecord]:
+    """Return the records of a file."""
+    decoder = msgspec.json.Decoder(RequestRecord)
+    return decoder.decode_lines(path.read_bytes())
--- a/tests/test_upstream_server.py
+++ b/tests/test_upstream_server.py
@@ -36,6 +36,17 @@
     )
 
 
+class _Listener(TCPServer):
+    def __init__(self, book, accepted):
+        super().__init__()
+        self._book = book
+        self._accepted = accepted
+
+    async def handle_stream(self, stream, address):
+        self._book.add(stream)
+        self._accepted.set_result(stream)
+
+
 class AnswerTest(unittest.TestCase):
     """Guards against answers and records that the checks can't compare."""
 
@@ -62,13 +73,7 @@
         async def run():
             book = ConnectionBook()
             accepted = asyncio.get_running_loop().create_future()
-
-            class Listener(TCPServer):
-                async def handle_stream(self, stream, address):
-                    book.add(stream)
-                    accepted.set_result(stream)
-
-            listener = Listener()
+            listener = _Listener(book, accepted)
             sockets = bind_sockets(0, '127.0.0.1')
             listener.add_sockets(sockets)
             port = sockets[0].getsockname()[1]
