--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -1,5 +1,6 @@
 """Starts the shipped daemons and stand-ins as processes on loopback."""
 
+import asyncio
 import contextlib
 import signal
 import socket
@@ -36,6 +37,8 @@
     processes: dict[str, 'subprocess.Popen[bytes]'] = field(
         default_factory=dict,
     )
+    controls: dict[str, str] = field(default_factory=dict)
+    _commands: dict[str, list[str]] = field(default_factory=dict)
 
     def start_vm(self, vm: str) -> None:
         """Start the daemon of a VM."""
@@ -46,7 +49,12 @@
         )
 
     def start_upstream(self, name: str, *arguments: str) -> None:
-        """Start a stand-in for an upstream."""
+        """Start a stand-in for an upstream.
+
+        Its control endpoint is then listed in ``controls``.
+        """
+        self.controls[name] = _find_addresses(1)[0]
+        control_port = self.controls[name].rpartition(':')[2]
         self._start(
             name,
             [
@@ -57,6 +65,7 @@
                 f'--name={name}',
                 f'--token={UPSTREAM_TOKEN}',
                 f'--records={self.folder / name}.jsonl',
+                f'--control-port={control_port}',
                 *(f'--announce-to={vm.admin}' for vm in self.vms),
                 *arguments,
             ],
@@ -66,6 +75,18 @@
         """Send a signal to one process of this deployment."""
         self.processes[name].send_signal(number)
 
+    def is_running(self, name: str) -> bool:
+        """Return whether a process has not ended."""
+        return self.processes[name].poll() is None
+
+    def start_again(self, name: str) -> None:
+        """Start a process that has ended, with its former arguments."""
+        self._start(name, self._commands[name])
+
+    async def wait_for_exit(self, name: str) -> int:
+        """Return the exit code of a process once it has ended."""
+        return await asyncio.to_thread(_wait, self.processes[name])
+
     def stop_all(self) -> dict[str, int]:
         """Stop every process and return the exit codes."""
         for process in self.processes.values():
@@ -76,6 +97,7 @@
         }
 
     def _start(self, name: str, command: list[str]) -> None:
+        self._commands[name] = command
         log_file = self.folder / f'{name}.log'
         with log_file.open('ab') as log:
             self.processes[name] = subprocess.Popen(
@@ -95,27 +117,35 @@
 
 @contextlib.contextmanager
 def run_deployment(vm_count: int) -> Iterator[Deployment]:
+    """Run daemons in a temporary folder for the duration of the block."""
+    with (
+        tempfile.TemporaryDirectory(prefix='ibisjunction-') as name,
+        run_deployment_in(Path(name), vm_count) as deployment,
+    ):
+        yield deployment
+
+
+@contextlib.contextmanager
+def run_deployment_in(folder: Path, vm_count: int) -> Iterator[Deployment]:
     """Start daemons for the duration of the block.
 
     The first VMs, five at most, hold replicas of the control log. Failure
     domains are assigned in turn.
     """
-    with tempfile.TemporaryDirectory(prefix='ibisjunction-') as name:
-        folder = Path(name)
-        vms = [
-            VmAddresses(f'vm-{number}', *_find_addresses(3))
-            for number in range(1, vm_count + 1)
-        ]
-        deployment = Deployment(folder, vms)
-        for number, vm in enumerate(vms):
-            text = _format_settings(vm, f'fd-{number % 4 + 1}', vms, folder)
-            (folder / f'{vm.vm}.toml').write_text(text)
-        try:
-            for vm in vms:
-                deployment.start_vm(vm.vm)
-            yield deployment
-        finally:
-            deployment.stop_all()
+    vms = [
+        VmAddresses(f'vm-{number}', *_find_addresses(3))
+        for number in range(1, vm_count + 1)
+    ]
+    deployment = Deployment(folder, vms)
+    for number, vm in enumerate(vms):
+        text = _format_settings(vm, f'fd-{number % 4 + 1}', vms, folder)
+        (folder / f'{vm.vm}.toml').write_text(text)
+    try:
+        for vm in vms:
+            deployment.start_vm(vm.vm)
+        yield deployment
+    finally:
+        deployment.stop_all()
 
 
 def _find_addresses(count: int) -> list[str]:
