Add checks of the invariants over experiment records

Cause: R1 and R3 to R8 need a verdict from the records of a run. Change: nine pure checks, with the lawful cases spelled out in a test table.

--- /dev/null
+++ b/src/ibisjunction/bench/publication_checks.py
@@ -0,0 +1,59 @@
+"""Checks of publications (R8)."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Final
+
+from ibisjunction.bench.evidence import Evidence, PublicationRecord
+from ibisjunction.bench.violations import Violation
+
+#: Time within which a revision is in force everywhere.
+IN_FORCE_LIMIT_MS: Final = 10_000
+
+
+@dataclass(slots=True)
+class _Outcomes:
+    """First outcome of each revision and of each publication."""
+
+    winners: dict[int, str] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
+
+    def find_conflict(self, call: PublicationRecord) -> str:
+        """Return how a call contradicts an earlier one, or nothing."""
+        name = call.publication_id
+        if call.revision:
+            winner = self.winners.setdefault(call.revision, name)
+            first = self.revisions.setdefault(name, call.revision)
+            if winner != name:
+                return f'revision {call.revision} is also {winner}'
+            if first != call.revision:
+                return f'revision {first}, then {call.revision} on resend'
+        elif name in self.revisions and call.status == HTTPStatus.CONFLICT:
+            return f'revision {self.revisions[name]}, refused on resend'
+        return ''
+
+
+def check_publications(evidence: Evidence) -> Iterator[Violation]:
+    """Find revisions with two winners and resends with another outcome."""
+    outcomes = _Outcomes()
+    for call in evidence.publications:
+        conflict = outcomes.find_conflict(call)
+        if conflict:
+            yield Violation('publications', call.publication_id, conflict)
+
+
+def check_in_force(evidence: Evidence) -> Iterator[Violation]:
+    """Find VMs where a revision is not in force within 10 s."""
+    accepted: dict[int, int] = {}
+    for publication in evidence.publications:
+        accepted.setdefault(publication.revision, publication.ended_ms)
+    for record in evidence.in_force:
+        start_ms = accepted.get(record.revision, record.at_ms)
+        delay_ms = record.at_ms - start_ms
+        if record.revision == 0 or delay_ms > IN_FORCE_LIMIT_MS:
+            yield Violation(
+                'in force',
+                record.vm,
+                f'revision {record.revision} after {delay_ms} ms',
+            )
--- /dev/null
+++ b/src/ibisjunction/bench/request_checks.py
@@ -0,0 +1,59 @@
+"""Checks of requests and answers (R3, R4, R5)."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from ibisjunction.bench.answers import digest_answer
+from ibisjunction.bench.evidence import Evidence
+from ibisjunction.bench.request_records import Attempt
+from ibisjunction.bench.run_records import Run
+from ibisjunction.bench.violations import Violation, show_run
+from ibisjunction.verdict import Verdict
+
+
+def check_at_most_once(evidence: Evidence) -> Iterator[Violation]:
+    """Find non-idempotent requests that ran twice, by idempotency key."""
+    counts: dict[str, list[Run]] = defaultdict(list)
+    for run in evidence.runs:
+        if run.started.idempotency_key:
+            counts[run.started.idempotency_key].append(run)
+    for key, runs in counts.items():
+        if len(runs) > 1:
+            shown = ', '.join(map(show_run, runs))
+            yield Violation('at most once', key, f'ran {len(runs)}: {shown}')
+
+
+def check_answers(evidence: Evidence) -> Iterator[Violation]:
+    """Find answers taken for whole that are cut or another request's."""
+    for request in evidence.requests:
+        expected = digest_answer(request.target, request.expected_bytes)
+        for attempt in request.attempts:
+            if attempt.digest and attempt.digest != expected:
+                yield Violation(
+                    'whole and own answers',
+                    request.target,
+                    f'{attempt.received_bytes} bytes from {attempt.vm},'
+                    f' expected {request.expected_bytes}',
+                )
+
+
+def check_refusals(evidence: Evidence) -> Iterator[Violation]:
+    """Find requests that ran although every answer said "not run".
+
+    Attempts that never reached a VM don't count. One missing answer makes the
+    outcome unknown.
+    """
+    ran = {run.started.target for run in evidence.runs}
+    for request in evidence.requests:
+        sent = [attempt for attempt in request.attempts if attempt.was_sent]
+        is_refused = bool(sent) and all(map(_says_not_run, sent))
+        if is_refused and request.target in ran:
+            yield Violation(
+                'true refusals',
+                request.target,
+                f'refused by {sent[-1].vm} ({sent[-1].reason}), but ran',
+            )
+
+
+def _says_not_run(attempt: Attempt) -> bool:
+    return attempt.status > 0 and attempt.verdict is Verdict.NOT_RUN
--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,269 @@
+"""Each check of the experiment records, with one seeded violation."""
+
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from ibisjunction.bench.answers import digest_answer
+from ibisjunction.bench.checks import CHECKS, find_violations
+from ibisjunction.bench.evidence import (
+    ActionRecord,
+    Evidence,
+    ForceRecord,
+    PublicationRecord,
+)
+from ibisjunction.bench.request_records import Attempt, Kind, RequestRecord
+from ibisjunction.bench.run_records import DrainStarted, Run, RunStarted
+from ibisjunction.verdict import Verdict
+
+_TARGET = '/contracts/key-1/r-1'
+_BYTES = 128
+
+
+def _run(at_ms, ended_ms, upstream='up-1', fence=1, **fields):
+    started = RunStarted(
+        **{
+            'run': f'{upstream}-0-{at_ms}',
+            'upstream': upstream,
+            'request_id': '',
+            'idempotency_key': '',
+            'shard': 'contracts/1',
+            'fence': fence,
+            'at_ms': at_ms,
+            'method': 'POST',
+            'target': _TARGET,
+            'body_digest': '',
+            **fields,
+        }
+    )
+    return Run(started, ended_ms, 'done' if ended_ms else '')
+
+
+def _attempt(**fields):
+    return Attempt(
+        **{
+            'vm': 'vm-1',
+            'sent_ms': 10,
+            'ended_ms': 20,
+            'status': 200,
+            'verdict': Verdict.RAN,
+            'digest': digest_answer(_TARGET, _BYTES),
+            **fields,
+        }
+    )
+
+
+def _refused(**fields):
+    return _attempt(status=503, verdict=Verdict.NOT_RUN, digest='', **fields)
+
+
+def _missing(**fields):
+    return _attempt(status=0, verdict=None, digest='', **fields)
+
+
+def _request(*attempts):
+    return RequestRecord(
+        number=1,
+        kind=Kind.WRITES,
+        phase='all',
+        rank='standard',
+        target_ms=1000,
+        method='POST',
+        target=_TARGET,
+        shard='contracts/1',
+        idempotency_key='k-1',
+        expected_bytes=_BYTES,
+        intended_ms=10,
+        latency_us=10_000,
+        attempts=list(attempts),
+    )
+
+
+def _publish(name, revision, status=200):
+    return PublicationRecord('vm-1', name, 1, status, 10, 20, revision)
+
+
+_PAUSE = ActionRecord('Pause', 'up-1', 5, 5)
+_STOP = ActionRecord('Restart', 'vm-1', 15, 40, 0)
+_FORCED = ForceRecord('vm-2', 2, 10_021)
+_KEY = {'idempotency_key': 'k-1'}
+
+_ALLOWED = [
+    ('nothing', Evidence()),
+    ('answered', Evidence(requests=(_request(_attempt()),))),
+    (
+        'planned move',
+        Evidence(runs=(_run(10, 20), _run(20, 30, 'up-2', fence=2))),
+    ),
+    (
+        'run at an upstream that was paused before',
+        Evidence(
+            runs=(_run(4, 90), _run(20, 30, 'up-2', fence=2)),
+            actions=(_PAUSE,),
+        ),
+    ),
+    (
+        'run cut by a crash',
+        Evidence(runs=(_run(10, None), _run(20, 30, 'up-2', fence=2))),
+    ),
+    (
+        'two keys run once each',
+        Evidence(
+            runs=(_run(10, 20, **_KEY), _run(30, 40, idempotency_key='k-2'))
+        ),
+    ),
+    (
+        'refused after a missing answer',
+        Evidence(
+            requests=(_request(_missing(), _refused()),),
+            runs=(_run(12, 15),),
+        ),
+    ),
+    (
+        'work within the limit of a drain',
+        Evidence(runs=(_run(3100, 3200),), drains=(DrainStarted('up-1', 100),)),
+    ),
+    (
+        'not taken by a VM that stops',
+        Evidence(requests=(_request(_missing(sent_ms=16)),), actions=(_STOP,)),
+    ),
+    (
+        'answered by a VM that stops',
+        Evidence(requests=(_request(_attempt()),), actions=(_STOP,)),
+    ),
+    (
+        'one winner, a resend and a refusal',
+        Evidence(
+            publications=(
+                _publish('a', 2),
+                _publish('b', 0, 409),
+                _publish('a', 2),
+                _publish('a', 0, 503),
+            ),
+            in_force=(ForceRecord('vm-2', 2, 9000),),
+        ),
+    ),
+]
+
+_VIOLATIONS = [
+    (
+        'fence order',
+        Evidence(runs=(_run(10, 20, fence=2), _run(30, 40, fence=1))),
+    ),
+    (
+        'fence order',
+        Evidence(runs=(_run(10, 20, 'up-1'), _run(30, 40, 'up-2'))),
+    ),
+    (
+        'overlap',
+        Evidence(runs=(_run(10, 25), _run(20, 30, 'up-2', fence=2))),
+    ),
+    (
+        'overlap',
+        Evidence(
+            runs=(_run(1, 90), _run(4, 30, 'up-2', fence=2)),
+            actions=(_PAUSE,),
+        ),
+    ),
+    (
+        'overlap',
+        Evidence(
+            runs=(
+                _run(10, None),
+                _run(25, 26, shard='contracts/2'),
+                _run(20, 30, 'up-2', fence=2),
+            )
+        ),
+    ),
+    (
+        'at most once',
+        Evidence(runs=(_run(10, 20, **_KEY), _run(30, 40, **_KEY))),
+    ),
+    (
+        'at most once',
+        Evidence(runs=(_run(10, None, **_KEY), _run(30, 40, **_KEY))),
+    ),
+    (
+        'whole and own answers',
+        Evidence(
+            requests=(
+                _request(_attempt(digest=digest_answer('/other', _BYTES))),
+            )
+        ),
+    ),
+    (
+        'whole and own answers',
+        Evidence(
+            requests=(
+                _request(
+                    _attempt(digest=digest_answer(_TARGET, _BYTES - 1)),
+                ),
+            )
+        ),
+    ),
+    (
+        'true refusals',
+        Evidence(requests=(_request(_refused()),), runs=(_run(12, 15),)),
+    ),
+    (
+        'true refusals',
+        Evidence(
+            requests=(_request(_missing(was_sent=False), _refused()),),
+            runs=(_run(12, None),),
+        ),
+    ),
+    (
+        'drain',
+        Evidence(runs=(_run(3101, 3200),), drains=(DrainStarted('up-1', 100),)),
+    ),
+    (
+        'graceful shutdown',
+        Evidence(requests=(_request(_missing()),), actions=(_STOP,)),
+    ),
+    (
+        'graceful shutdown',
+        Evidence(
+            requests=(_request(_missing(sent_ms=16)),),
+            runs=(_run(17, 18),),
+            actions=(_STOP,),
+        ),
+    ),
+    (
+        'graceful shutdown',
+        Evidence(actions=(msgspec.structs.replace(_STOP, exit_code=1),)),
+    ),
+    (
+        'publications',
+        Evidence(publications=(_publish('a', 2), _publish('b', 2))),
+    ),
+    (
+        'publications',
+        Evidence(publications=(_publish('a', 2), _publish('a', 3))),
+    ),
+    (
+        'publications',
+        Evidence(publications=(_publish('a', 2), _publish('a', 0, 409))),
+    ),
+    (
+        'in force',
+        Evidence(publications=(_publish('a', 2),), in_force=(_FORCED,)),
+    ),
+    ('in force', Evidence(in_force=(ForceRecord('vm-2', 0, 10),))),
+]
+
+
+class CheckTest(unittest.TestCase):
+    """Guards against checks that miss a violation or report a lawful case."""
+
+    @parameterized.expand(_ALLOWED)
+    def test_lawful_case(self, _name, evidence):
+        self.assertEqual(find_violations(evidence), [])
+
+    @parameterized.expand(_VIOLATIONS)
+    def test_violation(self, check, evidence):
+        found = {violation.check for violation in find_violations(evidence)}
+        self.assertEqual(found, {check})
+
+    def test_each_check_has_a_violation(self):
+        self.assertEqual({name for name, _ in _VIOLATIONS}, set(CHECKS))
