Add the report of a scenario run

Cause: each figure is to be reported for both deployments. Change: ibisjunction-bench run writes tables and a timeline plot per deployment and exits 1 on a violation.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -12,6 +12,7 @@
 
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.upstream import (
     ServiceTime,
     UpstreamProfile,
@@ -92,12 +93,33 @@
         return measure_hop(self.requests, sys.stdout)
 
 
+@cappa.command(name='run')
+@dataclass
+class RunCommand:
+    """Run a scenario on both deployments and write a report.
+
+    The exit code is 1 if a check finds a violation.
+
+    :param scenario: name of a scenario that ships, or a path.
+    """
+
+    scenario: str
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    out: Annotated[Path, cappa.Arg(long=True)] = Path('reports')
+
+    def __call__(self) -> int:
+        """Run the scenario and print where the report is."""
+        return run_scenario(self.scenario, self.seed, self.out, sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
     """Stand-ins, local deployments and measurements."""
 
-    command: cappa.Subcommands[UpstreamCommand | DemoCommand | HopCommand]
+    command: cappa.Subcommands[
+        UpstreamCommand | DemoCommand | HopCommand | RunCommand
+    ]
 
 
 async def _run_until_signal(profile: UpstreamProfile) -> None:
--- /dev/null
+++ b/src/ibisjunction/bench/report.py
@@ -0,0 +1,153 @@
+"""Writes the report of a scenario as Markdown."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from ibisjunction.bench.checks import CHECKS
+from ibisjunction.bench.evidence import Evidence
+from ibisjunction.bench.scenario import Scenario
+from ibisjunction.bench.summary import (
+    PERCENTILES,
+    GroupSummary,
+    count_reasons,
+    measure_outages,
+    summarise,
+)
+from ibisjunction.bench.violations import Violation
+from ibisjunction.clock import MS_PER_S
+
+_SHOWN_VIOLATIONS: Final = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """Result of a scenario on one deployment."""
+
+    profile: str
+    evidence: Evidence
+    violations: list[Violation]
+    plot: str
+
+
+def format_report(
+    scenario: Scenario,
+    seed: int,
+    sections: Iterable[Section],
+) -> str:
+    """Return the report of all deployments."""
+    fleet = scenario.fleet
+    upstreams = sum(fleet.upstreams.values())
+    lines = [
+        f'# Scenario {scenario.name}, seed {seed}',
+        '',
+        f'{fleet.vms} VMs and {upstreams} upstreams as processes of one'
+        ' machine. Latency counts from the intended time of sending.',
+        '',
+    ]
+    for section in sections:
+        lines += _format_section(section)
+    return '\n'.join(lines)
+
+
+def _format_section(section: Section) -> Iterator[str]:
+    evidence = section.evidence
+    yield f'## {section.profile}'
+    yield ''
+    yield from _format_table(
+        (
+            'phase',
+            'rank',
+            'sent',
+            'good',
+            'late',
+            'refused',
+            'failed',
+            'goodput/s',
+            *(f'p{percentile:g} ms' for percentile in PERCENTILES),
+        ),
+        map(_format_group, summarise(evidence.requests)),
+    )
+    yield from _format_table(
+        ('reason of refusal or failure', 'requests'),
+        (
+            (reason, str(count))
+            for reason, count in count_reasons(evidence.requests).most_common()
+        ),
+    )
+    yield from _format_table(
+        ('service', 'outages', 'longest ms', 'shard-seconds unavailable'),
+        (
+            _format_outages(service, outages)
+            for service, outages in measure_outages(evidence).items()
+        ),
+    )
+    yield from _format_publications(evidence)
+    yield from _format_violations(section.violations)
+    yield f'![timeline]({section.plot})'
+    yield ''
+
+
+def _format_group(group: GroupSummary) -> tuple[str, ...]:
+    counts = (group.sent, group.good, group.late, group.refused, group.failed)
+    return (
+        group.phase,
+        group.rank,
+        *map(str, counts),
+        f'{group.goodput_per_s:.1f}',
+        *(f'{latency:.1f}' for latency in group.percentiles_ms),
+    )
+
+
+def _format_outages(service: str, outages: list[int]) -> tuple[str, ...]:
+    return (
+        service,
+        str(len(outages)),
+        str(max(outages, default=0)),
+        f'{sum(outages) / MS_PER_S:.2f}',
+    )
+
+
+def _format_publications(evidence: Evidence) -> Iterator[str]:
+    accepted = {
+        found.revision: found.ended_ms
+        for found in reversed(evidence.publications)
+        if found.revision
+    }
+    delays = [
+        record.at_ms - accepted[record.revision]
+        for record in evidence.in_force
+        if record.revision in accepted
+    ]
+    if delays:
+        yield (
+            f'Revisions were in force everywhere at most {max(delays)} ms after'
+            ' their acceptance.'
+        )
+        yield ''
+
+
+def _format_violations(violations: list[Violation]) -> Iterator[str]:
+    counts = {
+        name: sum(found.check == name for found in violations)
+        for name in CHECKS
+    }
+    yield from _format_table(
+        ('check', 'violations'),
+        ((name, str(count)) for name, count in counts.items()),
+    )
+    for violation in violations[:_SHOWN_VIOLATIONS]:
+        yield f'- {violation.check}, {violation.subject}: {violation.detail}'
+    if violations:
+        yield ''
+
+
+def _format_table(
+    head: tuple[str, ...],
+    rows: Iterable[tuple[str, ...]],
+) -> Iterator[str]:
+    yield f'| {" | ".join(head)} |'
+    yield f'|{"---|" * len(head)}'
+    for row in rows:
+        yield f'| {" | ".join(row)} |'
+    yield ''
