Tell the dispatcher how an attempt ended

Cause: a ticket came back with a bool, so a dispatcher could not tell load shedding from a crash, a timeout, a silent connection or a caller that left. Change: TicketDone carries a TicketResult with a kind; routing/results.py judges outcomes; a TicketRequest counts the attempts sent before it.

--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -1,5 +1,6 @@
 """Messages between a VM that accepted a request and a dispatcher."""
 
+import enum
 from dataclasses import dataclass
 
 from ibisjunction.outcomes import Reason
@@ -11,7 +12,8 @@
     """Asks for permission to send one request to an upstream.
 
     ``remaining_ms`` is the time left until the request's deadline; it is a
-    duration because clocks of two VMs cannot be compared.
+    duration because clocks of two VMs cannot be compared. ``attempt`` counts
+    the earlier attempts of the request that were sent.
     """
 
     ticket_id: str
@@ -24,6 +26,7 @@
     max_in_flight: int
     remaining_ms: int
     idempotent: bool
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,18 +48,40 @@
     retry_after_ms: int | None = None
 
 
+class ResultKind(enum.Enum):
+    """How the attempt ended that a ticket permitted."""
+
+    #: A whole answer arrived.
+    SUCCEEDED = 'succeeded'
+    #: The upstream refused the request because of its load.
+    SHED = 'shed'
+    #: The upstream failed while it had the request.
+    FAILED = 'failed'
+    #: The upstream accepted no connection.
+    UNREACHED = 'unreached'
+    #: The attempt ran out of time.
+    TIMED_OUT = 'timed-out'
+    #: The connection carried nothing, and a new one does.
+    SILENT = 'silent'
+    #: The attempt ended for a reason that says nothing about the upstream.
+    CANCELLED = 'cancelled'
+
+
 @dataclass(frozen=True, slots=True)
-class TicketDone:
-    """Gives a ticket back.
+class TicketResult:
+    """How an attempt ended, and the time the upstream had for it."""
 
-    ``succeeded`` is false if the upstream failed or shed the request.
-    ``service_ms`` is the time the upstream took.
-    """
+    kind: ResultKind
+    service_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketDone:
+    """Gives a ticket back."""
 
     ticket_id: str
     upstream: str
-    succeeded: bool
-    service_ms: int
+    result: TicketResult
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +92,14 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """What an upstream says about its own load; it may be wrong."""
+
+    upstream: str
+    is_busy: bool
+
+
 @dataclass(frozen=True, slots=True)
 class GrantsInForce:
     """The grants that an upstream confirmed, valid until ``until_ms``.
--- a/src/ibisjunction/outcomes.py
+++ b/src/ibisjunction/outcomes.py
@@ -35,6 +35,7 @@
     UPSTREAM_SHED = 'the upstream is shedding load'
     UPSTREAM_FENCED = 'the upstream does not hold the grant'
     BREAKER_OPEN = 'the upstream is failing and is not asked for now'
+    RETRY_BUDGET = 'too many requests to the upstream are retries'
     CALLER_GONE = 'the caller closed the connection'
     SHUTTING_DOWN = 'this VM is shutting down'
 
--- a/src/ibisjunction/routing/messages.py
+++ b/src/ibisjunction/routing/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ibisjunction.dispatch.messages import TicketGranted
+from ibisjunction.dispatch.messages import TicketGranted, TicketResult
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import Refused
 from ibisjunction.services.catalog import RequestHead, RouteMatch
@@ -20,13 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ObtainTicket:
-    """Asks for a ticket of the upstream that owns the request's key."""
+    """Asks for a ticket of the upstream that owns the request's key.
+
+    ``attempt`` counts the earlier attempts that were sent.
+    """
 
     ticket_id: str
     route: RouteMatch
     client: str
     deadline_ms: int
     reply: Mailbox[Any]
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +45,7 @@
     """The request that used the ticket has ended."""
 
     ticket_id: str
-    succeeded: bool
-    service_ms: int
+    result: TicketResult
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, Protocol
 
 from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.dispatch.messages import TicketResult
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import (
     Answered,
@@ -31,6 +32,7 @@
     ReturnTicket,
     TicketHeld,
 )
+from ibisjunction.routing.results import judge_outcome
 from ibisjunction.services.catalog import RequestHead, RouteMatch
 from ibisjunction.upstreams.messages import (
     AnswerChunk,
@@ -100,7 +102,8 @@
 class CallerRequest:
     """A request as it arrived.
 
-    ``has_body`` says whether body parts follow in ``body``.
+    ``has_body`` says whether body parts follow in ``body``, and ``sent`` counts
+    the attempts that were sent.
     """
 
     request_id: str
@@ -110,6 +113,7 @@
     body: Mailbox[BodyPart]
     caller: Caller
     attempts: 'itertools.count[int]' = field(default_factory=itertools.count)
+    sent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +206,7 @@
             request.head.headers.get(CLIENT_HEADER, ''),
             deadline_ms,
             reply,
+            request.sent,
         ),
     )
     async with _ticket(context, ticket_id) as use:
@@ -214,6 +219,7 @@
         if isinstance(answer, Refused):
             return answer
         exchange = _build_exchange(request, route, answer, deadline_ms, context)
+        request.sent += 1
         use.started_ms = context.clock.now()
         use.outcome = Failed(Reason.CALLER_GONE)
         use.outcome = await _exchange(
@@ -248,8 +254,10 @@
             context.routing.post(
                 ReturnTicket(
                     ticket_id,
-                    isinstance(use.outcome, Answered),
-                    context.clock.now() - use.started_ms,
+                    TicketResult(
+                        judge_outcome(use.outcome),
+                        context.clock.now() - use.started_ms,
+                    ),
                 ),
             )
 
--- /dev/null
+++ b/src/ibisjunction/routing/results.py
@@ -0,0 +1,32 @@
+"""Tells a dispatcher what an attempt says about the upstream."""
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+from ibisjunction.dispatch.messages import ResultKind
+from ibisjunction.outcomes import Answered, Failed, Outcome, Reason, Refused
+
+_KINDS: Final = MappingProxyType(
+    {
+        Reason.UPSTREAM_SHED: ResultKind.SHED,
+        Reason.CONNECT_FAILED: ResultKind.UNREACHED,
+        Reason.CONNECTION_LOST: ResultKind.FAILED,
+        Reason.DEADLINE_PASSED: ResultKind.TIMED_OUT,
+    },
+)
+
+
+def judge_outcome(outcome: Outcome) -> ResultKind:
+    """Return the kind of result of an attempt that had a ticket.
+
+    An answer with a server error counts as a failure. A lost lease, a fence or
+    a caller that left say nothing about the upstream.
+    """
+    match outcome:
+        case Answered(status=status):
+            if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                return ResultKind.FAILED
+            return ResultKind.SUCCEEDED
+        case Refused(reason=reason) | Failed(reason=reason):
+            return _KINDS.get(reason, ResultKind.CANCELLED)
--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -138,6 +138,7 @@
             max_in_flight=terms.max_in_flight,
             remaining_ms=max(0, ask.deadline_ms - now),
             idempotent=ask.route.operation.idempotent,
+            attempt=ask.attempt,
         )
 
     def _hold(self, granted: TicketGranted) -> None:
@@ -183,7 +184,6 @@
                 TicketDone(
                     returned.ticket_id,
                     waiting.upstream,
-                    returned.succeeded,
-                    returned.service_ms,
+                    returned.result,
                 ),
             )
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -1,8 +1,10 @@
 """Sample records that several tests use."""
 
+from dataclasses import replace
 from pathlib import Path
 
 from ibisjunction.control.records import UpstreamRecord, VmRecord
+from ibisjunction.dispatch.messages import TicketRequest
 from ibisjunction.services import (
     Operation,
     Rank,
@@ -96,3 +98,20 @@
         timing=TIMING,
         data_folder=Path('unused'),
     )
+
+
+def make_ticket_request(**fields) -> TicketRequest:
+    """Return a request for a ticket with some fields changed."""
+    request = TicketRequest(
+        ticket_id='t-1',
+        upstream='up-1',
+        service='mail-log',
+        shard=0,
+        rank=Rank.STANDARD,
+        client='tenant-a',
+        weight=1.0,
+        max_in_flight=3,
+        remaining_ms=1000,
+        idempotent=True,
+    )
+    return replace(request, **fields)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,10 +8,12 @@
 from ibisjunction.dispatch.dispatcher import Dispatcher
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
+    ResultKind,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketResult,
 )
 from ibisjunction.outcomes import Reason
 from ibisjunction.services import Rank
@@ -51,12 +53,14 @@
         dispatcher = _make_dispatcher(slots=1)
         self.assertIsInstance(_ask(dispatcher, 't-1')[0], TicketGranted)
         self.assertEqual(_ask(dispatcher, 't-2'), [])
-        effects = dispatcher.finish(TicketDone('t-1', 'up-1', True, 5), 1)
+        effects = dispatcher.finish(
+            TicketDone('t-1', 'up-1', TicketResult(ResultKind.SUCCEEDED, 5)), 1
+        )
         self.assertEqual(effects[0].message.ticket_id, 't-2')
 
     def test_second_return_of_a_ticket_frees_nothing(self):
         dispatcher = _make_dispatcher(slots=1)
-        done = TicketDone('t-1', 'up-1', True, 5)
+        done = TicketDone('t-1', 'up-1', TicketResult(ResultKind.SUCCEEDED, 5))
         for ticket_id in ('t-1', 't-2', 't-3'):
             _ask(dispatcher, ticket_id)
         self.assertEqual(len(dispatcher.finish(done, 1)), 1)
--- /dev/null
+++ b/tests/test_results.py
@@ -0,0 +1,37 @@
+"""Tests of what an attempt tells the dispatcher."""
+
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.dispatch.messages import ResultKind
+from ibisjunction.outcomes import Answered, Failed, Reason, Refused
+from ibisjunction.routing.results import judge_outcome
+
+_OK = ResultKind.SUCCEEDED
+_SHED = ResultKind.SHED
+_FAILED = ResultKind.FAILED
+_LATE = ResultKind.TIMED_OUT
+_UNREACHED = ResultKind.UNREACHED
+_CANCELLED = ResultKind.CANCELLED
+
+
+class JudgeOutcomeTest(unittest.TestCase):
+    """Guards against an upstream blamed for what others did."""
+
+    @parameterized.expand(
+        [
+            ('answer', Answered(200, 1), _OK),
+            ('caller error', Answered(404, 1), _OK),
+            ('server error', Answered(500, 1), _FAILED),
+            ('shed', Refused(Reason.UPSTREAM_SHED), _SHED),
+            ('fenced', Refused(Reason.UPSTREAM_FENCED), _CANCELLED),
+            ('lease lost', Refused(Reason.NOT_LEASED), _CANCELLED),
+            ('no connection', Refused(Reason.CONNECT_FAILED), _UNREACHED),
+            ('lost', Failed(Reason.CONNECTION_LOST), _FAILED),
+            ('late', Failed(Reason.DEADLINE_PASSED), _LATE),
+            ('caller left', Failed(Reason.CALLER_GONE), _CANCELLED),
+        ]
+    )
+    def test_kind(self, _name, outcome, expected):
+        self.assertIs(judge_outcome(outcome), expected)
