Dispatch by rank, learned limits, breaker and retry budget

Cause: the dispatcher issued first come first served inside a rank, scanned its queue on each cancellation and had no notion of a failing upstream.

--- a/src/ibisjunction/dispatch/dispatcher.py
+++ b/src/ibisjunction/dispatch/dispatcher.py
@@ -1,23 +1,43 @@
 """The decision to issue tickets for one upstream."""
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-
+from typing import Final
+
+from ibisjunction.dispatch.backlog import Arrival, admit, trim_late
+from ibisjunction.dispatch.breaker import Open
+from ibisjunction.dispatch.fairness import QueuedRequest
+from ibisjunction.dispatch.health import (
+    BreakerChanged,
+    LimitChanged,
+    UpstreamHealth,
+)
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
+    ResultKind,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketResult,
 )
+from ibisjunction.dispatch.queue import WorkQueue
+from ibisjunction.dispatch.retries import RetryBudget, spend
+from ibisjunction.dispatch.tickets import Outstanding, Tickets
 from ibisjunction.outcomes import Reason
-from ibisjunction.services.spec import Rank
+from ibisjunction.services.spec import Rank, RankPolicy
+
+__all__ = (
+    'BreakerChanged',
+    'Dispatcher',
+    'Effect',
+    'LimitChanged',
+    'Outstanding',
+    'SendToVm',
+)
 
-#: Requests kept in one rank's queue. With 3 or 4 slots and service times of
-#: some ms, a longer queue holds only requests that miss their deadline.
-_QUEUE_LENGTH = 256
+_CANCELLED: Final = TicketResult(ResultKind.CANCELLED, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,137 +48,156 @@
     message: TicketGranted | TicketRefused
 
 
-@dataclass(frozen=True, slots=True)
-class QueuedRequest:
-    """A request that waits for a ticket."""
-
-    vm: str
-    request: TicketRequest
-    deadline_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class Outstanding:
-    """A ticket that was issued and not given back."""
-
-    vm: str
-    shard: int
-    deadline_ms: int
+Effect = SendToVm | LimitChanged | BreakerChanged
 
 
 class Dispatcher:
-    """Queue, slots and outstanding tickets of one upstream."""
+    """Queue, limits and outstanding tickets of one upstream."""
 
     def __init__(self, upstream: str, epoch: int, slots: int) -> None:
         """Start with an empty queue and no confirmed grants."""
         self.upstream = upstream
         self.epoch = epoch
-        self._slots = slots
+        self.health = UpstreamHealth(upstream, slots)
         self._fences: dict[int, int] = {}
         self._fences_until_ms = 0
-        self._queues: dict[Rank, deque[QueuedRequest]] = {
-            rank: deque() for rank in Rank
-        }
-        self._outstanding: dict[str, Outstanding] = {}
-        self._held_shards: frozenset[int] = frozenset()
+        self._queue = WorkQueue()
+        self._tickets = Tickets()
+        self._budget = RetryBudget()
+
+    def set_ranks(self, policies: Mapping[Rank, RankPolicy]) -> None:
+        """Take the published policies of the ranks."""
+        self._queue.shares.policies = policies
 
     def hold_shards(self, shards: frozenset[int]) -> None:
         """Issue no ticket for these shards until the next call.
 
         Requests for them wait in the queue.
         """
-        self._held_shards = shards
+        self._queue.hold(shards)
 
     def is_idle(self, shard: int) -> bool:
         """Return whether no ticket for the shard is outstanding."""
-        return all(
-            ticket.shard != shard for ticket in self._outstanding.values()
-        )
+        return not self._tickets.has_shard(shard)
 
     def restore(self, tickets: Mapping[str, Outstanding]) -> None:
         """Take over tickets that an earlier dispatcher issued, by id."""
-        self._outstanding.update(tickets)
+        for ticket_id, ticket in tickets.items():
+            self._tickets.add(ticket_id, ticket)
 
-    def drop_vm(self, vm: str, now: int) -> list[SendToVm]:
+    def drop_vm(self, vm: str, now: int) -> list[Effect]:
         """Forget what a lost VM asked for or holds.
 
         Only for a VM whose lease has run out: it sends nothing any more.
         """
-        self._outstanding = {
-            ticket_id: ticket
-            for ticket_id, ticket in self._outstanding.items()
-            if ticket.vm != vm
-        }
-        for queue in self._queues.values():
-            for queued in tuple(queue):
-                if queued.vm == vm:
-                    queue.remove(queued)
+        for ticket_id in self._tickets.ids_of_vm(vm):
+            self._take_back(ticket_id, now)
+        self._queue.remove_vm(vm)
         return self.issue(now)
 
-    def confirm_grants(self, grants: GrantsInForce, now: int) -> list[SendToVm]:
+    def confirm_grants(self, grants: GrantsInForce, now: int) -> list[Effect]:
         """Take the grants that the upstream confirmed."""
         if grants.epoch == self.epoch:
             self._fences = grants.fences
             self._fences_until_ms = grants.until_ms
         return self.issue(now)
 
+    def restart_cold(self, now: int) -> list[Effect]:
+        """Ramp up again: the upstream was restarted."""
+        return [*self.health.restart(), *self.issue(now)]
+
     def request(
         self,
         vm: str,
         request: TicketRequest,
         now: int,
-    ) -> list[SendToVm]:
+    ) -> list[Effect]:
         """Queue a request, or refuse it, and issue what is possible."""
-        queue = self._queues[request.rank]
-        if len(queue) >= _QUEUE_LENGTH:
-            refusal = TicketRefused(request.ticket_id, Reason.QUEUE_FULL)
-            return [SendToVm(vm, refusal)]
-        deadline_ms = now + request.remaining_ms
-        queue.append(QueuedRequest(vm, request, deadline_ms))
-        return self.issue(now)
-
-    def finish(self, done: TicketDone, now: int) -> list[SendToVm]:
-        """Take a ticket back and issue what is possible."""
-        self._outstanding.pop(done.ticket_id, None)
-        return self.issue(now)
-
-    def cancel(self, cancel: TicketCancel, now: int) -> list[SendToVm]:
+        refusal = self._refuse_early(request, now)
+        if refusal is None:
+            arrival = Arrival(
+                vm,
+                request,
+                self._tickets.count_of(request.client),
+                self._has_free_slot(now),
+                now,
+            )
+            refusal = admit(self._queue, arrival, self.health.capacity)
+        if refusal is not None:
+            return [SendToVm(vm, refusal), *self.issue(now)]
+        effects: list[Effect] = [
+            _refuse(victim, Reason.QUEUE_FULL)
+            for victim in self._queue.shorten(request.rank)
+        ]
+        return effects + self.issue(now)
+
+    def finish(self, done: TicketDone, now: int) -> list[Effect]:
+        """Take a ticket back, learn from it and issue what is possible."""
+        effects = self._take_back(done.ticket_id, now, done.result)
+        return effects + self.issue(now)
+
+    def cancel(self, cancel: TicketCancel, now: int) -> list[Effect]:
         """Forget a queued request or take back its ticket."""
-        self._outstanding.pop(cancel.ticket_id, None)
-        for queue in self._queues.values():
-            for queued in tuple(queue):
-                if queued.request.ticket_id == cancel.ticket_id:
-                    queue.remove(queued)
+        self._take_back(cancel.ticket_id, now)
+        self._queue.remove(cancel.ticket_id)
         return self.issue(now)
 
-    def issue(self, now: int) -> list[SendToVm]:
-        """Issue tickets for free slots and refuse what has expired."""
-        effects: list[SendToVm] = []
-        if now >= self._fences_until_ms:
-            return effects
-        for queue in self._queues.values():
-            for queued in tuple(queue):
-                if len(self._outstanding) >= self._slots:
-                    return effects
-                if queued.request.shard not in self._held_shards:
-                    queue.remove(queued)
-                    effects.append(self._answer(queued, now))
+    def issue(self, now: int) -> list[Effect]:
+        """Issue tickets for free slots and refuse what cannot be served."""
+        self.health.look(now)
+        capacity = self.health.capacity
+        effects: list[Effect] = [
+            _refuse(queued, _reason_of_expiry(queued, now))
+            for queued in self._queue.expire(now, capacity.service_ms)
+        ]
+        effects += [
+            _refuse(queued, Reason.QUEUE_FULL)
+            for queued in trim_late(self._queue, capacity)
+        ]
+        while now < self._fences_until_ms and self._has_free_slot(now):
+            queued = self._queue.take(self._tickets.has_most)
+            if queued is None:
+                break
+            effects.append(self._answer(queued, now))
         return effects
 
+    def _refuse_early(
+        self,
+        request: TicketRequest,
+        now: int,
+    ) -> TicketRefused | None:
+        if request.remaining_ms <= 0:
+            return TicketRefused(request.ticket_id, Reason.DEADLINE_PASSED)
+        breaker = self.health.look(now)
+        if isinstance(breaker, Open):
+            return TicketRefused(
+                request.ticket_id,
+                Reason.BREAKER_OPEN,
+                breaker.until_ms - now,
+            )
+        budget = spend(self._budget, request.attempt)
+        if budget is None:
+            return TicketRefused(request.ticket_id, Reason.RETRY_BUDGET)
+        self._budget = budget
+        return None
+
+    def _has_free_slot(self, now: int) -> bool:
+        return len(self._tickets) < self.health.allowed(now)
+
     def _answer(self, queued: QueuedRequest, now: int) -> SendToVm:
         request = queued.request
-        if now >= queued.deadline_ms:
-            refusal = TicketRefused(request.ticket_id, Reason.DEADLINE_PASSED)
-            return SendToVm(queued.vm, refusal)
         fence = self._fences.get(request.shard)
         if fence is None:
-            refusal = TicketRefused(request.ticket_id, Reason.NO_OWNER)
-            return SendToVm(queued.vm, refusal)
-        self._outstanding[request.ticket_id] = Outstanding(
+            return _refuse(queued, Reason.NO_OWNER)
+        ticket = Outstanding(
             queued.vm,
             request.shard,
             queued.deadline_ms,
+            request.client,
+            now,
         )
+        self._tickets.add(request.ticket_id, ticket)
+        self.health.note_issued()
         granted = TicketGranted(
             request.ticket_id,
             self.upstream,
@@ -166,3 +205,39 @@
             fence,
         )
         return SendToVm(queued.vm, granted)
+
+    def _take_back(
+        self,
+        ticket_id: str,
+        now: int,
+        result: TicketResult = _CANCELLED,
+    ) -> list[Effect]:
+        ticket = self._tickets.remove(ticket_id)
+        if ticket is None:
+            return []
+        self._queue.unblock(ticket.client)
+        effects: list[Effect] = []
+        effects += self.health.learn(ticket, result, now)
+        breaker = self.health.breaker
+        if isinstance(breaker, Open):
+            retry_after_ms = breaker.until_ms - now
+            effects += [
+                _refuse(queued, Reason.BREAKER_OPEN, retry_after_ms)
+                for queued in self._queue.drain()
+            ]
+        return effects
+
+
+def _refuse(
+    queued: QueuedRequest,
+    reason: Reason,
+    retry_after_ms: int | None = None,
+) -> SendToVm:
+    refusal = TicketRefused(queued.request.ticket_id, reason, retry_after_ms)
+    return SendToVm(queued.vm, refusal)
+
+
+def _reason_of_expiry(queued: QueuedRequest, now: int) -> Reason:
+    if now >= queued.deadline_ms:
+        return Reason.DEADLINE_PASSED
+    return Reason.DEADLINE_UNMEETABLE
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,31 +5,20 @@
 
 from parameterized import parameterized
 
-from ibisjunction.dispatch.dispatcher import Dispatcher
+from ibisjunction.dispatch.dispatcher import Dispatcher, SendToVm
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
     ResultKind,
     TicketDone,
     TicketGranted,
     TicketRefused,
-    TicketRequest,
     TicketResult,
 )
 from ibisjunction.outcomes import Reason
 from ibisjunction.services import Rank
+from tests.samples import make_ticket_request
 
-_REQUEST = TicketRequest(
-    ticket_id='t-1',
-    upstream='up-1',
-    service='mail-log',
-    shard=0,
-    rank=Rank.STANDARD,
-    client='tenant-a',
-    weight=1.0,
-    max_in_flight=3,
-    remaining_ms=1000,
-    idempotent=True,
-)
+_SUCCESS = TicketResult(ResultKind.SUCCEEDED, 5)
 
 
 def _make_dispatcher(slots=2) -> Dispatcher:
@@ -40,7 +29,7 @@
 
 
 def _ask(dispatcher, ticket_id, now=0, **fields):
-    request = replace(_REQUEST, ticket_id=ticket_id, **fields)
+    request = make_ticket_request(ticket_id=ticket_id, **fields)
     return [
         effect.message for effect in dispatcher.request('vm-1', request, now)
     ]
@@ -53,14 +42,12 @@
         dispatcher = _make_dispatcher(slots=1)
         self.assertIsInstance(_ask(dispatcher, 't-1')[0], TicketGranted)
         self.assertEqual(_ask(dispatcher, 't-2'), [])
-        effects = dispatcher.finish(
-            TicketDone('t-1', 'up-1', TicketResult(ResultKind.SUCCEEDED, 5)), 1
-        )
+        effects = dispatcher.finish(TicketDone('t-1', 'up-1', _SUCCESS), 1)
         self.assertEqual(effects[0].message.ticket_id, 't-2')
 
     def test_second_return_of_a_ticket_frees_nothing(self):
         dispatcher = _make_dispatcher(slots=1)
-        done = TicketDone('t-1', 'up-1', TicketResult(ResultKind.SUCCEEDED, 5))
+        done = TicketDone('t-1', 'up-1', _SUCCESS)
         for ticket_id in ('t-1', 't-2', 't-3'):
             _ask(dispatcher, ticket_id)
         self.assertEqual(len(dispatcher.finish(done, 1)), 1)
@@ -113,3 +100,142 @@
         _ask(dispatcher, 't-1')
         dispatcher.drop_vm('vm-1', 1)
         self.assertIsInstance(_ask(dispatcher, 't-2')[0], TicketGranted)
+
+
+def _kinds(effects):
+    return [
+        (effect.message.ticket_id, getattr(effect.message, 'reason', None))
+        for effect in effects
+        if isinstance(effect, SendToVm)
+    ]
+
+
+def _fail(dispatcher, ticket_id, now):
+    result = TicketResult(ResultKind.FAILED, 5)
+    return dispatcher.finish(TicketDone(ticket_id, 'up-1', result), now)
+
+
+class LoadTest(unittest.TestCase):
+    """Guards against a flood that keeps more valuable work out."""
+
+    def test_full_queue_makes_room_for_more_urgent_work(self):
+        dispatcher = _make_dispatcher(slots=1)
+        for number in range(257):
+            _ask(dispatcher, f't-{number}', rank=Rank.DEFERRABLE)
+        request = make_ticket_request(ticket_id='urgent', rank=Rank.URGENT)
+        effects = dispatcher.request('vm-1', request, 0)
+        self.assertEqual(_kinds(effects), [('t-256', Reason.QUEUE_FULL)])
+        effects = dispatcher.finish(TicketDone('t-0', 'up-1', _SUCCESS), 1)
+        self.assertEqual(_kinds(effects)[0], ('urgent', None))
+
+    def test_client_has_no_more_than_its_terms_allow(self):
+        request = make_ticket_request(client='b', max_in_flight=1)
+        dispatcher = _make_dispatcher(slots=2)
+        _warm_up(dispatcher, slots=2)
+        for ticket_id in ('b-1', 'b-2'):
+            dispatcher.request(
+                'vm-1',
+                replace(request, ticket_id=ticket_id),
+                9,
+            )
+        self.assertEqual(len(_ask(dispatcher, 'a-1', now=9)), 1)
+        effects = dispatcher.finish(TicketDone('b-1', 'up-1', _SUCCESS), 9)
+        self.assertEqual(_kinds(effects), [('b-2', None)])
+
+    def test_unmeetable_deadline_is_refused_early(self):
+        dispatcher = _make_dispatcher(slots=1)
+        _warm_up(dispatcher, slots=1)
+        for number in range(10):
+            _ask(dispatcher, f't-{number}', now=9)
+        refused = _ask(dispatcher, 'late', now=9, remaining_ms=20)[0]
+        self.assertIs(refused.reason, Reason.DEADLINE_UNMEETABLE)
+        self.assertGreater(refused.retry_after_ms, 0)
+
+    def test_late_request_goes_after_those_in_time(self):
+        dispatcher = _make_dispatcher(slots=1)
+        _warm_up(dispatcher, slots=1)
+        _ask(dispatcher, 'running', now=9, remaining_ms=4000)
+        _ask(dispatcher, 'late', now=9, remaining_ms=4000)
+        _ask(dispatcher, 'in time', now=1100, remaining_ms=4000)
+        dispatcher.issue(1100)
+        answers = []
+        for ticket_id in ('running', 'in time'):
+            done = TicketDone(ticket_id, 'up-1', _SUCCESS)
+            answers += _kinds(dispatcher.finish(done, 1101))
+        self.assertEqual(answers, [('in time', None), ('late', None)])
+
+    def test_late_request_is_refused_before_its_deadline(self):
+        dispatcher = _make_dispatcher(slots=1)
+        _warm_up(dispatcher, slots=1)
+        _ask(dispatcher, 'running', now=9, remaining_ms=4000)
+        _ask(dispatcher, 'late', now=9, remaining_ms=1500)
+        self.assertEqual(_kinds(dispatcher.issue(1503)), [])
+        self.assertEqual(
+            _kinds(dispatcher.issue(1504)),
+            [('late', Reason.DEADLINE_UNMEETABLE)],
+        )
+
+
+def _warm_up(dispatcher, slots):
+    """Raise the limit to the slots, with service times of 5 ms."""
+    for number in range(3 * slots):
+        _ask(dispatcher, f'warm-{number}')
+        done = TicketDone(f'warm-{number}', 'up-1', _SUCCESS)
+        dispatcher.finish(done, 0)
+
+
+class BreakerTest(unittest.TestCase):
+    """Guards against requests that are sent to a dead upstream."""
+
+    def test_open_breaker_refuses_and_probes_once(self):
+        dispatcher = _make_dispatcher(slots=2)
+        for number in range(5):
+            _ask(
+                dispatcher, f't-{number}', shard=number % 2, client=f'c{number}'
+            )
+        _ask(dispatcher, 'queued')
+        effects = []
+        for number in range(5):
+            effects += _fail(dispatcher, f't-{number}', 10)
+        self.assertIn(('queued', Reason.BREAKER_OPEN), _kinds(effects))
+        refused = _ask(dispatcher, 'early', now=100)[0]
+        self.assertEqual(
+            refused,
+            TicketRefused('early', Reason.BREAKER_OPEN, 160),
+        )
+        self.assertIsInstance(
+            _ask(dispatcher, 'probe', now=260)[0],
+            TicketGranted,
+        )
+        self.assertEqual(_ask(dispatcher, 'waits', now=260), [])
+        done = TicketDone('probe', 'up-1', _SUCCESS)
+        effects = dispatcher.finish(done, 270)
+        self.assertEqual(_kinds(effects), [('waits', None)])
+
+    def test_impatient_callers_do_not_open_it(self):
+        dispatcher = _make_dispatcher(slots=2)
+        _warm_up(dispatcher, slots=2)
+        result = TicketResult(ResultKind.TIMED_OUT, 4)
+        for number in range(9):
+            ticket_id = f't-{number}'
+            answers = _ask(dispatcher, ticket_id, client=f'c{number}')
+            self.assertIsInstance(answers[0], TicketGranted)
+            dispatcher.finish(TicketDone(ticket_id, 'up-1', result), 10)
+
+    def test_retries_have_a_budget(self):
+        dispatcher = _make_dispatcher(slots=1)
+        answers = [
+            _ask(dispatcher, f't-{number}', attempt=1) for number in range(11)
+        ]
+        self.assertIs(answers[-1][0].reason, Reason.RETRY_BUDGET)
+
+
+class RestartTest(unittest.TestCase):
+    """Guards against a cold upstream that gets the load of a warm one."""
+
+    def test_restarted_upstream_is_ramped_up(self):
+        dispatcher = _make_dispatcher(slots=2)
+        _warm_up(dispatcher, slots=2)
+        dispatcher.restart_cold(0)
+        self.assertEqual(len(_ask(dispatcher, 'a')), 1)
+        self.assertEqual(_ask(dispatcher, 'b'), [])
--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,201 @@
+"""Tests of the queue that is weighted fair between clients."""
+
+import sys
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from ibisjunction.dispatch.dispatcher import Dispatcher
+from ibisjunction.dispatch.fairness import FairQueue, QueuedRequest
+from ibisjunction.dispatch.messages import GrantsInForce, TicketCancel
+from ibisjunction.services import Rank
+from tests.samples import make_ticket_request
+
+
+def _queued(ticket_id, due_ms=100, **fields):
+    request = make_ticket_request(ticket_id=ticket_id, **fields)
+    return QueuedRequest('vm-1', request, due_ms, 1000)
+
+
+def _never(_client, _max_in_flight):
+    return False
+
+
+class FairnessTest(unittest.TestCase):
+    """Guards against a client that crowds others out of a rank."""
+
+    @parameterized.expand(
+        [
+            ('equal', {'a': 1.0, 'b': 1.0}, {'a': 20, 'b': 20}),
+            ('weighted', {'a': 1.0, 'b': 3.0}, {'a': 10, 'b': 30}),
+            ('three', {'a': 1.0, 'b': 1.0, 'c': 2.0}, {'a': 10, 'c': 20}),
+        ]
+    )
+    def test_served_by_weight(self, _name, weights, expected):
+        queue = FairQueue()
+        for number in range(60):
+            for client, weight in weights.items():
+                item = _queued(
+                    f'{client}-{number}', client=client, weight=weight
+                )
+                queue.add(item, number)
+        served = Counter(queue.take(_never).request.client for _ in range(40))
+        for client, count in expected.items():
+            self.assertAlmostEqual(served[client], count, delta=1)
+
+    def test_earliest_limit_goes_first_in_a_client(self):
+        queue = FairQueue()
+        for limit in (30, 10, 20):
+            queue.add(_queued(f't-{limit}'), limit)
+        for expected in ('t-10', 't-20', 't-30'):
+            self.assertEqual(queue.take(_never).request.ticket_id, expected)
+
+    def test_idle_client_saves_no_turns(self):
+        queue = FairQueue()
+        for number in range(20):
+            queue.add(_queued(f'a-{number}', client='a'), number)
+        for _turn in range(10):
+            queue.take(_never)
+        for number in range(10):
+            queue.add(_queued(f'b-{number}', client='b'), number)
+        served = Counter(queue.take(_never).request.client for _ in range(8))
+        self.assertEqual(served, {'a': 4, 'b': 4})
+
+    def test_blocked_client_waits_for_unblock(self):
+        queue = FairQueue()
+        queue.add(_queued('a-1', client='a'), 1)
+        queue.add(_queued('b-1', client='b'), 2)
+        taken = queue.take(lambda client, _most: client == 'a')
+        self.assertEqual(taken.request.ticket_id, 'b-1')
+        self.assertIsNone(queue.take(_never))
+        queue.unblock('a')
+        self.assertEqual(queue.take(_never).request.ticket_id, 'a-1')
+
+    def test_blocked_client_saves_no_turns(self):
+        queue = FairQueue()
+        for number in range(20):
+            queue.add(_queued(f'a-{number}', client='a'), number)
+            queue.add(_queued(f'b-{number}', client='b'), number)
+        for _turn in range(10):
+            queue.take(lambda client, _most: client == 'b')
+        queue.unblock('b')
+        served = Counter(queue.take(_never).request.client for _ in range(8))
+        self.assertEqual(served, {'a': 4, 'b': 4})
+
+    def test_room_is_made_by_the_client_that_has_most_now(self):
+        queue = FairQueue()
+        for number in range(3):
+            queue.add(_queued(f'a-{number}', client='a'), number)
+        for number in range(2):
+            queue.add(_queued(f'b-{number}', client='b'), number)
+        for number in range(2):
+            queue.remove(f'a-{number}')
+        self.assertEqual(queue.take_last().request.ticket_id, 'b-1')
+
+    def test_room_is_made_by_the_client_with_most_for_its_weight(self):
+        queue = FairQueue()
+        for number in range(4):
+            queue.add(_queued(f'a-{number}', client='a', weight=4.0), number)
+        for number in range(2):
+            queue.add(_queued(f'b-{number}', client='b', weight=1.0), number)
+        self.assertEqual(queue.take_last().request.ticket_id, 'b-1')
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['add', 'add', 'take', 'remove', 'last', 'expire']),
+        st.integers(0, 5),
+        st.integers(0, 40),
+    ),
+    max_size=120,
+)
+
+
+class ConservationTest(unittest.TestCase):
+    """Guards against requests that are lost or leave a queue twice."""
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(_STEPS)
+    def test_each_request_leaves_once(self, steps):
+        queue = FairQueue()
+        waiting = {}
+        for number, (step, client, limit) in enumerate(steps):
+            left = self._step(queue, waiting, step, limit)
+            if step == 'add':
+                item = _queued(
+                    f't-{number}',
+                    client=str(client),
+                    weight=1 + client / 3,
+                )
+                queue.add(item, limit)
+                waiting[item.request.ticket_id] = limit
+            if left is not None:
+                waiting.pop(left.request.ticket_id)
+            self.assertEqual(len(queue), len(waiting))
+        ids = {item.request.ticket_id for item in queue}
+        self.assertEqual(ids, set(waiting))
+
+    def _step(self, queue, waiting, step, limit):
+        match step:
+            case 'take' | 'last':
+                take = queue.take_last
+                left = take() if step == 'last' else queue.take(_never)
+                self.assertEqual(left is None, not waiting)
+                return left
+            case 'remove':
+                return queue.remove(next(iter(waiting), ''))
+            case 'expire':
+                left = queue.take_expired(limit)
+                is_none = all(other > limit for other in waiting.values())
+                self.assertEqual(left is None, is_none)
+                return left
+
+
+def _count_lines(run) -> int:
+    """Return the number of lines of Python that a call executes."""
+    lines = Counter()
+
+    def trace(_frame, event, _argument):
+        lines[event] += 1
+        return trace
+
+    sys.settrace(trace)
+    try:
+        run()
+    finally:
+        sys.settrace(None)
+    return lines['line']
+
+
+class CostTest(unittest.TestCase):
+    """Guards against a scan of the queue for each event.
+
+    A scan executes at least one line for each of the requests that wait.
+    """
+
+    @parameterized.expand([('issue',), ('request',), ('cancel',)])
+    def test_lines_do_not_grow_with_the_queue(self, step):
+        short, long = (self._measure(step, length) for length in (10, 200))
+        self.assertLess(long - short, 40)
+
+    def _measure(self, step, length):
+        dispatcher = Dispatcher('up-1', epoch=4, slots=1)
+        grants = GrantsInForce('up-1', 4, {0: 10}, until_ms=5000)
+        dispatcher.confirm_grants(grants, 0)
+        for number in range(length):
+            request = make_ticket_request(ticket_id=f't-{number}')
+            dispatcher.request('vm-1', request, 0)
+        cancel = TicketCancel(f't-{length - 1}', 'up-1')
+        events = {
+            'issue': lambda: dispatcher.issue(1),
+            'request': lambda: dispatcher.request(
+                'vm-1',
+                make_ticket_request(ticket_id='new', rank=Rank.URGENT),
+                1,
+            ),
+            'cancel': lambda: dispatcher.cancel(cancel, 1),
+        }
+        return _count_lines(events[step])
