--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -13,21 +13,21 @@
 from ibisjunction.admin.task import AdminTask
 from ibisjunction.clock import Clock, SystemClock
 from ibisjunction.control.client import ControlClient
-from ibisjunction.control.commands import RegisterVm
 from ibisjunction.control.messages import (
     CommittedEntries,
     ProposalResult,
     ProposeCommand,
     StateSnapshot,
 )
-from ibisjunction.control.records import VmRecord
 from ibisjunction.control.task import ControlTask
 from ibisjunction.dispatch.messages import (
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketsHeld,
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
@@ -38,9 +38,11 @@
     LeaseRenewal,
     VmReports,
 )
+from ibisjunction.membership.registration import describe_vm
 from ibisjunction.membership.reports import ReportsClient
 from ibisjunction.membership.task import MembershipTask
 from ibisjunction.metrics import MetricsTask
+from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
@@ -64,13 +66,17 @@
     LeaseRenewal,
     ProposalResult,
     ProposeCommand,
+    ShardReleased,
     StateSnapshot,
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
     VmReports,
+    TicketsHeld,
+    UpstreamLost,
 )
 
 
@@ -158,10 +164,18 @@
     """Connect the mailboxes of a daemon's tasks."""
     client = ControlClient(settings, incarnation, peers)
     admin = AdminTask(settings.vm, clock)
-    dispatch = DispatchTask(settings.vm, clock, peers)
-    ownership = OwnershipTask(settings, clock, dispatch.mailbox, call)
+    grants: Mailbox[Any] = Mailbox()
+    dispatch = DispatchTask(settings.vm, clock, peers, grants)
+    ownership = OwnershipTask(
+        settings,
+        clock,
+        peers,
+        dispatch.mailbox,
+        call,
+        grants,
+    )
     routing = RoutingTask(settings.vm, clock, peers)
-    placement = PlacementTask(client)
+    placement = PlacementTask(settings, clock, peers, client)
     listeners = [
         task.mailbox
         for task in (admin, dispatch, ownership, routing, placement)
@@ -251,17 +265,3 @@
     for voter in settings.voters:
         peers.set_address(voter.vm, voter.peer)
     return peers
-
-
-def describe_vm(settings: Settings, incarnation: int) -> RegisterVm:
-    """Return the command that registers this VM."""
-    return RegisterVm(
-        VmRecord(
-            vm=settings.vm,
-            peer=str(settings.peer),
-            http=str(settings.http),
-            region=settings.region,
-            failure_domain=settings.failure_domain,
-            incarnation=incarnation,
-        ),
-    )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Tests of the command line against a running daemon."""
 
+import asyncio
 import json
 import os
 import subprocess
@@ -11,6 +12,8 @@
 from parameterized import parameterized
 
 import ibisjunction
+from ibisjunction.bench.client import make_client
+from ibisjunction.bench.demo import wait_for
 from ibisjunction.bench.deployment import OPERATOR_TOKEN, run_deployment
 from ibisjunction.cli.connection import (
     EXIT_INVALID,
@@ -33,6 +36,10 @@
     )
 
 
+async def _wait_until_ready(deployment) -> bool:
+    return await wait_for(deployment, make_client(), 0, 0)
+
+
 class OfflineTest(unittest.TestCase):
     """Guards against errors that don't tell what to do next."""
 
@@ -69,6 +76,7 @@
 
     def test_session(self):
         with run_deployment(1) as deployment:
+            self.assertTrue(asyncio.run(_wait_until_ready(deployment)))
             admin = f'--admin={deployment.vms[0].admin}'
             first = ['publish', _FILES, admin, '--base=0']
             self._check(_run(*first, '--publication-id=p1'), 0, 'revision 1')
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -117,6 +117,7 @@
     def __init__(self, target: Address) -> None:
         self._target = target
         self._is_silent: list[asyncio.Event] = []
+        self._tasks: list[asyncio.Task] = []
 
     def silence_all(self) -> None:
         for event in self._is_silent:
@@ -127,10 +128,14 @@
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         yield Address(*server.sockets[0].getsockname())
         server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks)
 
     async def _serve(self, reader, writer) -> None:
         silent = asyncio.Event()
         self._is_silent.append(silent)
+        self._tasks.append(asyncio.current_task())
         far_reader, far_writer = await asyncio.open_connection(
             self._target.host,
             self._target.port,
