--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import signal
 import socket
 import subprocess
@@ -15,7 +14,6 @@
 
 _VOTERS: Final = 5
 _STOP_TIMEOUT_S: Final = 40
-_HOST_BASE: Final = 250
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
 
@@ -153,26 +151,17 @@
 def _find_addresses(count: int) -> list[str]:
     """Return free loopback addresses.
 
-    All ports are held while they are collected, so they differ. The host is
-    one that only this process uses, so no other process takes a port between
-    its release here and its use.
+    All ports are held while they are collected, so they differ.
     """
-    host = _find_host(os.getpid())
     with contextlib.ExitStack() as stack:
         addresses = []
         for _ in range(count):
             holder = stack.enter_context(socket.socket())
-            holder.bind((host, 0))
-            addresses.append(f'{host}:{holder.getsockname()[1]}')
+            holder.bind(('127.0.0.1', 0))
+            addresses.append(f'127.0.0.1:{holder.getsockname()[1]}')
         return addresses
 
 
-def _find_host(process_id: int) -> str:
-    """Return a loopback host for a process; all of 127.0.0.0/8 is loopback."""
-    high, low = divmod(process_id, _HOST_BASE)
-    return f'127.{1 + high % _HOST_BASE}.{low}.1'
-
-
 def _format_settings(
     vm: VmAddresses,
     failure_domain: str,
