--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -13,6 +14,9 @@
 from typing import Final
 
 _VOTERS: Final = 5
+#: Below the range from which the kernel takes ports of outgoing connections;
+#: one of those could take a port between its choice and its use.
+_PORTS: Final = range(12_000, 32_000)
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -154,12 +158,21 @@
     All ports are held while they are collected, so they differ.
     """
     with contextlib.ExitStack() as stack:
-        addresses = []
-        for _ in range(count):
-            holder = stack.enter_context(socket.socket())
-            holder.bind(('127.0.0.1', 0))
-            addresses.append(f'127.0.0.1:{holder.getsockname()[1]}')
-        return addresses
+        return [_hold_address(stack) for _ in range(count)]
+
+
+def _hold_address(stack: contextlib.ExitStack) -> str:
+    """Bind a free port until the stack is closed."""
+    while True:
+        port = secrets.choice(_PORTS)
+        holder = socket.socket()
+        try:
+            holder.bind(('127.0.0.1', port))
+        except OSError:
+            holder.close()
+            continue
+        stack.enter_context(holder)
+        return f'127.0.0.1:{port}'
 
 
 def _format_settings(
