--- a/src/ibisjunction/dispatch/handover.py
+++ b/src/ibisjunction/dispatch/handover.py
@@ -7,11 +7,12 @@
 from ibisjunction.control.state import ControlState
 from ibisjunction.dispatch.dispatcher import (
     Dispatcher,
+    Effect,
     Outstanding,
-    SendToVm,
 )
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
+    ResultKind,
     TicketDone,
     TicketsHeld,
     UpstreamSpeed,
@@ -38,7 +39,7 @@
         """Start the survey of a new epoch."""
         self.dispatcher = Dispatcher(record.upstream, epoch, record.slots)
         self.survey = TicketSurvey(epoch, vms)
-        self._incarnation = record.incarnation
+        self._record = record
         self._speed = SpeedMeter()
         self._vms = dict(vms)
         self._grants: dict[int, Grant] = {}
@@ -46,18 +47,14 @@
         self._idle: frozenset[int] = frozenset()
         self._is_leased = False
 
-    def follow(self, state: ControlState, now: int) -> list[SendToVm]:
+    def follow(self, state: ControlState, now: int) -> list[Effect]:
         """Take a new control state."""
         upstream = self.dispatcher.upstream
-        record = state.upstreams[upstream]
-        if record.incarnation != self._incarnation:
-            self._incarnation = record.incarnation
-            self._speed = SpeedMeter()
+        effects = self._note_restart(state.upstreams[upstream], now)
         grants = state.grants_of(upstream)
         self._grants = {grant.shard: grant for grant in grants}
         self.survey.follow(state.vms)
         self._hold()
-        effects = []
         for vm, former in self._vms.items():
             present = state.vms.get(vm)
             if present is None or present.incarnation != former.incarnation:
@@ -65,7 +62,12 @@
         self._vms = dict(state.vms)
         return effects + self._confirm(now)
 
-    def confirm(self, grants: GrantsInForce, now: int) -> list[SendToVm]:
+    @property
+    def service(self) -> str:
+        """The service that the upstream belongs to."""
+        return self._record.service
+
+    def confirm(self, grants: GrantsInForce, now: int) -> list[Effect]:
         """Take the grants that the upstream confirmed."""
         if grants.epoch != self.dispatcher.epoch:
             return []
@@ -78,7 +80,7 @@
         vm: str,
         held: TicketsHeld,
         now: int,
-    ) -> list[SendToVm]:
+    ) -> list[Effect]:
         """Take the tickets that a VM has in use."""
         if not self.survey.take(vm, held):
             return []
@@ -95,17 +97,17 @@
         self._hold()
         return self.dispatcher.issue(now)
 
-    def finish(self, done: TicketDone, now: int) -> list[SendToVm]:
+    def finish(self, done: TicketDone, now: int) -> list[Effect]:
         """Take a ticket back and measure the upstream's speed."""
-        if done.succeeded:
-            self._speed.record(done.service_ms)
+        if done.result.kind is ResultKind.SUCCEEDED:
+            self._speed.record(done.result.service_ms)
         return self.dispatcher.finish(done, now)
 
     def describe_speed(self) -> UpstreamSpeed:
         """Return the report for the leader."""
         return UpstreamSpeed(
             self.dispatcher.upstream,
-            self._incarnation,
+            self._record.incarnation,
             self._speed.hint,
         )
 
@@ -133,7 +135,16 @@
             idle,
         )
 
-    def _confirm(self, now: int) -> list[SendToVm]:
+    def _note_restart(self, record: UpstreamRecord, now: int) -> list[Effect]:
+        """Take the upstream's record; its next process starts cold."""
+        earlier = self._record.incarnation
+        self._record = record
+        if record.incarnation == earlier:
+            return []
+        self._speed = SpeedMeter()
+        return self.dispatcher.restart_cold(now)
+
+    def _confirm(self, now: int) -> list[Effect]:
         """Pass on the confirmed grants that the control state still lists."""
         confirmed = self._confirmed
         if confirmed is None:
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -9,14 +9,15 @@
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.messages import ControlView
 from ibisjunction.control.state import ControlState
-from ibisjunction.dispatch.dispatcher import SendToVm
+from ibisjunction.dispatch.decision_log import log_effect
+from ibisjunction.dispatch.dispatcher import Effect, SendToVm
 from ibisjunction.dispatch.handover import DispatchedUpstream
 from ibisjunction.dispatch.messages import (
     GrantsInForce,
+    LoadReported,
     SurveyTickets,
     TicketCancel,
     TicketDone,
-    TicketGranted,
     TicketRefused,
     TicketRequest,
     TicketsHeld,
@@ -26,6 +27,9 @@
 from ibisjunction.membership.messages import LeaseExtended
 from ibisjunction.outcomes import Reason
 from ibisjunction.peers.link import PeerNetwork, Received
+from ibisjunction.services.catalog import ServiceCatalog
+from ibisjunction.services.collection import parse_collection
+from ibisjunction.services.spec import ServiceSpec
 from ibisjunction.settings import Settings
 
 _logger = logging.getLogger(__name__)
@@ -61,6 +65,8 @@
         self._upstreams: dict[str, DispatchedUpstream] = {}
         self._lease_until_ms = 0
         self._ownership = ownership
+        self._revision = -1
+        self._specs: dict[str, ServiceSpec] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
             self.mailbox,
@@ -95,6 +101,11 @@
                 known = self._upstreams.get(upstream)
                 if known is not None:
                     self._carry_out(known.confirm(message, now))
+            case LoadReported(upstream=upstream):
+                known = self._upstreams.get(upstream)
+                if known is not None:
+                    health = known.dispatcher.health
+                    health.note_report(message.is_busy, now)
             case Received():
                 self._handle_peer(message, now)
             case Tick():
@@ -111,6 +122,7 @@
             dispatched.set_leased(is_leased=is_leased)
 
     def _follow(self, state: ControlState, now: int) -> None:
+        self._read_specs(state)
         current = {}
         for upstream, dispatcher in state.dispatchers.items():
             if dispatcher.vm == self._vm:
@@ -122,8 +134,19 @@
         self._upstreams = current
         for dispatched in current.values():
             self._carry_out(dispatched.follow(state, now))
+            self._set_ranks(dispatched)
         self._check_lease(now)
 
+    def _read_specs(self, state: ControlState) -> None:
+        if state.revision != self._revision:
+            self._revision = state.revision
+            self._specs = ServiceCatalog(parse_collection(state.files)).specs
+
+    def _set_ranks(self, dispatched: DispatchedUpstream) -> None:
+        spec = self._specs.get(dispatched.service)
+        if spec is not None:
+            dispatched.dispatcher.set_ranks(spec.ranks)
+
     def _find_dispatched(
         self,
         state: ControlState,
@@ -177,7 +200,7 @@
         dispatched: DispatchedUpstream,
         received: Received,
         now: int,
-    ) -> list[SendToVm]:
+    ) -> list[Effect]:
         was_complete = dispatched.survey.is_complete
         held: TicketsHeld = received.message
         effects = dispatched.take_survey(received.sender, held, now)
@@ -212,29 +235,8 @@
             for voter in self._voters:
                 self._peers.send(voter, dispatched.describe_speed())
 
-    def _carry_out(self, effects: Iterable[SendToVm]) -> None:
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
-            _log_effect(effect)
-            self._peers.send(effect.vm, effect.message)
-
-
-def _log_effect(effect: SendToVm) -> None:
-    match effect.message:
-        case TicketGranted() as granted:
-            log_event(
-                _logger,
-                Event.TICKET_GRANTED,
-                ticket=granted.ticket_id,
-                vm=effect.vm,
-                upstream=granted.upstream,
-                epoch=granted.epoch,
-                fence=granted.fence,
-            )
-        case TicketRefused() as refused:
-            log_event(
-                _logger,
-                Event.TICKET_REFUSED,
-                ticket=refused.ticket_id,
-                vm=effect.vm,
-                reason=refused.reason.name,
-            )
+            log_effect(effect)
+            if isinstance(effect, SendToVm):
+                self._peers.send(effect.vm, effect.message)
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -34,6 +34,9 @@
     TAKEOVER_COMPLETED = (409, 'survey of tickets completed')
     TICKET_GRANTED = (501, 'ticket granted')
     TICKET_REFUSED = (502, 'ticket refused')
+    LIMIT_CHANGED = (503, 'limit changed')
+    BREAKER_OPENED = (504, 'breaker opened')
+    BREAKER_CLOSED = (505, 'breaker closed')
     REQUEST_ROUTED = (601, 'request routed')
     REQUEST_ANSWERED = (602, 'request answered')
     REQUEST_REFUSED = (603, 'request refused')
@@ -46,6 +49,7 @@
     PEER_REDIALLED = (802, 'peer link redialled')
     REVISION_PUBLISHED = (901, 'revision published')
     PUBLICATION_REJECTED = (902, 'publication rejected')
+    TERMS_RENEWED = (903, 'terms renewed')
 
     def __init__(self, number: int, summary: str) -> None:
         """Store the number and the summary of the member."""
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -109,6 +109,10 @@
         """Return whether every lease of an earlier leader has run out."""
         return now >= self._settled_at
 
+    def revisions(self, now: int) -> dict[str, int]:
+        """Return the revision that each live VM reported."""
+        return {vm: self.reports[vm].revision for vm in self.live_vms(now)}
+
     def _is_lost(self, vm: str, now: int) -> bool:
         report = self.reports.get(vm)
         if report is None:
--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -7,6 +7,7 @@
 from ibisjunction.clock import Clock
 from ibisjunction.control.messages import ControlView
 from ibisjunction.control.state import ControlState
+from ibisjunction.control.terms import level_of
 from ibisjunction.dispatch.messages import (
     HeldTicket,
     SurveyTickets,
@@ -204,7 +205,8 @@
         now: int,
     ) -> TicketRequest:
         spec = ask.route.spec
-        terms = spec.terms_for(spec.client_levels.get(ask.client, 0))
+        held = self._state.terms.get(spec.service, {})
+        terms = spec.terms[level_of(spec, held, ask.client)]
         return TicketRequest(
             ticket_id=ask.ticket_id,
             upstream=upstream,
@@ -216,6 +218,7 @@
             max_in_flight=terms.max_in_flight,
             remaining_ms=max(0, ask.deadline_ms - now),
             idempotent=ask.route.operation.idempotent,
+            attempt=ask.attempt,
         )
 
     def _hold(self, granted: TicketGranted) -> None:
@@ -288,7 +291,6 @@
                 TicketDone(
                     returned.ticket_id,
                     waiting.request.upstream,
-                    returned.succeeded,
-                    returned.service_ms,
+                    returned.result,
                 ),
             )
