--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -16,7 +16,9 @@
 _VOTERS: Final = 5
 #: Below the range from which the kernel takes ports of outgoing connections;
 #: one of those could take a port between its choice and its use.
-_PORTS: Final = range(12_000, 32_000)
+_FIRST_PORT: Final = 12_000
+_LAST_PORT: Final = 31_999
+_PORTS: Final = range(_FIRST_PORT, _LAST_PORT + 1)
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -104,15 +104,13 @@
 class GrantsInForce:
     """The grants that an upstream confirmed, valid until ``until_ms``.
 
-    ``fences`` maps shards to fences. ``incarnation`` is that of the upstream's
-    process that confirmed them.
+    ``fences`` maps shards to fences.
     """
 
     upstream: str
     epoch: int
     fences: dict[int, int]
     until_ms: int
-    incarnation: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,3 +140,15 @@
     upstream: str
     epoch: int
     tickets: list[HeldTicket]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """Tells the leader the measured speed of an upstream, each second.
+
+    ``speed`` is in requests per slot and second, 0 while unknown.
+    """
+
+    upstream: str
+    incarnation: int
+    speed: float
