Add the measurement of capacity

Cause: the expected size must be worked out from measured slopes. Change: ibisjunction-bench capacity measures the control state, messages, links, idle daemons and requests with the shipped code, fits lines, and works out each role at the expected size against its limit.

--- /dev/null
+++ b/src/ibisjunction/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what the shipped code costs, and works out larger systems."""
--- /dev/null
+++ b/src/ibisjunction/bench/capacity/costs.py
@@ -0,0 +1,58 @@
+"""All measured costs, found by name."""
+
+from dataclasses import dataclass
+
+from ibisjunction.bench.capacity.control_costs import (
+    measure_apply,
+    measure_publication,
+    measure_state,
+)
+from ibisjunction.bench.capacity.fit import Fit
+from ibisjunction.bench.capacity.link_costs import measure_links
+from ibisjunction.bench.capacity.message_costs import (
+    MessageCost,
+    measure_lease_table,
+    measure_messages,
+)
+from ibisjunction.bench.capacity.process_costs import (
+    measure_idle,
+    measure_requests,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Measured lines and messages of one run."""
+
+    fits: tuple[Fit, ...]
+    messages: tuple[MessageCost, ...]
+
+    def fit(self, name: str, per: str) -> Fit:
+        """Return the line with a name.
+
+        :raises KeyError: if it was not measured.
+        """
+        for fit in self.fits:
+            if (fit.name, fit.per) == (name, per):
+                return fit
+        raise KeyError(f'{name} per {per}')
+
+    def message(self, kind: str) -> MessageCost:
+        """Return the cost of a kind of message."""
+        return next(found for found in self.messages if found.kind == kind)
+
+
+def measure_all() -> Costs:
+    """Measure everything; takes about a minute and a half."""
+    return Costs(
+        fits=(
+            *measure_state(),
+            *measure_apply(),
+            measure_publication(),
+            measure_lease_table(),
+            measure_links(),
+            *measure_idle(),
+            *measure_requests(),
+        ),
+        messages=tuple(measure_messages()),
+    )
--- /dev/null
+++ b/src/ibisjunction/bench/capacity/projection.py
@@ -0,0 +1,321 @@
+"""Works out the costs of the expected size from the measured slopes."""
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from ibisjunction.bench.capacity.costs import Costs
+from ibisjunction.bench.capacity.targets import (
+    SECONDS_PER_DAY,
+    Assumptions,
+    Counts,
+    Targets,
+)
+
+_KIB: Final = 1024
+_US_PER_S: Final = 1_000_000
+_US_PER_MS: Final = 1000
+_PERCENT: Final = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure of a role; ``limit`` is ``None`` where no target binds it."""
+
+    role: str
+    quantity: str
+    amount: float
+    unit: str
+    limit: float | None = None
+
+    @property
+    def is_met(self) -> bool:
+        """Whether the figure stays within its limit."""
+        return self.limit is None or self.amount <= self.limit
+
+
+Projection = Callable[[Costs, Counts], Iterator[Row]]
+
+
+def project(costs: Costs) -> list[Row]:
+    """Return the figures of all roles."""
+    counts = Counts(Targets(), Assumptions())
+    return [row for role in _ROLES for row in role(costs, counts)]
+
+
+def _project_counts(costs: Costs, counts: Counts) -> Iterator[Row]:
+    targets = counts.targets
+    role = 'size'
+    yield Row(role, 'requests/s per daemon', targets.requests_per_daemon, '')
+    yield Row(role, 'upstreams', counts.upstreams, '')
+    yield Row(role, 'shards', counts.shards, '')
+    yield Row(role, 'keys per shard', targets.keys / counts.shards, '')
+    yield Row(
+        role, 'daemons that route to one upstream', counts.cell_daemons, ''
+    )
+    yield Row(role, 'cells', counts.cells, '')
+
+
+def _project_router(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'caller-facing router'
+    rate = counts.targets.requests_per_daemon
+    per_request = costs.fit(
+        'accepting VM, dispatcher elsewhere',
+        'request',
+    ).slope
+    yield Row(role, 'processor time per request', per_request, 'us')
+    cores = rate * per_request / _US_PER_S
+    yield Row(role, 'cores for its requests', cores, 'cores', 1)
+    downloads = counts.assumed.download_share * rate
+    per_mib = costs.fit('download at the accepting VM', 'MiB').slope
+    mib_per_s = downloads * counts.assumed.download_mib
+    yield Row(role, 'downloads', mib_per_s, 'MiB/s')
+    yield Row(
+        role,
+        'cores for downloads',
+        mib_per_s * per_mib / _US_PER_S,
+        'cores',
+        1,
+    )
+    in_flight = rate * counts.targets.p99_ms / _US_PER_MS
+    yield Row(role, 'requests in flight at most', in_flight, '')
+
+
+def _project_dispatcher(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'dispatcher'
+    rate = counts.targets.requests_per_daemon
+    kinds = ('TicketRequest', 'TicketGranted', 'TicketDone')
+    messages = [costs.message(kind) for kind in kinds]
+    yield Row(role, 'upstreams per daemon', counts.upstreams_per_daemon, '')
+    yield Row(role, 'messages per request', len(messages), '')
+    wire = sum(message.wire_bytes for message in messages)
+    yield Row(role, 'bytes per request', wire, 'bytes')
+    yield Row(role, 'bytes/s', wire * rate / _KIB**2, 'MiB/s')
+    codec_us = sum(message.send_us + message.receive_us for message in messages)
+    yield Row(role, 'encoding per request, both ends', codec_us, 'us')
+    per_request = costs.fit('dispatcher', 'request').slope
+    yield Row(role, 'processor time per request', per_request, 'us')
+    cores = rate * per_request / _US_PER_S
+    yield Row(role, 'cores for its requests', cores, 'cores', 1)
+
+
+def _project_leader(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'control leader, as built'
+    daemons = counts.targets.daemons
+    beats = daemons * counts.assumed.heartbeats_per_s
+    per_beat = costs.fit('idle leader, per second', 'VM').slope
+    yield Row(role, 'heartbeats/s', beats, '')
+    yield Row(
+        role,
+        'cores for heartbeats',
+        per_beat * daemons / _US_PER_S,
+        'cores',
+        1,
+    )
+    move = costs.fit('move of a shard', 'shard').at(counts.shards)
+    yield Row(role, 'apply a move', move / _US_PER_MS, 'ms')
+    encoding = costs.fit('encoding a snapshot', 'shard').at(counts.shards)
+    yield Row(role, 'encode a snapshot', encoding / _US_PER_MS, 'ms')
+    planning = costs.fit('planning', 'shard').at(counts.shards)
+    yield Row(role, 'one planning step', planning / _US_PER_MS, 'ms')
+    lost = counts.targets.domain_size * counts.upstreams_per_daemon
+    yield Row(role, 'dispatchers of a lost failure domain', lost, '')
+    yield Row(
+        role,
+        'apply them one by one',
+        lost * move / _US_PER_MS,
+        'ms',
+        counts.targets.served_again_ms,
+    )
+
+
+def _project_copy(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'copy of the control state, as built'
+    memory = _state_kib(costs, counts, 'control state', 1)
+    yield Row(
+        role,
+        'memory of the whole state',
+        memory / _KIB,
+        'MiB',
+        counts.targets.control_memory_mib,
+    )
+    snapshot = _state_kib(costs, counts, 'snapshot', 1)
+    yield Row(role, 'snapshot', snapshot / _KIB, 'MiB')
+    changes = counts.control_changes_per_day / SECONDS_PER_DAY
+    move = costs.fit('move of a shard', 'shard').at(counts.shards)
+    yield Row(role, 'commands/s without publications', changes, '')
+    yield Row(
+        role,
+        'processor time for them',
+        changes * move,
+        'us/s',
+        counts.targets.control_cpu_us_per_s,
+    )
+    publications = counts.targets.publications_per_day / SECONDS_PER_DAY
+    yield Row(role, 'publications/s', publications, '')
+    catalogue = counts.assumed.services * counts.assumed.file_kib * _KIB
+    yield Row(
+        role,
+        'bytes/s if each carries all service files',
+        publications * catalogue,
+        'bytes/s',
+        counts.targets.control_bytes_per_s,
+    )
+
+
+def _project_heartbeat(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'heartbeat of a daemon, as built'
+    sent = costs.message('Heartbeat').wire_bytes
+    received = costs.message('LeaseRenewal').wire_bytes
+    voters = counts.targets.regions * counts.assumed.voters_per_region
+    rate = counts.assumed.heartbeats_per_s
+    limit = counts.targets.control_bytes_per_s
+    yield Row(
+        role,
+        'bytes/s to every voter',
+        rate * (sent * voters + received),
+        'bytes/s',
+        limit,
+    )
+    idle = costs.fit('idle daemon, per second', 'VM')
+    yield Row(
+        role,
+        'processor time of an idle daemon',
+        idle.points[-1][1],
+        'us/s',
+        counts.targets.control_cpu_us_per_s,
+    )
+
+
+def _project_cell(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'with cells and relays'
+    targets = counts.targets
+    memory = _state_kib(costs, counts, 'control state', counts.cells)
+    yield Row(
+        role,
+        'memory of one cell of the state',
+        memory / _KIB,
+        'MiB',
+        targets.control_memory_mib,
+    )
+    changes = counts.control_changes_per_day / SECONDS_PER_DAY / counts.cells
+    shards = counts.shards / counts.cells
+    move = costs.fit('move of a shard', 'shard').at(shards)
+    yield Row(
+        role,
+        'processor time for the commands of a cell',
+        changes * move,
+        'us/s',
+        targets.control_cpu_us_per_s,
+    )
+    yield from _project_relays(costs, counts)
+    links = counts.cell_daemons * costs.fit('link to a peer', 'link').slope
+    yield Row(role, 'memory of links in a cell', links / _KIB, 'MiB')
+    planning = costs.fit('planning', 'shard').at(shards)
+    yield Row(role, 'planning step of a cell', max(planning, 0), 'us')
+    lost = targets.domain_size * counts.upstreams_per_daemon / counts.cells
+    yield Row(
+        role,
+        'apply the dispatchers of a lost failure domain, per cell',
+        lost * move / _US_PER_MS,
+        'ms',
+        targets.served_again_ms,
+    )
+
+
+def _project_relays(costs: Costs, counts: Counts) -> Iterator[Row]:
+    """Relays take heartbeats of a few daemons and send one for all."""
+    role = 'with cells and relays'
+    targets = counts.targets
+    beat = costs.message('Heartbeat')
+    renewal = costs.message('LeaseRenewal')
+    # Twice the interval of today leaves two beats before a lease runs out.
+    rate = counts.assumed.heartbeats_per_s / 2
+    own = rate * (beat.wire_bytes + renewal.wire_bytes)
+    yield Row(
+        role,
+        'bytes/s of a daemon to its relay, 200 ms apart',
+        own,
+        'bytes/s',
+        targets.control_bytes_per_s,
+    )
+    per_child = rate * (beat.receive_us + renewal.send_us)
+    # Half of the budget; the rest is for the daemon's own control work.
+    fan_in = math.floor(targets.control_cpu_us_per_s / 2 / per_child)
+    yield Row(role, 'daemons per relay at half of 1.4% of a core', fan_in, '')
+    levels = math.ceil(math.log(targets.daemons, fan_in))
+    yield Row(role, 'levels from daemon to leader', levels, '')
+    heard = math.ceil(targets.daemons / fan_in ** (levels - 1))
+    yield Row(role, 'relays the leader hears from', heard, '')
+    yield Row(
+        role,
+        'bytes/s of a relay',
+        own * fan_in,
+        'bytes/s',
+        targets.control_bytes_per_s,
+    )
+
+
+def _project_ledger(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'ledger'
+    assumed = counts.assumed
+    rate = counts.targets.requests_per_daemon * assumed.non_idempotent_share
+    replicas = assumed.record_replicas
+    kept = rate * assumed.retention_s * replicas
+    yield Row(role, 'records/s written per daemon', rate * replicas, '')
+    yield Row(role, 'records kept per daemon', kept, '')
+
+
+def _project_pool(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'upstream connection pool'
+    assumed = counts.assumed
+    everywhere = counts.targets.daemons * assumed.slots
+    yield Row(
+        role,
+        'connections to an upstream if every daemon routes to it',
+        everywhere,
+        '',
+        assumed.connections,
+    )
+    in_cell = counts.cell_daemons * assumed.slots
+    yield Row(
+        role,
+        'connections to an upstream in a cell',
+        in_cell,
+        '',
+        assumed.connections,
+    )
+    per_daemon = counts.upstreams / counts.cells * assumed.slots
+    yield Row(role, 'connections of a daemon in a cell', per_daemon, '')
+
+
+def _state_kib(
+    costs: Costs,
+    counts: Counts,
+    name: str,
+    parts: int,
+) -> float:
+    """Return the size of one of ``parts`` equal parts of the state."""
+    sizes = {
+        'shard': counts.shards,
+        'upstream': counts.upstreams,
+        'VM': counts.targets.daemons,
+    }
+    return sum(
+        costs.fit(name, per).slope * count / parts
+        for per, count in sizes.items()
+    )
+
+
+_ROLES: Final[tuple[Projection, ...]] = (
+    _project_counts,
+    _project_router,
+    _project_dispatcher,
+    _project_leader,
+    _project_copy,
+    _project_heartbeat,
+    _project_cell,
+    _project_ledger,
+    _project_pool,
+)
--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -10,6 +10,10 @@
 
 import cappa
 
+from ibisjunction.bench.capacity.command import (
+    project_again,
+    report_capacity,
+)
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
 from ibisjunction.bench.run_command import run_scenario
@@ -112,13 +116,35 @@
         return run_scenario(self.scenario, self.seed, self.out, sys.stdout)
 
 
+@cappa.command(name='capacity')
+@dataclass
+class CapacityCommand:
+    """Measure costs on this machine and work out the expected size."""
+
+    out: Annotated[Path, cappa.Arg(long=True)] = Path('reports')
+    again: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Use the measurements of the last run.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Write the tables and print where they are."""
+        if self.again:
+            return project_again(self.out, sys.stdout)
+        return report_capacity(self.out, sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
     """Stand-ins, local deployments and measurements."""
 
     command: cappa.Subcommands[
-        UpstreamCommand | DemoCommand | HopCommand | RunCommand
+        UpstreamCommand
+        | DemoCommand
+        | HopCommand
+        | RunCommand
+        | CapacityCommand
     ]
 
 
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -16,7 +16,8 @@
 _VOTERS: Final = 5
 #: Below the range from which the kernel takes ports of outgoing connections;
 #: one of those could take a port between its choice and its use.
-_PORTS: Final = range(12_000, 32_000)
+_FIRST_PORT: Final = 12_000
+_END_PORT: Final = 32_000
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -164,7 +165,7 @@
 def _hold_address(stack: contextlib.ExitStack) -> str:
     """Bind a free port until the stack is closed."""
     while True:
-        port = secrets.choice(_PORTS)
+        port = secrets.choice(range(_FIRST_PORT, _END_PORT))
         holder = socket.socket()
         try:
             holder.bind(('127.0.0.1', port))
--- a/src/ibisjunction/bench/report.py
+++ b/src/ibisjunction/bench/report.py
@@ -54,7 +54,7 @@
     evidence = section.evidence
     yield f'## {section.profile}'
     yield ''
-    yield from _format_table(
+    yield from format_table(
         (
             'phase',
             'rank',
@@ -68,14 +68,14 @@
         ),
         map(_format_group, summarise(evidence.requests)),
     )
-    yield from _format_table(
+    yield from format_table(
         ('reason of refusal or failure', 'requests'),
         (
             (reason, str(count))
             for reason, count in count_reasons(evidence.requests).most_common()
         ),
     )
-    yield from _format_table(
+    yield from format_table(
         ('service', 'outages', 'longest ms', 'shard-seconds unavailable'),
         (
             _format_outages(service, outages)
@@ -132,7 +132,7 @@
         name: sum(found.check == name for found in violations)
         for name in CHECKS
     }
-    yield from _format_table(
+    yield from format_table(
         ('check', 'violations'),
         ((name, str(count)) for name, count in counts.items()),
     )
@@ -142,10 +142,11 @@
         yield ''
 
 
-def _format_table(
+def format_table(
     head: tuple[str, ...],
     rows: Iterable[tuple[str, ...]],
 ) -> Iterator[str]:
+    """Yield the lines of a Markdown table and an empty line."""
     yield f'| {" | ".join(head)} |'
     yield f'|{"---|" * len(head)}'
     for row in rows:
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,53 @@
+"""Fits and projections of the capacity page."""
+
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.bench.capacity.control_costs import build_state
+from ibisjunction.bench.capacity.fit import fit_line
+from ibisjunction.bench.capacity.projection import Row
+from ibisjunction.bench.capacity.targets import Assumptions, Counts, Targets
+
+
+class FitTest(unittest.TestCase):
+    """Guards against slopes that do not describe the points."""
+
+    def test_line_through_two_points(self):
+        fit = fit_line('cost', 'us', 'shard', {10: 30.0, 20: 50.0})
+        self.assertAlmostEqual(fit.slope, 2)
+        self.assertAlmostEqual(fit.base, 10)
+        self.assertAlmostEqual(fit.at(100), 210)
+
+
+class CountTest(unittest.TestCase):
+    """Guards against counts that do not follow from the targets."""
+
+    @parameterized.expand(
+        [
+            ('upstreams', 36_667),
+            ('shards', 586_672),
+            ('cell_daemons', 25),
+            ('cells', 308),
+        ]
+    )
+    def test_count(self, name, expected):
+        counts = Counts(Targets(), Assumptions())
+        self.assertEqual(getattr(counts, name), expected)
+
+    @parameterized.expand(
+        [(None, 1.0, True), (1.0, 1.0, True), (1.0, 1.01, False)]
+    )
+    def test_limit(self, limit, amount, expected):
+        row = Row('role', 'quantity', amount, 'cores', limit)
+        self.assertEqual(row.is_met, expected)
+
+
+class StateTest(unittest.TestCase):
+    """Guards against measurements of a state other than intended."""
+
+    def test_every_shard_has_an_owner(self):
+        state = build_state(shards=40, upstreams=4, vms=3)
+        self.assertEqual(len(state.grants['service-0001']), 40)
+        self.assertEqual(len(state.upstreams), 4)
+        self.assertEqual(len(state.vms), 3)
