--- a/tests/samples.py
+++ b/tests/samples.py
@@ -67,6 +67,7 @@
     service='mail-log',
     slots=3,
     address='127.0.0.1:9001',
+    incarnation=1,
 ) -> UpstreamRecord:
     """Return the record of an upstream that checks fences."""
     return UpstreamRecord(
@@ -77,7 +78,7 @@
         slots=slots,
         connections=100,
         checks_fence=True,
-        incarnation=1,
+        incarnation=incarnation,
     )
 
 
