--- a/src/ibisjunction/bench/experiment.py
+++ b/src/ibisjunction/bench/experiment.py
@@ -7,10 +7,11 @@
 from typing import Any, Final
 
 import msgspec
+from tornado.httpclient import AsyncHTTPClient
 
 from ibisjunction.bench.arrivals import plan_arrivals
 from ibisjunction.bench.balancer import Balancer
-from ibisjunction.bench.client import make_client
+from ibisjunction.bench.client import call_admin, make_client
 from ibisjunction.bench.demo import read_profile, wait_for
 from ibisjunction.bench.deployment import Deployment, run_deployment_in
 from ibisjunction.bench.evidence import Evidence
@@ -120,11 +121,9 @@
     files = read_profile(workload.profile)
     publisher = Publisher(deployment, clock, client, files)
     performer = Performer(deployment, clock, client, publisher, names)
-    if not await wait_for(deployment, client, len(names), 0):
-        raise StartError('the VMs do not see all upstreams')
+    await _wait_for(deployment, client, len(names), 0)
     await publisher.publish_first()
-    if not await wait_for(deployment, client, len(names), len(names)):
-        raise StartError('some upstreams own no shard')
+    await _wait_for(deployment, client, len(names), len(names))
     requests = await _load(scenario, workload, seed, performer, files)
     await asyncio.sleep(in_seconds(_SETTLE_MS))
     return Evidence(
@@ -135,6 +134,25 @@
     )
 
 
+async def _wait_for(
+    deployment: Deployment,
+    client: AsyncHTTPClient,
+    upstreams: int,
+    owners: int,
+) -> None:
+    """Wait until all VMs see this many upstreams and owners.
+
+    :raises StartError: with what each VM reports instead.
+    """
+    if await wait_for(deployment, client, upstreams, owners):
+        return
+    lines = [f'expected {upstreams} upstreams, {owners} of them with shards']
+    for vm in deployment.vms:
+        answer = await call_admin(client, 'GET', vm.admin, '/v1/status')
+        lines.append(f'{vm.vm}: {answer.status} {answer.body.decode()}')
+    raise StartError('\n'.join(lines))
+
+
 async def _load(
     scenario: Scenario,
     workload: Workload,
