Register again when the first control state lacks the VM

Cause: on a busy machine a VM is registered, counted as lost and removed before its first control state arrives. Change: any state without the VM leads to a registration, not only one that follows a state with it.

--- a/src/ibisjunction/membership/registration.py
+++ b/src/ibisjunction/membership/registration.py
@@ -33,15 +33,12 @@
     def follow(self, state: ControlState) -> None:
         """Take a new control state.
 
-        A removal is remembered until the VM is registered again. A record of
-        a later process means that this one was replaced.
+        A state without this VM means that it was removed, or is not yet
+        registered; the first state that a VM receives may be either. A record
+        of a later process means that this one was replaced.
         """
         record = state.vms.get(self._vm)
-        was_registered = self.is_registered
         self.is_registered = (
             record is not None and record.incarnation == self._incarnation
         )
-        if self.is_registered:
-            self.was_removed = False
-        elif was_registered and record is None:
-            self.was_removed = True
+        self.was_removed = record is None
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -115,3 +115,8 @@
         registration.follow(ControlState(vms=vms))
         self.assertEqual(registration.is_registered, is_registered)
         self.assertEqual(registration.was_removed, removed)
+
+    def test_removal_before_the_first_state(self):
+        registration = Registration('vm-1', 1)
+        registration.follow(ControlState())
+        self.assertTrue(registration.was_removed)
