--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -17,8 +17,7 @@
 #: Below the range from which the kernel takes ports of outgoing connections;
 #: one of those could take a port between its choice and its use.
 _FIRST_PORT: Final = 12_000
-_LAST_PORT: Final = 31_999
-_PORTS: Final = range(_FIRST_PORT, _LAST_PORT + 1)
+_END_PORT: Final = 32_000
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -166,7 +165,7 @@
 def _hold_address(stack: contextlib.ExitStack) -> str:
     """Bind a free port until the stack is closed."""
     while True:
-        port = secrets.choice(_PORTS)
+        port = secrets.choice(range(_FIRST_PORT, _END_PORT))
         holder = socket.socket()
         try:
             holder.bind(('127.0.0.1', port))
