Add ibisjunction-bench policy

Cause: no figure told whether the dispatch policy is better than first come first served. Change: bench/replay.py drives the real Dispatcher through a discrete-event loop; bench/policy.py compares it with two baselines on seeded arrivals.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -12,6 +12,7 @@
 
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.policy import compare_policies
 from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
 
 
@@ -72,12 +73,27 @@
         return measure_hop(self.requests, sys.stdout)
 
 
+@cappa.command(name='policy')
+@dataclass
+class PolicyCommand:
+    """Compare dispatch policies on the same arrivals, in one run."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    only: Annotated[str, cappa.Arg(long=True)] = ''
+
+    def __call__(self) -> int:
+        """Print figures for each scenario of both profiles."""
+        return compare_policies(self.seed, self.only, sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
     """Stand-ins, local deployments and measurements."""
 
-    command: cappa.Subcommands[UpstreamCommand | DemoCommand | HopCommand]
+    command: cappa.Subcommands[
+        UpstreamCommand | DemoCommand | HopCommand | PolicyCommand
+    ]
 
 
 async def _run_until_signal(profile: UpstreamProfile) -> None:
--- /dev/null
+++ b/src/ibisjunction/bench/policy.py
@@ -0,0 +1,265 @@
+"""Compares dispatch policies on the same arrivals, in one run."""
+
+import random
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO, Final, Literal
+
+import msgspec
+
+from ibisjunction.bench.demo import read_profile
+from ibisjunction.bench.replay import (
+    UPSTREAM,
+    Arrival,
+    Ended,
+    FirstCome,
+    Phase,
+    Replay,
+    Scheme,
+)
+from ibisjunction.clock import MS_PER_S
+from ibisjunction.dispatch.dispatcher import Dispatcher
+from ibisjunction.dispatch.messages import (
+    GrantsInForce,
+    ResultKind,
+    TicketRequest,
+)
+from ibisjunction.services.collection import parse_collection
+from ibisjunction.services.spec import Rank, ServiceSpec
+
+#: Arrivals last this long; floods reach their steady state within 1 s.
+_DURATION_MS: Final = 8000
+_FAR_FUTURE_MS: Final = 1 << 60
+_UNLIMITED: Final = 1_000_000
+_SHARDS: Final = 64
+_VMS: Final = 10
+#: Spread of the logarithm of the service time: 9 of 10 requests take less
+#: than 1.7 times the median.
+_SPREAD: Final = 0.4
+#: Deadline of a rank that no operation of the service has.
+_TIMEOUT_MS: Final = 5000
+#: Part of the arrivals that the first client sends; five share the rest.
+_HEAVY_PART: Final = 0.5
+_LEVELS: Final = (0, 0, 0, 0, 1, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment, its slots and the service whose files are used."""
+
+    profile: str
+    service: str
+    slots: int
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Load by rank, in parts of the upstream's capacity, and its behaviour.
+
+    ``service_ms`` is the median service time when the upstream is warm.
+    """
+
+    name: str
+    service_ms: int
+    load: dict[Rank, float]
+    behaviour: Literal['steady', 'shedding', 'cold'] = 'steady'
+
+
+class _ScenarioFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    scenarios: list[Scenario]
+
+
+_DEPLOYMENTS: Final = (
+    Deployment('consorcio', 'mail-log', 3),
+    Deployment('guild', 'motions', 4),
+)
+_SCENARIOS_TOML: Final = Path(__file__).with_name('policy.toml')
+
+
+def compare_policies(seed: int, only: str, output: IO[str]) -> int:
+    """Print the figures of each policy in each scenario named like ``only``."""
+    scenarios = msgspec.toml.decode(
+        _SCENARIOS_TOML.read_text(), type=_ScenarioFile
+    )
+    for deployment in _DEPLOYMENTS:
+        for scenario in scenarios.scenarios:
+            if only not in scenario.name:
+                continue
+            output.write(f'{deployment.profile}: {scenario.name}\n')
+            for line in _run_scenario(deployment, scenario, seed):
+                output.write(f'  {line}\n')
+    return 0
+
+
+def _run_scenario(
+    deployment: Deployment,
+    scenario: Scenario,
+    seed: int,
+) -> Iterator[str]:
+    files = read_profile(deployment.profile)
+    spec = parse_collection(
+        {deployment.service: files[f'{deployment.service}.toml']},
+    )[0]
+    phases = _make_phases(scenario, deployment.slots)
+    per_ms = deployment.slots / scenario.service_ms
+    arrivals = make_arrivals(spec, scenario, per_ms, seed)
+    schemes: dict[str, Scheme] = {
+        'first come, no limit': FirstCome(_UNLIMITED),
+        'first come, fixed limit': FirstCome(deployment.slots),
+        'policy': make_dispatcher(spec, deployment.slots),
+    }
+    for name, scheme in schemes.items():
+        ended = Replay(scheme, phases).run(arrivals, 2 * _DURATION_MS)
+        yield _describe(name, spec, ended)
+
+
+def make_dispatcher(spec: ServiceSpec, slots: int) -> Dispatcher:
+    """Return a dispatcher whose grants are in force."""
+    dispatcher = Dispatcher(UPSTREAM, 1, slots)
+    dispatcher.set_ranks(spec.ranks)
+    fences = dict.fromkeys(range(_SHARDS), 1)
+    grants = GrantsInForce(UPSTREAM, 1, fences, _FAR_FUTURE_MS)
+    dispatcher.confirm_grants(grants, 0)
+    return dispatcher
+
+
+def make_arrivals(
+    spec: ServiceSpec,
+    scenario: Scenario,
+    per_ms: float,
+    seed: int,
+) -> list[Arrival]:
+    """Return open-loop arrivals with exponential gaps, in order of time.
+
+    :param per_ms: capacity of the upstream in requests per ms.
+    """
+    source = random.Random(seed)
+    arrivals: list[Arrival] = []
+    for rank, load in scenario.load.items():
+        at_ms = source.expovariate(load * per_ms)
+        while at_ms < _DURATION_MS:
+            number = len(arrivals)
+            arrivals.append(
+                _make_arrival(spec, rank, number, int(at_ms), source),
+            )
+            at_ms += source.expovariate(load * per_ms)
+    return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+
+def _make_arrival(
+    spec: ServiceSpec,
+    rank: Rank,
+    number: int,
+    at_ms: int,
+    source: random.Random,
+) -> Arrival:
+    timeouts = [
+        operation.timeout_ms
+        for operation in spec.operations
+        if operation.rank is rank
+    ]
+    client = 0
+    if source.random() >= _HEAVY_PART:
+        client = source.randrange(1, len(_LEVELS))
+    terms = spec.terms_for(_LEVELS[client])
+    request = TicketRequest(
+        ticket_id=f'request-{number}',
+        upstream=UPSTREAM,
+        service=spec.service,
+        shard=source.randrange(_SHARDS),
+        rank=rank,
+        client=f'client-{client}',
+        weight=terms.weight,
+        max_in_flight=terms.max_in_flight,
+        remaining_ms=min([*timeouts, _TIMEOUT_MS]),
+        idempotent=True,
+    )
+    vm = f'vm-{source.randrange(_VMS)}'
+    return Arrival(at_ms, vm, request, source.lognormvariate(0, _SPREAD))
+
+
+def _make_phases(scenario: Scenario, slots: int) -> list[Phase]:
+    speed_ms = scenario.service_ms
+    start = Phase(0, slots, _UNLIMITED, speed_ms)
+    match scenario.behaviour:
+        case 'shedding':
+            return [
+                start,
+                Phase(_DURATION_MS // 4, slots - 1, slots - 1, speed_ms),
+                Phase(_DURATION_MS // 4 * 3, slots, slots, speed_ms),
+            ]
+        case 'cold':
+            return [
+                Phase(0, 1, 1, speed_ms * 3),
+                Phase(_DURATION_MS // 10, 2, 2, speed_ms * 2),
+                Phase(_DURATION_MS // 5, slots, slots, speed_ms),
+            ]
+        case _:
+            return [start]
+
+
+def _describe(name: str, spec: ServiceSpec, ended: Sequence[Ended]) -> str:
+    good = [item for item in ended if is_on_time(spec, item)]
+    worth = sum(spec.ranks[item.arrival.request.rank].worth for item in good)
+    ranks = '; '.join(_describe_rank(spec, rank, ended) for rank in Rank)
+    return (
+        f'{name:24} {ranks}; worth/s {worth * MS_PER_S / _DURATION_MS:.0f},'
+        f' fairness {_fairness(ended):.2f}'
+    )
+
+
+def _describe_rank(
+    spec: ServiceSpec,
+    rank: Rank,
+    ended: Sequence[Ended],
+) -> str:
+    mine = [item for item in ended if item.arrival.request.rank is rank]
+    good = sum(is_on_time(spec, item) for item in mine)
+    kinds = Counter(item.kind for item in mine)
+    late = kinds[ResultKind.SUCCEEDED] - good
+    parts = [
+        f'{rank.value} on time {_percent(good, len(mine))}',
+        f'late {_percent(late, len(mine))}',
+        f'refused {_percent(kinds[None], len(mine))}',
+        f'shed {kinds[ResultKind.SHED]}',
+        f'of slots {_percent(_used(mine), _used(ended))}',
+    ]
+    return ' '.join(parts)
+
+
+def is_on_time(spec: ServiceSpec, item: Ended) -> bool:
+    """Return whether an answer came within its rank's target."""
+    if item.kind is not ResultKind.SUCCEEDED:
+        return False
+    request = item.arrival.request
+    target_ms = min(spec.ranks[request.rank].target_ms, request.remaining_ms)
+    return item.at_ms - item.arrival.at_ms <= target_ms
+
+
+def _used(ended: Sequence[Ended]) -> float:
+    """Return the work that was run, in median service times."""
+    return sum(
+        item.arrival.work for item in ended if item.kind is ResultKind.SUCCEEDED
+    )
+
+
+def _percent(part: float, whole: float) -> str:
+    return f'{100 * part / whole:.0f}%' if whole else '-'
+
+
+def _fairness(ended: Sequence[Ended]) -> float:
+    """Return Jain's index of answers by weight, in the rank with most load.
+
+    It is 1 if clients are served by their weights, and 1/6 if one of six gets
+    everything.
+    """
+    load = Counter(item.arrival.request.rank for item in ended)
+    rank = load.most_common(1)[0][0]
+    served: defaultdict[str, float] = defaultdict(float)
+    for item in ended:
+        request = item.arrival.request
+        if request.rank is rank and item.kind is ResultKind.SUCCEEDED:
+            served[request.client] += 1 / request.weight
+    squares = sum(count**2 for count in served.values())
+    return sum(served.values()) ** 2 / (len(_LEVELS) * squares)
