Reserve a slot for urgent work on slow upstreams

Cause: where two median service times exceed the urgent target, an urgent request that waits for a deferrable one misses its target. Change: there, while urgent requests arrive, less urgent ranks leave one slot free unless they earned a turn by their min_share.

--- a/src/ibisjunction/bench/policy.py
+++ b/src/ibisjunction/bench/policy.py
@@ -201,12 +201,12 @@
 
 def _describe(name: str, spec: ServiceSpec, ended: Sequence[Ended]) -> str:
     good = [item for item in ended if is_on_time(spec, item)]
-    worth = sum(spec.ranks[item.arrival.request.rank].worth for item in good)
+    ranks_served = [item.arrival.request.rank for item in good]
+    worth = sum(spec.ranks[rank].worth for rank in ranks_served)
+    per_s = worth * MS_PER_S / _DURATION_MS
     ranks = '; '.join(_describe_rank(spec, rank, ended) for rank in Rank)
-    return (
-        f'{name:24} {ranks}; worth/s {worth * MS_PER_S / _DURATION_MS:.0f},'
-        f' fairness {_fairness(ended):.2f}'
-    )
+    fairness = _fairness(ended)
+    return f'{name:24} {ranks}; worth/s {per_s:.0f}, fairness {fairness:.2f}'
 
 
 def _describe_rank(
--- a/src/ibisjunction/dispatch/dispatcher.py
+++ b/src/ibisjunction/dispatch/dispatcher.py
@@ -154,8 +154,13 @@
             _refuse(queued, Reason.QUEUE_FULL)
             for queued in trim_late(self._queue, capacity)
         ]
+        reserved = self._queue.shares.reserved(
+            capacity.limit,
+            capacity.service_ms,
+        )
         while now < self._fences_until_ms and self._has_free_slot(now):
-            queued = self._queue.take(self._tickets.has_most)
+            free = capacity.limit - len(self._tickets)
+            queued = self._queue.take(self._tickets.has_most, free <= reserved)
             if queued is None:
                 break
             effects.append(self._answer(queued, now))
--- a/src/ibisjunction/dispatch/queue.py
+++ b/src/ibisjunction/dispatch/queue.py
@@ -85,10 +85,14 @@
         lane = self._lanes[queued.request.rank]
         lane.late.add(queued, queued.deadline_ms - service_ms)
 
-    def take(self, is_blocked: IsBlocked) -> QueuedRequest | None:
+    def take(
+        self,
+        is_blocked: IsBlocked,
+        is_last: bool = False,
+    ) -> QueuedRequest | None:
         """Remove and return the request whose turn it is."""
         waiting = self.waiting()
-        for rank in self.shares.order(waiting):
+        for rank in self.shares.order(waiting, is_last):
             take_next = partial(self._lanes[rank].take, is_blocked)
             for queued in iter(take_next, None):
                 if queued.request.shard in self._held_shards:
--- a/src/ibisjunction/dispatch/shares.py
+++ b/src/ibisjunction/dispatch/shares.py
@@ -16,6 +16,8 @@
 #: Weight of the newest ticket in the recent share of each rank; the share
 #: follows a change within some tens of tickets.
 _NEWEST: Final = 0.05
+#: A request that waits for a slot takes the time of two.
+_WAIT_AND_RUN: Final = 2
 #: A rank that could not use its turns keeps at most this many.
 _MOST_CREDIT: Final = 2
 
@@ -39,11 +41,32 @@
     credit: dict[Rank, float] = field(default_factory=_make_zeroes)
     recent: dict[Rank, float] = field(default_factory=_make_zeroes)
 
-    def order(self, waiting: Collection[Rank]) -> list[Rank]:
-        """Return the waiting ranks, the one whose turn it is first."""
+    def reserved(self, limit: int, service_ms: int) -> int:
+        """Return how many slots less urgent ranks leave free.
+
+        One, where the upstream is so slow that a request that waits for a slot
+        misses the urgent target, and while urgent requests arrive.
+        """
+        target_ms = self.policies[Rank.URGENT].target_ms
+        is_slow = service_ms * _WAIT_AND_RUN > target_ms
+        is_used = self.recent[Rank.URGENT] > _NEWEST
+        return int(is_slow and is_used and limit > 1)
+
+    def order(
+        self,
+        waiting: Collection[Rank],
+        is_last: bool = False,
+    ) -> list[Rank]:
+        """Return the waiting ranks, the one whose turn it is first.
+
+        If the last slot is reserved (``is_last``), only urgent requests and
+        ranks that earned a turn may go.
+        """
         earned = [rank for rank in waiting if self.credit[rank] >= 1]
         earned.sort(key=self.credit.__getitem__, reverse=True)
         rest = [rank for rank in waiting if rank not in earned]
+        if is_last:
+            rest = [rank for rank in rest if rank is Rank.URGENT]
         return earned + rest
 
     def charge(self, issued: Rank, waiting: Collection[Rank]) -> None:
--- a/tests/test_dispatch_policies.py
+++ b/tests/test_dispatch_policies.py
@@ -87,6 +87,34 @@
         self.assertAlmostEqual(shares.share_of(rank, waiting), expected)
 
 
+class ReserveTest(unittest.TestCase):
+    """Guards against urgent requests that wait for a slow deferrable one."""
+
+    @parameterized.expand(
+        [
+            ('slow', 3, 26, 0.2, 1),
+            ('fast enough', 3, 25, 0.2, 0),
+            ('no urgent work', 3, 26, 0, 0),
+            ('only slot', 1, 26, 0.2, 0),
+        ]
+    )
+    def test_reserved(self, _name, limit, service_ms, recent, expected):
+        shares = RankShares(_POLICIES)
+        shares.recent[Rank.URGENT] = recent
+        self.assertEqual(shares.reserved(limit, service_ms), expected)
+
+    @parameterized.expand(
+        [
+            ('urgent only', 0, [Rank.URGENT]),
+            ('earned turn', 1, [Rank.STANDARD, Rank.URGENT]),
+        ]
+    )
+    def test_last_slot(self, _name, credit, expected):
+        shares = RankShares(_POLICIES)
+        shares.credit[Rank.STANDARD] = credit
+        self.assertEqual(shares.order(tuple(Rank), is_last=True), expected)
+
+
 _AHEAD = QueueAhead(
     is_slot_free=False,
     service_ms=10,
