Record non-idempotent requests before they run, and count crashes

Cause: nothing kept a resent non-idempotent request from running twice, and nothing stopped a request that crashes each upstream that runs it.

Change: the ledger keeps a record per Idempotency-Key on 3 VMs chosen by rendezvous hashing in distinct failure domains; a request runs once 2 of them have it. A holder declines reservations made under another view and counts only after it has pulled the records of its peers; a peer answers a pull only when its copy of the control state has reached the puller's. A resend gets the first's verdict (409), another request under the key 422, and an unreachable record a not-run. Each VM counts lost upstream connections per fingerprint; after 2 a request is refused (422) unless it has finished since.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -30,6 +30,8 @@
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
+from ibisjunction.ledger.messages import Holder
+from ibisjunction.ledger.task import LEDGER_MESSAGES, LedgerTask
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.task import MembershipTask
@@ -62,6 +64,7 @@
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    *LEDGER_MESSAGES,
 )
 
 
@@ -115,6 +118,7 @@
     membership: MembershipTask
     voter: ControlTask | None
     cancellation: CancellationTask
+    ledger: LedgerTask
 
     def with_timer(self) -> list[TimedTask]:
         """Return the tasks that post periodic messages to themselves."""
@@ -122,6 +126,7 @@
             self.membership,
             self.dispatch,
             self.ownership,
+            self.ledger,
         ]
         return timed if self.voter is None else [*timed, self.voter]
 
@@ -151,10 +156,16 @@
     dispatch = DispatchTask(settings.vm, clock, peers)
     ownership = OwnershipTask(settings, clock, dispatch.mailbox, call)
     routing = RoutingTask(settings.vm, clock, peers)
+    ledger = LedgerTask(
+        Holder(settings.vm, incarnation),
+        clock,
+        peers,
+        [routing.mailbox],
+    )
     placement = PlacementTask(client)
     listeners = [
         task.mailbox
-        for task in (admin, dispatch, ownership, routing, placement)
+        for task in (admin, dispatch, ownership, routing, ledger, placement)
     ]
     voter = None
     if settings.is_voter:
@@ -175,6 +186,7 @@
         ),
         voter=voter,
         cancellation=CancellationTask(cancel),
+        ledger=ledger,
     )
 
 
@@ -190,6 +202,7 @@
         tasks.routing.mailbox,
         pool,
         random.Random(seed),
+        tasks.ledger.mailbox,
         tasks.cancellation.mailbox,
     )
 
--- /dev/null
+++ b/src/ibisjunction/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Records of non-idempotent requests, and counts of crashes."""
--- a/src/ibisjunction/routing/attempts.py
+++ b/src/ibisjunction/routing/attempts.py
@@ -103,6 +103,31 @@
     return half_ms
 
 
+def is_upstream_failure(outcome: Outcome) -> bool:
+    """Return whether the outcome speaks against the upstream.
+
+    A caller that left or did not take its answer does not.
+    """
+    match outcome:
+        case Refused(reason=reason):
+            return reason in {Reason.CONNECT_FAILED, Reason.UPSTREAM_SHED}
+        case Failed(reason=Reason.DEADLINE_PASSED, verdict=verdict):
+            return verdict is not Verdict.RAN
+        case Failed(reason=reason):
+            return reason is not Reason.CALLER_GONE
+        case _:
+            return False
+
+
+def is_upstream_lost(outcome: Outcome) -> bool:
+    """Return whether the upstream may have crashed while it ran the request."""
+    match outcome:
+        case Failed(reason=reason):
+            return reason is Reason.CONNECTION_LOST
+        case _:
+            return False
+
+
 def _is_worth(outcome: Outcome, state: AttemptState) -> bool:
     match outcome:
         case Refused(reason=reason):
--- a/src/ibisjunction/routing/body.py
+++ b/src/ibisjunction/routing/body.py
@@ -6,8 +6,9 @@
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.upstreams.messages import BodyChunk, BodyPart
 
-#: A request whose body is longer is not sent a second time.
-COPY_BYTES: Final = CHUNK_BYTES
+#: A request whose body is longer is not sent a second time. The first part of
+#: any body fits.
+COPY_BYTES: Final = 2 * CHUNK_BYTES
 
 
 class CopiedBody:
@@ -35,6 +36,21 @@
         self._position += 1
         return part
 
+    async def peek(self, limit: int) -> bytes:
+        """Return the first bytes, up to ``limit``, and leave the body whole.
+
+        The result does not depend on how the body arrived in parts. The limit
+        must be less than that of the copy minus the largest part.
+        """
+        start = b''
+        while len(start) < limit:
+            part = await self.get()
+            if not isinstance(part, BodyChunk):
+                break
+            start += part.chunk
+        self.rewind()
+        return start[:limit]
+
     def rewind(self) -> None:
         """Start again at the first part; only while ``can_rewind``."""
         self._position = 0
--- /dev/null
+++ b/src/ibisjunction/routing/identity.py
@@ -0,0 +1,63 @@
+"""How a request is told apart from others."""
+
+from typing import Final
+
+import xxhash
+
+from ibisjunction.outcomes import Reason, Refused
+from ibisjunction.routing.model import CallerRequest
+from ibisjunction.services.catalog import RequestHead, RouteMatch
+
+CLIENT_HEADER: Final = 'Ibis-Client'
+KEY_HEADER: Final = 'Idempotency-Key'
+#: Longest accepted Idempotency-Key, in characters.
+_MAX_KEY_LENGTH: Final = 255
+#: Bytes of the body that are part of a fingerprint.
+_FINGERPRINT_BYTES: Final = 1024
+
+
+def read_record_key(
+    head: RequestHead,
+    route: RouteMatch,
+) -> str | Refused | None:
+    """Return the ledger's key of a request, or ``None`` if it has none.
+
+    Keys of different services and clients do not collide.
+    """
+    text = head.headers.get(KEY_HEADER, '')
+    if len(text) > _MAX_KEY_LENGTH:
+        return Refused(
+            Reason.BAD_HEADER,
+            f'{KEY_HEADER}: at most {_MAX_KEY_LENGTH} characters',
+        )
+    if text:
+        client = head.headers.get(CLIENT_HEADER, '')
+        return f'{route.spec.service}/{client}/{text}'
+    if route.operation.idempotent:
+        return None
+    return Refused(Reason.IDEMPOTENCY_KEY_REQUIRED)
+
+
+def make_digest(head: RequestHead) -> str:
+    """Return what has to be equal in two requests with the same key."""
+    return xxhash.xxh3_128_hexdigest(f'{head.method} {head.target}'.encode())
+
+
+async def make_fingerprint(
+    request: CallerRequest,
+    route: RouteMatch,
+    record_key: str | None,
+) -> str:
+    """Return what a request and its resends have in common.
+
+    Without a key this is a hash of service, method, target and the start of
+    the body, for which it waits.
+    """
+    start = b''
+    if request.has_body:
+        start = await request.body.peek(_FINGERPRINT_BYTES)
+    if record_key is not None:
+        return record_key
+    head = request.head
+    text = f'{route.spec.service} {head.method} {head.target} '
+    return xxhash.xxh3_128_hexdigest(text.encode() + start)
--- a/src/ibisjunction/routing/messages.py
+++ b/src/ibisjunction/routing/messages.py
@@ -23,6 +23,7 @@
     """Asks for a ticket of the upstream that owns the request's key."""
 
     ticket_id: str
+    fingerprint: str
     route: RouteMatch
     client: str
     deadline_ms: int
@@ -50,11 +51,13 @@
     """Answers :class:`ObtainTicket`: the request may be sent.
 
     It must be started before ``start_before_ms``, the end of the VM lease.
+    ``is_suspect`` says that an upstream was lost during an earlier run of it.
     """
 
     granted: TicketGranted
     address: Address
     start_before_ms: int
+    is_suspect: bool
 
 
 TicketAnswer = TicketHeld | Refused
--- a/src/ibisjunction/routing/model.py
+++ b/src/ibisjunction/routing/model.py
@@ -55,4 +55,5 @@
     routing: Mailbox[Any]
     pool: ConnectionPool
     random: random.Random
+    ledger: Mailbox[Any]
     cancellations: Mailbox[CancelAtUpstream] = field(default_factory=Mailbox)
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -7,16 +7,24 @@
 from typing import Any, Final
 
 from ibisjunction.clock import in_seconds
+from ibisjunction.ledger.messages import NoteFinished, ReportCrash
 from ibisjunction.mailbox import Mailbox
-from ibisjunction.outcomes import Failed, Outcome, Reason, Refused
+from ibisjunction.outcomes import Answered, Failed, Outcome, Reason, Refused
 from ibisjunction.routing.attempts import (
     AttemptState,
     GiveUp,
     RetryAfter,
     decide_retry,
+    is_upstream_failure,
+    is_upstream_lost,
     limit_attempt,
 )
 from ibisjunction.routing.exchange import build_exchange, perform_exchange
+from ibisjunction.routing.identity import (
+    CLIENT_HEADER,
+    make_fingerprint,
+    read_record_key,
+)
 from ibisjunction.routing.messages import (
     AbandonTicket,
     FindRoute,
@@ -25,11 +33,11 @@
     TicketHeld,
 )
 from ibisjunction.routing.model import CallerRequest, RequestContext
+from ibisjunction.routing.recording import record_request
 from ibisjunction.services.catalog import RequestHead, RouteMatch
 from ibisjunction.upstreams.cancellation import CancelAtUpstream
 from ibisjunction.verdict import Verdict
 
-CLIENT_HEADER: Final = 'Ibis-Client'
 TIMEOUT_HEADER: Final = 'Request-Timeout-Ms'
 
 
@@ -63,26 +71,42 @@
             Reason.BAD_HEADER,
             f'{TIMEOUT_HEADER}: expected a positive number of milliseconds',
         )
+    record_key = read_record_key(request.head, route)
+    if isinstance(record_key, Refused):
+        return record_key
     deadline_ms = context.clock.now() + timeout_ms
-    return await _attempt_repeatedly(
-        _Run(context, request, route, deadline_ms),
-    )
+    try:
+        async with asyncio.timeout(in_seconds(timeout_ms)):
+            fingerprint = await make_fingerprint(request, route, record_key)
+    except TimeoutError:
+        return Refused(Reason.DEADLINE_PASSED, 'no body from the caller')
+    run = _Run(context, request, route, deadline_ms, fingerprint)
+    if record_key is None or route.operation.idempotent:
+        return await _attempt_repeatedly(run)
+    return await _run_recorded(run, record_key)
 
 
 @dataclass(slots=True)
 class _Run:
     """A request on its route, until its deadline.
 
-    ``verdict`` covers the attempts that have ended.
+    ``verdict`` covers the attempts so far, with the current one once its
+    bytes may have been written.
     """
 
     context: RequestContext
     request: CallerRequest
     route: RouteMatch
     deadline_ms: int
+    fingerprint: str
     attempt: int = 0
     verdict: Verdict = Verdict.NOT_RUN
 
+    @property
+    def ticket_id(self) -> str:
+        """The id of the current attempt's ticket."""
+        return f'{self.request.request_id}.{self.attempt}'
+
     @property
     def remaining_ms(self) -> int:
         """Time left until the deadline, at least 0."""
@@ -95,9 +119,26 @@
         return request.body.can_rewind and not request.is_answer_started
 
 
+async def _run_recorded(run: _Run, record_key: str) -> Outcome:
+    """Run a non-idempotent request if its record allows it."""
+    ledger = run.context.ledger
+    async with record_request(ledger, run.request, record_key) as recording:
+        if recording.refusal is not None:
+            return recording.refusal
+        try:
+            recording.outcome = await _attempt_repeatedly(run)
+        finally:
+            # Holds if the caller left before there was an outcome.
+            recording.verdict = run.verdict
+        return recording.outcome
+
+
 async def _attempt_repeatedly(run: _Run) -> Outcome:
     while True:
+        earlier = run.verdict
         outcome = await _attempt(run)
+        run.verdict = earlier.combine(outcome.verdict)
+        _report_crash(run, outcome)
         decision = decide_retry(
             outcome,
             AttemptState(
@@ -106,19 +147,23 @@
                 can_repeat=run.can_repeat,
                 remaining_ms=run.remaining_ms,
                 jitter=run.context.random.random(),
-                earlier=run.verdict,
+                earlier=earlier,
             ),
         )
         match decision:
             case GiveUp(outcome=final):
                 return final
             case RetryAfter(delay_ms=delay_ms):
-                run.verdict = run.verdict.combine(outcome.verdict)
                 run.attempt += 1
                 await asyncio.sleep(in_seconds(delay_ms))
                 run.request.body.rewind()
 
 
+def _report_crash(run: _Run, outcome: Outcome) -> None:
+    if is_upstream_lost(outcome):
+        run.context.ledger.post(ReportCrash(run.fingerprint, run.ticket_id))
+
+
 def _read_timeout(head: RequestHead, route: RouteMatch) -> int | None:
     text = head.headers.get(TIMEOUT_HEADER)
     if text is None:
@@ -130,12 +175,19 @@
 
 async def _attempt(run: _Run) -> Outcome:
     context = run.context
-    ticket_id = f'{run.request.request_id}.{run.attempt}'
+    ticket_id = run.ticket_id
     reply: Mailbox[Any] = Mailbox()
     client = run.request.head.headers.get(CLIENT_HEADER, '')
     async with _ticket(context, ticket_id) as use:
         context.routing.post(
-            ObtainTicket(ticket_id, run.route, client, run.deadline_ms, reply),
+            ObtainTicket(
+                ticket_id,
+                run.fingerprint,
+                run.route,
+                client,
+                run.deadline_ms,
+                reply,
+            ),
         )
         try:
             async with asyncio.timeout(in_seconds(run.remaining_ms)):
@@ -149,10 +201,16 @@
                 use.started_ms = context.clock.now()
                 use.outcome = Failed(Reason.CALLER_GONE)
                 use.outcome = await _send(run, answer)
+                _clear_suspect(run, answer, use.outcome)
                 return use.outcome
     raise AssertionError('a ticket is held or refused')
 
 
+def _clear_suspect(run: _Run, ticket: TicketHeld, outcome: Outcome) -> None:
+    if ticket.is_suspect and isinstance(outcome, Answered):
+        run.context.ledger.post(NoteFinished(run.fingerprint))
+
+
 @dataclass(slots=True)
 class _TicketUse:
     started_ms: int = 0
@@ -175,28 +233,12 @@
             context.routing.post(
                 ReturnTicket(
                     ticket_id,
-                    not _is_upstream_failure(use.outcome),
+                    not is_upstream_failure(use.outcome),
                     context.clock.now() - use.started_ms,
                 ),
             )
 
 
-def _is_upstream_failure(outcome: Outcome) -> bool:
-    """Return whether the outcome speaks against the upstream.
-
-    A caller that left or did not take its answer does not.
-    """
-    match outcome:
-        case Refused(reason=reason):
-            return reason in {Reason.CONNECT_FAILED, Reason.UPSTREAM_SHED}
-        case Failed(reason=Reason.DEADLINE_PASSED, verdict=verdict):
-            return verdict is not Verdict.RAN
-        case Failed(reason=reason):
-            return reason is not Reason.CALLER_GONE
-        case _:
-            return False
-
-
 async def _send(run: _Run, ticket: TicketHeld) -> Outcome:
     idempotent = run.route.operation.idempotent
     limit_ms = limit_attempt(run.remaining_ms, idempotent and run.can_repeat)
@@ -208,6 +250,7 @@
             can_repeat=idempotent,
         ) as connection,
     ):
+        run.verdict = run.verdict.combine(Verdict.MAY_HAVE_RUN)
         connection.mailbox.post(exchange)
         sending.outcome = await perform_exchange(
             run.context,
--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -15,6 +15,7 @@
     TicketRequest,
 )
 from ibisjunction.events import Event, log_event
+from ibisjunction.ledger.messages import CrashSuspects
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
 from ibisjunction.outcomes import Reason, Refused
@@ -40,6 +41,7 @@
 
     vm: str
     upstream: str
+    fingerprint: str
     reply: Mailbox[TicketAnswer]
 
 
@@ -55,6 +57,7 @@
         self._catalog = ServiceCatalog()
         self._lease_until_ms = 0
         self._waiting: dict[str, Waiting] = {}
+        self._suspects = CrashSuspects(frozenset(), frozenset())
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(self.mailbox, TicketGranted, TicketRefused)
 
@@ -80,6 +83,8 @@
                 self._give_back(message)
             case LeaseExtended(until_ms=until_ms):
                 self._lease_until_ms = until_ms
+            case CrashSuspects():
+                self._suspects = message
             case ControlView(state=state):
                 self._follow(state)
 
@@ -93,6 +98,9 @@
         if now >= self._lease_until_ms:
             ask.reply.post(Refused(Reason.NOT_LEASED, self._vm))
             return
+        if ask.fingerprint in self._suspects.blocked:
+            ask.reply.post(Refused(Reason.CRASH_LIMIT))
+            return
         spec = ask.route.spec
         grant = self._state.grant_of(spec.service, ask.route.shard)
         if grant is None or grant.upstream not in self._state.dispatchers:
@@ -104,6 +112,7 @@
         self._waiting[ask.ticket_id] = Waiting(
             dispatcher.vm,
             grant.upstream,
+            ask.fingerprint,
             ask.reply,
         )
         log_event(
@@ -153,6 +162,7 @@
                 granted,
                 parse_address(record.address),
                 self._lease_until_ms,
+                waiting.fingerprint in self._suspects.suspected,
             ),
         )
 
--- a/tests/session.py
+++ b/tests/session.py
@@ -26,6 +26,8 @@
     make_context,
 )
 from ibisjunction.dispatch.task import Tick as DispatchTick
+from ibisjunction.ledger.messages import PullRecords, RecordsPulled
+from ibisjunction.ledger.task import Tick as LedgerTick
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.task import HeartbeatDue
@@ -48,8 +50,8 @@
 from tests.samples import make_settings
 
 _SETTLE_ROUNDS = 60
-#: Heartbeats repeat at each step; they would hide what a session shows.
-_NOT_RECORDED = (Heartbeat, LeaseRenewal)
+#: These repeat at each step; they would hide what a session shows.
+_NOT_RECORDED = (Heartbeat, LeaseRenewal, PullRecords, RecordsPulled)
 
 
 class Recorder:
@@ -228,6 +230,7 @@
             await self.settle()
             tasks.ownership.mailbox.post(RenewalDue())
             tasks.dispatch.mailbox.post(DispatchTick())
+            tasks.ledger.mailbox.post(LedgerTick())
             if tasks.voter is not None:
                 tasks.voter.mailbox.post(ControlTick())
         await self.settle()
