--- a/src/ibisjunction/bench/hop.py
+++ b/src/ibisjunction/bench/hop.py
@@ -122,7 +122,8 @@
         elapsed_us = (time.perf_counter_ns() - started) // _US_PER_NS
         histogram.record_value(elapsed_us)
         failed += not is_whole
-    task.cancel()
+    connection.stop()
+    await task
     return failed
 
 
@@ -132,7 +133,13 @@
     body.post(BodyEnd())
     connection.mailbox.post(
         Exchange(
-            'GET', target, (('Host', 'x'),), _FAR_FUTURE_MS, body, answers
+            'hop',
+            'GET',
+            target,
+            (('Host', 'x'),),
+            _FAR_FUTURE_MS,
+            body,
+            answers,
         ),
     )
     while True:
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -32,6 +32,8 @@
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
+from ibisjunction.ledger.messages import Holder
+from ibisjunction.ledger.task import LEDGER_MESSAGES, LedgerTask
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import (
     FetchReports,
@@ -49,12 +51,14 @@
 from ibisjunction.peers.codec import Codec
 from ibisjunction.peers.link import PeerNetwork, PeerTask
 from ibisjunction.placement.task import PlacementTask
-from ibisjunction.routing.request import RequestContext
+from ibisjunction.routing.model import RequestContext
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
+from ibisjunction.upstreams.cancellation import CancelCaller, CancellationTask
 from ibisjunction.upstreams.grants import GrantConnections
 from ibisjunction.upstreams.pool import ConnectionPool
+from ibisjunction.upstreams.protocol import call_cancel
 
 _logger = logging.getLogger(__name__)
 
@@ -75,6 +79,7 @@
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    *LEDGER_MESSAGES,
     VmReports,
     TicketsHeld,
     UpstreamLost,
@@ -133,6 +138,8 @@
     placement: PlacementTask
     membership: MembershipTask
     voter: ControlTask | None
+    cancellation: CancellationTask
+    ledger: LedgerTask
 
     def with_timer(self) -> list[TimedTask]:
         """Return the tasks that post periodic messages to themselves."""
@@ -140,6 +147,7 @@
             self.membership,
             self.dispatch,
             self.ownership,
+            self.ledger,
         ]
         return timed if self.voter is None else [*timed, self.voter]
 
@@ -152,6 +160,7 @@
             self.admin,
             self.routing,
             self.placement,
+            self.cancellation,
             *self.with_timer(),
         ]
 
@@ -162,6 +171,7 @@
     clock: Clock,
     peers: PeerNetwork,
     call: GrantCaller,
+    cancel: CancelCaller = call_cancel,
 ) -> DaemonTasks:
     """Connect the mailboxes of a daemon's tasks."""
     client = ControlClient(settings, incarnation, peers)
@@ -177,10 +187,16 @@
         grants,
     )
     routing = RoutingTask(settings.vm, clock, peers)
+    ledger = LedgerTask(
+        Holder(settings.vm, incarnation),
+        clock,
+        peers,
+        [routing.mailbox],
+    )
     placement = PlacementTask(settings, clock, peers, client)
     listeners = [
         task.mailbox
-        for task in (admin, dispatch, ownership, routing, placement)
+        for task in (admin, dispatch, ownership, routing, ledger, placement)
     ]
     voter = None
     if settings.is_voter:
@@ -202,6 +218,25 @@
             listeners,
         ),
         voter=voter,
+        cancellation=CancellationTask(cancel),
+        ledger=ledger,
+    )
+
+
+def make_context(
+    tasks: DaemonTasks,
+    clock: Clock,
+    pool: ConnectionPool,
+    seed: int,
+) -> RequestContext:
+    """Return what the tasks of all requests share."""
+    return RequestContext(
+        clock,
+        tasks.routing.mailbox,
+        pool,
+        random.Random(seed),
+        tasks.ledger.mailbox,
+        tasks.cancellation.mailbox,
     )
 
 
@@ -232,13 +267,10 @@
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
         await tasks.client.propose(describe_vm(settings, incarnation))
-        context = RequestContext(
-            clock,
-            tasks.routing.mailbox,
-            pool,
-            random.Random(incarnation),
+        callers = CallerServer(
+            make_context(tasks, clock, pool, incarnation),
+            settings.http,
         )
-        callers = CallerServer(context, settings.http)
         callers.start()
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
         yield Daemon(settings, tasks.admin, callers)
--- a/tests/session.py
+++ b/tests/session.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import itertools
-import random
 
 import msgspec
 
@@ -24,20 +23,21 @@
     PEER_MESSAGES,
     build_tasks,
     describe_vm,
+    make_context,
 )
 from ibisjunction.dispatch.messages import UpstreamSpeed
 from ibisjunction.dispatch.task import Tick as DispatchTick
+from ibisjunction.ledger.messages import PullRecords, RecordsPulled
+from ibisjunction.ledger.task import Tick as LedgerTick
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.task import HeartbeatDue
 from ibisjunction.ownership.task import RenewalDue
 from ibisjunction.peers.codec import Codec
 from ibisjunction.peers.link import Received
-from ibisjunction.routing.request import (
-    CallerRequest,
-    RequestContext,
-    route_request,
-)
+from ibisjunction.routing.body import CopiedBody
+from ibisjunction.routing.model import CallerRequest
+from ibisjunction.routing.request import route_request
 from ibisjunction.services import RequestHead
 from ibisjunction.upstreams.messages import (
     AnswerChunk,
@@ -55,7 +55,13 @@
 
 _SETTLE_ROUNDS = 60
 #: These repeat without change; they would hide what a session shows.
-_NOT_RECORDED = (Heartbeat, LeaseRenewal, UpstreamSpeed)
+_NOT_RECORDED = (
+    Heartbeat,
+    LeaseRenewal,
+    PullRecords,
+    RecordsPulled,
+    UpstreamSpeed,
+)
 
 
 class Recorder:
@@ -136,6 +142,9 @@
             self._recorder.write(address, call.vm, answer)
         return answer
 
+    async def cancel(self, address, request_id, _timeout_ms) -> None:
+        self._recorder.lines.append(f'cancel {request_id} -> {address}')
+
     async def replay(self, address) -> None:
         """Deliver the last call again, as a broken connection may do."""
         await self.call(address, self._delivered[address], 0)
@@ -152,7 +161,7 @@
         return content != last
 
     @contextlib.asynccontextmanager
-    async def borrow(self, address):
+    async def borrow(self, address, *, can_repeat=True):
         connection = _SessionConnection(self._recorder, str(address), self)
         async with run_task(connection.run(), 'connection'):
             yield connection
@@ -229,6 +238,7 @@
                 self.clock,
                 self.networks[vm],
                 self.upstreams.call,
+                self.upstreams.cancel,
             )
             for vm in vms
         }
@@ -280,6 +290,7 @@
             await self.settle()
             tasks.ownership.mailbox.post(RenewalDue())
             tasks.dispatch.mailbox.post(DispatchTick())
+            tasks.ledger.mailbox.post(LedgerTick())
             if tasks.voter is not None:
                 tasks.voter.mailbox.post(ControlTick())
         await self.settle()
@@ -308,15 +319,10 @@
             head=RequestHead(method, target, dict(headers)),
             headers=tuple(headers),
             has_body=bool(body),
-            body=mailbox,
+            body=CopiedBody(mailbox),
             caller=SessionCaller(self.recorder),
         )
-        context = RequestContext(
-            self.clock,
-            self.tasks[vm].routing.mailbox,
-            self.upstreams,
-            random.Random(1),
-        )
+        context = make_context(self.tasks[vm], self.clock, self.upstreams, 1)
         outcome = await route_request(context, request)
         await self.settle()
         self.recorder.note(f'{request_id}: {outcome}')
