--- a/src/ibisjunction/ledger/completeness.py
+++ b/src/ibisjunction/ledger/completeness.py
@@ -79,6 +79,9 @@
         if self._complete_for is before and _only_grew(before, self.vms):
             self._complete_for = self.vms
             return
+        # A round that goes on after this VM was removed would judge VMs that
+        # the control state no longer lists.
+        self._progress = None
         if self.holder in _holders_of(self.vms):
             self._start_round(now)
 
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -4,6 +4,7 @@
 test without an entry and on an entry whose test passes or does not exist.
 """
 
+import logging
 import re
 import sys
 import unittest
@@ -62,6 +63,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run the tests, all or those named, and return the exit code."""
+    # Without a handler, logging would print warnings between the results.
+    logging.getLogger('ibisjunction').addHandler(logging.NullHandler())
     loader = unittest.TestLoader()
     if arguments:
         suite = loader.loadTestsFromNames(arguments)
