Add voters to the control state and keep 1,000 publications

Change: the last 1,000 publications are kept; ChangeVoters and NoOperation are commands of the log. protocol.py holds the messages between replicas. Result: a test publishes 1,100 times and finds 1,000 kept; a publication sent again after that is refused for its old base and changes nothing.

--- a/src/ibisjunction/control/codec.py
+++ b/src/ibisjunction/control/codec.py
@@ -4,11 +4,15 @@
 
 import msgspec
 
-from ibisjunction.control.commands import Command
+from ibisjunction.control.commands import Command, NoOperation
+from ibisjunction.control.protocol import (
+    Message,
+)
 from ibisjunction.control.state import ControlState
 from ibisjunction.peers.codec import Codec, CodecError
 
 _commands: Final = Codec(get_args(Command))
+_messages: Final = Codec(get_args(Message))
 
 
 def encode_command(command: Command) -> bytes:
@@ -17,11 +21,24 @@
 
 
 def decode_command(encoded: bytes) -> Any:
-    """Return the command that the bytes hold.
+    """Return the command that the bytes hold; no bytes are no operation.
 
     :raises CodecError: if they hold none.
     """
-    return _commands.decode(encoded)
+    return _commands.decode(encoded) if encoded else NoOperation()
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of a message between replicas."""
+    return _messages.encode(message)
+
+
+def decode_message(encoded: bytes) -> Any:
+    """Return the message between replicas that the bytes hold.
+
+    :raises CodecError: if they hold none.
+    """
+    return _messages.decode(encoded)
 
 
 def encode_state(state: ControlState) -> bytes:
--- a/src/ibisjunction/control/commands.py
+++ b/src/ibisjunction/control/commands.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ibisjunction.control.records import UpstreamRecord, VmRecord
+from ibisjunction.control.records import UpstreamRecord, VmRecord, VoterRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +88,18 @@
     files: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeVoters:
+    """Replaces the voters; the new ones differ by one voter."""
+
+    voters: tuple[VoterRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NoOperation:
+    """Changes nothing; the first entry of each leader."""
+
+
 Command = (
     RegisterVm
     | RemoveVm
@@ -99,6 +111,8 @@
     | BeginMove
     | CompleteMove
     | PublishRevision
+    | ChangeVoters
+    | NoOperation
 )
 
 
--- /dev/null
+++ b/src/ibisjunction/control/protocol.py
@@ -0,0 +1,101 @@
+"""The entries of the log and the messages between replicas.
+
+Times are in milliseconds on the clock of the replica that names them.
+"""
+
+from dataclasses import dataclass
+
+from ibisjunction.control.records import VoterRecord
+
+Voters = tuple[VoterRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One entry of the log.
+
+    ``voters`` is set on entries that change the voters; such an entry takes
+    effect as soon as it is in the log. An entry without a command begins the
+    term of a leader.
+    """
+
+    term: int
+    proposal_id: str = ''
+    command: bytes = b''
+    voters: Voters | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The applied state after ``index``; ``machine`` is its encoding."""
+
+    index: int
+    term: int
+    voters: Voters
+    machine: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RequestVote:
+    """Asks for a vote; a trial changes no term (pre-vote)."""
+
+    term: int
+    is_trial: bool
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True)
+class VoteAnswer:
+    """Answers :class:`RequestVote`.
+
+    ``term`` is the requested term if granted, else the voter's own.
+    """
+
+    term: int
+    is_trial: bool
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendEntries:
+    """Replicates entries that follow ``previous_index``; also a heartbeat.
+
+    An index of 0 precedes every log.
+    """
+
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    sent_at: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendAnswer:
+    """Answers :class:`AppendEntries` and :class:`InstallSnapshot`.
+
+    If ``is_match``, all entries up to ``index`` are durable and equal to the
+    leader's; if not, ``index`` is where the leader should try next.
+    ``sent_at`` is copied from the leader's message.
+    """
+
+    term: int
+    sent_at: int
+    is_match: bool
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class InstallSnapshot:
+    """Brings up a follower that needs entries the leader no longer has."""
+
+    term: int
+    sent_at: int
+    snapshot: Snapshot
+
+
+Message = (
+    RequestVote | VoteAnswer | AppendEntries | AppendAnswer | InstallSnapshot
+)
--- a/src/ibisjunction/control/records.py
+++ b/src/ibisjunction/control/records.py
@@ -69,3 +69,16 @@
 
     publication_id: str
     revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class VoterRecord:
+    """A replica of the control log that votes.
+
+    ``node`` names the replica's disk, so a VM that lost its disk is another
+    replica. ``peer`` is the ``host:port`` of the VM.
+    """
+
+    node: str
+    vm: str
+    peer: str
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -1,7 +1,8 @@
 """The control state and the rule by which each command changes it."""
 
+import itertools
 from dataclasses import dataclass, field, replace
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from ibisjunction.control.commands import (
     Accepted,
@@ -9,6 +10,7 @@
     AssignDispatcher,
     AssignShards,
     BeginMove,
+    ChangeVoters,
     Command,
     CommandOutcome,
     CompleteMove,
@@ -25,10 +27,14 @@
     Publication,
     UpstreamRecord,
     VmRecord,
+    VoterRecord,
 )
 
 _Key = TypeVar('_Key')
 _Item = TypeVar('_Item')
+#: A publication that is sent again later than this many publications after
+#: its first outcome is taken for a new one, and refused for its old base.
+_PUBLICATIONS_KEPT: Final = 1000
 
 
 @dataclass(frozen=True)
@@ -36,7 +42,9 @@
     """All state that the control log yields; never changed in place.
 
     ``grants`` is keyed by service and shard. ``last_fence`` and ``last_epoch``
-    only grow, so no fence or epoch is issued twice.
+    only grow, so no fence or epoch is issued twice. ``publications`` holds the
+    last ones only, in their order. ``voters`` is empty while they are those of
+    the settings.
     """
 
     vms: dict[str, VmRecord] = field(default_factory=dict)
@@ -48,6 +56,7 @@
     revision: int = 0
     last_fence: int = 0
     last_epoch: int = 0
+    voters: tuple[VoterRecord, ...] = ()
 
     def grant_of(self, service: str, shard: int) -> Grant | None:
         """Return the grant of a shard, or ``None`` if it has no owner."""
@@ -78,14 +87,13 @@
             return _apply_upstream(state, command)
         case AssignDispatcher():
             return _assign_dispatcher(state, command)
-        case AssignShards():
-            return _assign_shards(state, command)
-        case BeginMove():
-            return _begin_move(state, command)
-        case CompleteMove():
-            return _complete_move(state, command)
+        case AssignShards() | BeginMove() | CompleteMove():
+            return _apply_grant(state, command)
         case PublishRevision():
             return _publish(state, command)
+        case ChangeVoters(voters=voters):
+            state = replace(state, voters=voters)
+    return state, Accepted()
 
 
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
@@ -157,6 +165,19 @@
     )
 
 
+def _apply_grant(
+    state: ControlState,
+    command: AssignShards | BeginMove | CompleteMove,
+) -> Applied:
+    match command:
+        case AssignShards():
+            return _assign_shards(state, command)
+        case BeginMove():
+            return _begin_move(state, command)
+        case CompleteMove():
+            return _complete_move(state, command)
+
+
 def _assign_shards(state: ControlState, command: AssignShards) -> Applied:
     if command.upstream not in state.upstreams:
         return state, Rejected(f'upstream {command.upstream} is not known')
@@ -212,10 +233,10 @@
             state,
             files=dict(command.files),
             revision=revision,
-            publications={
-                **state.publications,
-                command.publication_id: publication,
-            },
+            publications=_keep_last(
+                {**state.publications, command.publication_id: publication},
+                _PUBLICATIONS_KEPT,
+            ),
         ),
         Accepted(revision),
     )
@@ -231,3 +252,8 @@
     key: _Key,
 ) -> dict[_Key, _Item]:
     return {name: item for name, item in items.items() if name != key}
+
+
+def _keep_last(items: dict[_Key, _Item], count: int) -> dict[_Key, _Item]:
+    surplus = max(0, len(items) - count)
+    return dict(itertools.islice(items.items(), surplus, None))
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -96,6 +96,19 @@
         self.assertEqual(outcome, Accepted(1))
         self.assertEqual(after.files, {'a': '2'})
 
+    def test_last_publications_are_kept(self):
+        """The state must not grow with the number of publications."""
+        commands = [
+            PublishRevision(number, f'p-{number}', {}) for number in range(1100)
+        ]
+        state = _apply_all(*commands)
+        self.assertEqual(len(state.publications), 1000)
+        after, outcome = apply_command(state, commands[100])
+        self.assertEqual((after, outcome), (state, Accepted(101)))
+        after, outcome = apply_command(state, commands[99])
+        self.assertEqual(after, state)
+        self.assertIsInstance(outcome, Rejected)
+
 
 _upstreams = st.sampled_from(['up-1', 'up-2', 'up-3'])
 _shards = st.integers(0, 3)
