--- /dev/null
+++ b/src/ibisjunction/control/frames.py
@@ -0,0 +1,105 @@
+"""Framing of the records in the files of the control log.
+
+A frame is a header of 12 bytes and a payload. The header holds the payload's
+length, the payload's CRC32C and the CRC32C of these two, each as 32 bits in
+little-endian order. The header has its own checksum because a damaged length
+would otherwise make all that follows look like one unfinished record.
+"""
+
+import struct
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+from crc32c import crc32c
+
+_FIELDS: Final = struct.Struct('<II')
+_CHECKSUM: Final = struct.Struct('<I')
+HEADER_BYTES: Final = _FIELDS.size + _CHECKSUM.size
+
+
+class StorageError(Exception):
+    """Files of the control log can't be used."""
+
+    def __init__(self, path: Path, detail: str) -> None:
+        """Name the file."""
+        super().__init__(f'{path}: {detail}')
+
+
+class CorruptFileError(StorageError):
+    """A file holds damaged data that was durable once."""
+
+    def __init__(self, path: Path, offset: int, detail: str) -> None:
+        """Name the file and the offset of the damaged record."""
+        super().__init__(
+            path,
+            f'corrupt record at offset {offset}: {detail}; this disk can no'
+            ' longer be trusted, replace this voter as one that lost its disk',
+        )
+        self.offset = offset
+
+
+def make_frame(payload: bytes) -> bytes:
+    """Return a payload with its header."""
+    fields = _FIELDS.pack(len(payload), crc32c(payload))
+    return fields + _CHECKSUM.pack(crc32c(fields)) + payload
+
+
+def read_frames(path: Path, data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield the offset after each frame, and its payload.
+
+    Stops at a last frame that was not written completely.
+
+    :raises CorruptFileError: at damage that an unfinished write can't explain.
+    """
+    offset = 0
+    while offset < len(data):
+        payload = _read_frame(data, offset)
+        if payload is None:
+            _check_torn(path, data, offset)
+            return
+        offset += HEADER_BYTES + len(payload)
+        yield offset, payload
+
+
+def _read_frame(data: bytes, offset: int) -> bytes | None:
+    length = _read_length(data, offset)
+    if length is None:
+        return None
+    start = offset + HEADER_BYTES
+    payload = data[start : start + length]
+    checksum = _FIELDS.unpack_from(data, offset)[1]
+    if len(payload) < length or crc32c(payload) != checksum:
+        return None
+    return payload
+
+
+def _read_length(data: bytes, offset: int) -> int | None:
+    """Return the payload's length if the header is whole."""
+    if offset + HEADER_BYTES > len(data):
+        return None
+    fields = data[offset : offset + _FIELDS.size]
+    checksum = _CHECKSUM.unpack_from(data, offset + _FIELDS.size)[0]
+    if crc32c(fields) != checksum:
+        return None
+    length: int = _FIELDS.unpack(fields)[0]
+    return length
+
+
+def _check_torn(path: Path, data: bytes, offset: int) -> None:
+    """Raise unless the frame at an offset is the last and unfinished.
+
+    Frames are written one after the other, each only once the one before is
+    durable. So data after a damaged frame means that it was whole before.
+    """
+    if offset == 0:
+        # The first frame is synced before the file gets its name.
+        raise CorruptFileError(path, offset, 'the first record is damaged')
+    length = _read_length(data, offset)
+    if length is not None:
+        if offset + HEADER_BYTES + length < len(data):
+            raise CorruptFileError(path, offset, 'checksum does not match')
+        return
+    following = range(offset + 1, len(data))
+    if any(_read_frame(data, later) is not None for later in following):
+        raise CorruptFileError(path, offset, 'header does not match')
