--- a/src/ibisjunction/admin/model.py
+++ b/src/ibisjunction/admin/model.py
@@ -17,6 +17,21 @@
     revision: int
 
 
+class ChangeVotersRequest(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """Body of ``POST /v1/voters``: the disk to add or to remove.
+
+    ``peer`` is the ``host:port`` of the VM of a disk to add.
+    """
+
+    add: str | None = None
+    remove: str | None = None
+    peer: str = ''
+
+
 class ErrorAnswer(msgspec.Struct, frozen=True):
     """Why a call had no effect, and what to do next."""
 
@@ -40,6 +55,8 @@
     vm: str
     ready: bool
     revision: int
+    leader: str | None
+    voters: list[str]
     index: int
     vms: list[str]
     upstreams: list[GrantStatus]
--- a/src/ibisjunction/admin/server.py
+++ b/src/ibisjunction/admin/server.py
@@ -10,6 +10,7 @@
 from tornado.web import Application, HTTPError, RequestHandler
 
 from ibisjunction.admin.model import (
+    ChangeVotersRequest,
     ErrorAnswer,
     PublishAnswer,
     PublishRequest,
@@ -19,16 +20,19 @@
 from ibisjunction.control.commands import (
     Accepted,
     AnnounceUpstream,
+    ChangeVoters,
     Command,
     DrainUpstream,
     PublishRevision,
     Rejected,
 )
-from ibisjunction.control.records import UpstreamRecord
+from ibisjunction.control.records import UpstreamRecord, VoterRecord
+from ibisjunction.control.voters import describe_voters
 from ibisjunction.events import Event, log_event
 from ibisjunction.services.collection import parse_collection
 from ibisjunction.services.model import ServiceFileError
 from ibisjunction.settings import Settings
+from ibisjunction.settings.loader import is_address
 from ibisjunction.upstreams.protocol import Announcement
 
 _logger = logging.getLogger(__name__)
@@ -143,6 +147,29 @@
         self.answer(PublishAnswer(outcome.revision))
 
 
+class _VotersHandler(_ApiHandler):
+    async def post(self) -> None:
+        self.check_token(self.context.settings.operator_token)
+        change = self.read_body(ChangeVotersRequest)
+        voters = {voter.node: voter for voter in self._list_voters()}
+        if change.remove is not None:
+            voters.pop(change.remove, None)
+        if change.add is not None:
+            if not is_address(change.peer):
+                raise HTTPError(
+                    HTTPStatus.BAD_REQUEST,
+                    reason='peer: expected "IP number:port"',
+                )
+            vm = change.add.partition('/')[0]
+            voters[change.add] = VoterRecord(change.add, vm, change.peer)
+        await self.propose(ChangeVoters(tuple(voters.values())))
+        self.set_status(HTTPStatus.NO_CONTENT)
+
+    def _list_voters(self) -> tuple[VoterRecord, ...]:
+        changed = self.context.task.list_voters()
+        return changed or describe_voters(self.context.settings)
+
+
 class _UpstreamsHandler(_ApiHandler):
     async def post(self) -> None:
         self.check_token(self.context.settings.upstream_token)
@@ -177,6 +204,7 @@
                 ('/ready', _ReadyHandler, shared),
                 ('/v1/status', _StatusHandler, shared),
                 ('/v1/revisions', _RevisionsHandler, shared),
+                ('/v1/voters', _VotersHandler, shared),
                 ('/v1/upstreams', _UpstreamsHandler, shared),
                 ('/v1/upstreams/([^/]+)/drain', _DrainHandler, shared),
             ],
--- a/src/ibisjunction/admin/task.py
+++ b/src/ibisjunction/admin/task.py
@@ -5,8 +5,8 @@
 
 from ibisjunction.admin.model import GrantStatus, StatusAnswer
 from ibisjunction.clock import Clock
-from ibisjunction.control.messages import ControlView
-from ibisjunction.control.records import UpstreamRecord
+from ibisjunction.control.messages import ControlView, LeaderKnown
+from ibisjunction.control.records import UpstreamRecord, VoterRecord
 from ibisjunction.control.state import ControlState
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
@@ -21,6 +21,7 @@
         self._clock = clock
         self._view = ControlView(0, ControlState())
         self._lease_until_ms = 0
+        self._leader: str | None = None
         self.is_draining = False
         self.mailbox: Mailbox[Any] = Mailbox()
 
@@ -32,6 +33,8 @@
                     self._view = view
                 case LeaseExtended(until_ms=until_ms):
                     self._lease_until_ms = until_ms
+                case LeaderKnown(vm=leader):
+                    self._leader = leader
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests to this VM."""
@@ -43,6 +46,10 @@
         known = self._view.state.upstreams.get(record.upstream)
         return known is not None and replace(known, draining=False) == record
 
+    def list_voters(self) -> tuple[VoterRecord, ...]:
+        """Return the voters, or nothing while the settings name them."""
+        return self._view.state.voters
+
     def report_status(self) -> StatusAnswer:
         """Return the state as this daemon sees it."""
         state = self._view.state
@@ -50,6 +57,8 @@
             vm=self._vm,
             ready=self.is_ready(),
             revision=state.revision,
+            leader=self._leader,
+            voters=[voter.node for voter in state.voters],
             index=self._view.index,
             vms=sorted(state.vms),
             upstreams=[
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -7,11 +7,14 @@
 import sys
 import tempfile
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from itertools import repeat
 from pathlib import Path
 from typing import Final
 
-_VOTERS: Final = 5
+_MAX_VOTERS: Final = 5
+_INITIALISE: Final = '--initialise'
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -33,17 +36,40 @@
 
     folder: Path
     vms: list[VmAddresses]
+    voter_count: int = _MAX_VOTERS
     processes: dict[str, 'subprocess.Popen[bytes]'] = field(
         default_factory=dict,
     )
 
     def start_vm(self, vm: str) -> None:
         """Start the daemon of a VM."""
-        settings = self.folder / f'{vm}.toml'
-        self._start(
-            vm,
-            [sys.executable, '-m', 'ibisjunction.daemon', str(settings)],
-        )
+        self._start(vm, self._daemon_command(vm))
+
+    def create_identity(self, vm: str, option: str) -> str:
+        """Create a disk identity with ``--initialise`` or ``--join``.
+
+        :return: the name of the disk.
+        """
+        command = [*self._daemon_command(vm), option]
+        finished = subprocess.run(command, capture_output=True, check=True)
+        return finished.stdout.decode().strip()
+
+    def initialise_voters(self) -> None:
+        """Create the disk identities of the voters of a new deployment."""
+        voters = [vm.vm for vm in self.vms[: self.voter_count]]
+        with ThreadPoolExecutor(len(voters)) as pool:
+            list(pool.map(self.create_identity, voters, repeat(_INITIALISE)))
+
+    def kill(self, name: str) -> None:
+        """End one process of this deployment without notice."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+    def data_folder(self, vm: str) -> Path:
+        """Return the data folder of a VM."""
+        return self.folder / vm
 
     def start_upstream(self, name: str, *arguments: str) -> None:
         """Start a stand-in for an upstream."""
@@ -75,6 +101,10 @@
             name: _wait(process) for name, process in self.processes.items()
         }
 
+    def _daemon_command(self, vm: str) -> list[str]:
+        settings = self.folder / f'{vm}.toml'
+        return [sys.executable, '-m', 'ibisjunction.daemon', str(settings)]
+
     def _start(self, name: str, command: list[str]) -> None:
         log_file = self.folder / f'{name}.log'
         with log_file.open('ab') as log:
@@ -94,11 +124,14 @@
 
 
 @contextlib.contextmanager
-def run_deployment(vm_count: int) -> Iterator[Deployment]:
+def run_deployment(
+    vm_count: int,
+    voter_count: int = _MAX_VOTERS,
+) -> Iterator[Deployment]:
     """Start daemons for the duration of the block.
 
-    The first VMs, five at most, hold replicas of the control log. Failure
-    domains are assigned in turn.
+    The first VMs, ``voter_count`` at most, hold replicas of the control log.
+    Failure domains are assigned in turn.
     """
     with tempfile.TemporaryDirectory(prefix='ibisjunction-') as name:
         folder = Path(name)
@@ -106,10 +139,12 @@
             VmAddresses(f'vm-{number}', *_find_addresses(3))
             for number in range(1, vm_count + 1)
         ]
-        deployment = Deployment(folder, vms)
+        deployment = Deployment(folder, vms, min(voter_count, vm_count))
+        voters = vms[: deployment.voter_count]
         for number, vm in enumerate(vms):
-            text = _format_settings(vm, f'fd-{number % 4 + 1}', vms, folder)
+            text = _format_settings(vm, f'fd-{number % 4 + 1}', voters, folder)
             (folder / f'{vm.vm}.toml').write_text(text)
+        deployment.initialise_voters()
         try:
             for vm in vms:
                 deployment.start_vm(vm.vm)
@@ -135,7 +170,7 @@
 def _format_settings(
     vm: VmAddresses,
     failure_domain: str,
-    vms: list[VmAddresses],
+    voters: list[VmAddresses],
     folder: Path,
 ) -> str:
     lines = [
@@ -152,7 +187,7 @@
         'key_id = "k1"',
         'secret = "a-shared-key-for-local-use"',
     ]
-    for voter in vms[:_VOTERS]:
+    for voter in voters:
         lines += [
             '[[voters]]',
             f'vm = "{voter.vm}"',
--- /dev/null
+++ b/src/ibisjunction/control/audience.py
@@ -0,0 +1,101 @@
+"""What a leader sends to the daemons that copy its state."""
+
+from typing import Final
+
+from ibisjunction.control.codec import encode_state
+from ibisjunction.control.history import History
+from ibisjunction.control.messages import (
+    CommittedEntries,
+    LiveVms,
+    StateSnapshot,
+)
+from ibisjunction.control.protocol import Entry
+from ibisjunction.control.state import ControlState
+from ibisjunction.membership.leases import LeaseTable
+from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.peers.link import PeerNetwork
+from ibisjunction.settings import TimingSettings
+
+#: Entries sent to a daemon at a time; one further behind gets the state.
+_MAX_ENTRIES: Final = 512
+
+
+class Audience:
+    """The daemons that a leader hears from, with their leases."""
+
+    def __init__(
+        self,
+        peers: PeerNetwork,
+        timing: TimingSettings,
+        now: int,
+    ) -> None:
+        """Start with no daemon."""
+        self._peers = peers
+        self._timing = timing
+        self.reset(now)
+        self._encoded: StateSnapshot | None = None
+
+    def reset(self, now: int) -> None:
+        """Forget all reports; leases of an earlier leader may still run."""
+        self._leases = LeaseTable(
+            self._timing.vm_lease_ms,
+            self._timing.clock_error,
+            now,
+        )
+
+    def push(self, first_index: int, entries: tuple[Entry, ...]) -> None:
+        """Send committed entries to all daemons that reported."""
+        message = CommittedEntries(
+            first_index,
+            [entry.command for entry in entries],
+        )
+        for vm in self._leases.reports:
+            self._peers.send(vm, message)
+
+    def renew(
+        self,
+        heartbeat: Heartbeat,
+        now: int,
+        term: int,
+        committed: int,
+    ) -> None:
+        """Renew the lease of a daemon."""
+        renewal = self._leases.accept(heartbeat, now, term, committed)
+        self._peers.send(heartbeat.vm, renewal)
+
+    def send_missing(
+        self,
+        heartbeat: Heartbeat,
+        history: History,
+        committed: int,
+        state: ControlState,
+    ) -> None:
+        """Send a daemon what it has not applied yet."""
+        applied = heartbeat.applied_index
+        if applied >= committed:
+            return
+        is_near = committed - applied <= _MAX_ENTRIES
+        if applied and applied >= history.base_index and is_near:
+            entries = history.read(applied + 1, committed)
+            commands = [entry.command for entry in entries]
+            self._peers.send(
+                heartbeat.vm,
+                CommittedEntries(applied + 1, commands),
+            )
+        else:
+            self._peers.send(heartbeat.vm, self._encode(committed, state))
+
+    def report(self, now: int) -> LiveVms:
+        """Return the VMs whose lease may still run."""
+        return LiveVms(
+            self._leases.live_vms(now),
+            self._leases.is_settled(now),
+        )
+
+    def _encode(self, committed: int, state: ControlState) -> StateSnapshot:
+        """Return the encoded state, which many daemons may ask for."""
+        encoded = self._encoded
+        if encoded is None or encoded.index != committed:
+            encoded = StateSnapshot(committed, encode_state(state))
+            self._encoded = encoded
+        return encoded
--- a/src/ibisjunction/control/client.py
+++ b/src/ibisjunction/control/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from dataclasses import dataclass
 from typing import Any, Final
 
 from ibisjunction.clock import in_seconds
@@ -12,7 +13,11 @@
     CommandOutcome,
     Rejected,
 )
-from ibisjunction.control.messages import ProposalResult, ProposeCommand
+from ibisjunction.control.messages import (
+    LeaderKnown,
+    ProposalResult,
+    ProposeCommand,
+)
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
@@ -22,6 +27,12 @@
 _ATTEMPTS: Final = 10
 
 
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    proposal: ProposeCommand
+    waiter: 'asyncio.Future[CommandOutcome]'
+
+
 class ControlClient:
     """Sends proposals and matches their results.
 
@@ -36,47 +47,62 @@
         peers: PeerNetwork,
     ) -> None:
         """Subscribe to results."""
-        self._settings = settings
         self._peers = peers
         self._prefix = f'{settings.vm}-{incarnation}'
         self._numbers = itertools.count(1)
-        self._waiting: dict[str, asyncio.Future[CommandOutcome]] = {}
+        self._waiting: dict[str, _Pending] = {}
+        self._targets = tuple(voter.vm for voter in settings.voters)
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(self.mailbox, ProposalResult)
 
     async def run(self) -> None:
         """Match results to proposals until cancelled."""
         while True:
-            received: Received = await self.mailbox.get()
-            outcome = received.message
-            waiter = self._waiting.get(outcome.proposal_id)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(_to_outcome(outcome))
+            match await self.mailbox.get():
+                case Received(message=ProposalResult() as outcome):
+                    self._finish(outcome)
+                case LeaderKnown() as known:
+                    self._follow(known)
 
     async def propose(self, command: Command) -> CommandOutcome | None:
         """Commit a command; ``None`` means that the outcome is unknown."""
         proposal_id = f'{self._prefix}-{next(self._numbers)}'
         proposal = ProposeCommand(proposal_id, encode_command(command))
         waiter = asyncio.get_running_loop().create_future()
-        self._waiting[proposal_id] = waiter
+        pending = _Pending(proposal, waiter)
+        self._waiting[proposal_id] = pending
         try:
-            return await self._repeat(proposal, waiter)
+            return await self._repeat(pending)
         finally:
             self._waiting.pop(proposal_id)
 
-    async def _repeat(
-        self,
-        proposal: ProposeCommand,
-        waiter: 'asyncio.Future[CommandOutcome]',
-    ) -> CommandOutcome | None:
+    async def _repeat(self, pending: _Pending) -> CommandOutcome | None:
         for _attempt in range(_ATTEMPTS):
-            for voter in self._settings.voters:
-                self._peers.send(voter.vm, proposal)
-            await asyncio.wait({waiter}, timeout=in_seconds(_ATTEMPT_MS))
-            if waiter.done():
-                return waiter.result()
+            self._send(pending.proposal)
+            await asyncio.wait(
+                {pending.waiter},
+                timeout=in_seconds(_ATTEMPT_MS),
+            )
+            if pending.waiter.done():
+                return pending.waiter.result()
         return None
 
+    def _send(self, proposal: ProposeCommand) -> None:
+        for vm in self._targets:
+            self._peers.send(vm, proposal)
+
+    def _finish(self, outcome: ProposalResult) -> None:
+        pending = self._waiting.get(outcome.proposal_id)
+        if pending is not None and not pending.waiter.done():
+            pending.waiter.set_result(_to_outcome(outcome))
+
+    def _follow(self, known: LeaderKnown) -> None:
+        """Send what waits to a new leader at once."""
+        self._targets = known.voters if known.vm is None else (known.vm,)
+        if known.vm is not None:
+            for pending in self._waiting.values():
+                self._send(pending.proposal)
+
 
 def _to_outcome(outcome: ProposalResult) -> CommandOutcome:
     if outcome.accepted:
--- /dev/null
+++ b/src/ibisjunction/control/machine.py
@@ -0,0 +1,80 @@
+"""What the committed entries of the log yield on a replica."""
+
+import itertools
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from ibisjunction.control.codec import decode_command
+from ibisjunction.control.commands import Accepted, CommandOutcome, Rejected
+from ibisjunction.control.messages import ProposalResult
+from ibisjunction.control.protocol import (
+    Entry,
+)
+from ibisjunction.control.state import ControlState, apply_command
+from ibisjunction.peers.codec import CodecError
+
+#: A proposal sent again gets its first outcome while no more than this many
+#: proposals were committed since.
+OUTCOMES_KEPT: Final = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """The control state and the outcomes of the latest proposals.
+
+    Unlike a daemon's copy of the state, it lets any replica answer a proposal
+    that an earlier leader committed.
+    """
+
+    state: ControlState = field(default_factory=ControlState)
+    outcomes: dict[str, ProposalResult] = field(default_factory=dict)
+
+    def find_outcome(self, proposal_id: str) -> ProposalResult | None:
+        """Return the outcome of a proposal if it was applied recently."""
+        return self.outcomes.get(proposal_id)
+
+    def copy(self) -> 'Machine':
+        """Return a copy that later changes do not reach."""
+        return Machine(self.state, dict(self.outcomes))
+
+    def apply(self, entry: Entry) -> 'Machine':
+        """Return the machine after an entry; the outcomes are shared."""
+        command = decode_command(entry.command)
+        state, outcome = apply_command(self.state, command)
+        if entry.proposal_id:
+            self.outcomes[entry.proposal_id] = _to_result(
+                entry.proposal_id,
+                outcome,
+            )
+            surplus = len(self.outcomes) - OUTCOMES_KEPT
+            for name in tuple(itertools.islice(self.outcomes, max(0, surplus))):
+                self.outcomes.pop(name)
+        return Machine(state, self.outcomes)
+
+
+def encode_machine(machine: Machine) -> bytes:
+    """Return the bytes of a machine."""
+    return msgspec.msgpack.encode(machine)
+
+
+def decode_machine(encoded: bytes) -> Machine:
+    """Return the machine that the bytes hold; no bytes are an empty one.
+
+    :raises CodecError: if they hold none.
+    """
+    if not encoded:
+        return Machine()
+    try:
+        return msgspec.msgpack.decode(encoded, type=Machine)
+    except msgspec.DecodeError as error:
+        raise CodecError(f'not a machine: {error}') from error
+
+
+def _to_result(proposal_id: str, outcome: CommandOutcome) -> ProposalResult:
+    match outcome:
+        case Accepted(revision=revision):
+            return ProposalResult(proposal_id, accepted=True, revision=revision)
+        case Rejected(detail=detail):
+            return ProposalResult(proposal_id, accepted=False, detail=detail)
--- a/src/ibisjunction/control/messages.py
+++ b/src/ibisjunction/control/messages.py
@@ -26,6 +26,38 @@
     detail: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderHint:
+    """Sent by a voter that does not lead: ``vm`` does, as far as it knows."""
+
+    vm: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderKnown:
+    """Published inside a daemon: the VM that leads, if known.
+
+    ``voters`` are the VMs to ask otherwise.
+    """
+
+    vm: str | None
+    voters: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaMessage:
+    """A message between replicas of the control log, in its own encoding.
+
+    ``source`` and ``target`` name disks, so that nothing meant for a replica
+    reaches another one that runs on the same VM later.
+    """
+
+    source: str
+    target: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class CommittedEntries:
     """Committed commands; the first has index ``first_index``."""
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -1,42 +1,90 @@
-"""Runs a replica of the control log on a voter."""
+"""Runs a replica of the control log on a VM with a disk."""
 
 import asyncio
 import logging
+import random
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from ibisjunction.clock import Clock, in_seconds
-from ibisjunction.control.codec import decode_command, encode_state
-from ibisjunction.control.commands import Accepted, CommandOutcome, Rejected
+from ibisjunction.control.audience import Audience
+from ibisjunction.control.codec import (
+    decode_command,
+    decode_message,
+    encode_message,
+)
+from ibisjunction.control.commands import ChangeVoters
+from ibisjunction.control.consensus import Consensus
+from ibisjunction.control.effects import (
+    AppendLog,
+    Arrived,
+    Committed,
+    Declined,
+    Deposed,
+    Effect,
+    Elected,
+    InstallState,
+    Proposed,
+    SaveVote,
+    Send,
+    SnapshotTaken,
+    Tick,
+    Written,
+)
+from ibisjunction.control.effects import (
+    Event as ReplicaEvent,
+)
+from ibisjunction.control.machine import decode_machine
 from ibisjunction.control.messages import (
-    CommittedEntries,
+    LeaderHint,
     Leadership,
-    LiveVms,
     ProposalResult,
     ProposeCommand,
-    StateSnapshot,
+    ReplicaMessage,
+)
+from ibisjunction.control.proposals import Proposals
+from ibisjunction.control.protocol import (
+    Entry,
+)
+from ibisjunction.control.roles import ElectionTiming, Stored
+from ibisjunction.control.writer import (
+    LogStore,
+    RunBlocking,
+    SaveSnapshot,
+    StorageFailed,
+    StorageTask,
 )
-from ibisjunction.control.state import ControlState, apply_command
+from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
-from ibisjunction.membership.leases import LeaseTable
 from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.peers.codec import CodecError
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
+from ibisjunction.settings.loader import parse_address
 
 _logger = logging.getLogger(__name__)
 
-_TICK_MS = 50
+_TICK_MS: Final = 25
+_LIVE_VMS_MS: Final = 50
+#: Bounds the records that a restart has to read.
+_ENTRIES_PER_SNAPSHOT: Final = 2000
 
 
 @dataclass(frozen=True, slots=True)
-class Tick:
-    """Tells the task to look at the clock."""
+class OpenedLog:
+    """The files of this VM's replica and what they held at the start."""
+
+    node: str
+    stored: Stored
+    store: LogStore
+    run_blocking: RunBlocking = asyncio.to_thread
 
 
 class ControlTask:
-    """The control log on one VM; the first voter leads.
+    """One replica of the control log.
 
-    ``listeners`` receive :class:`Leadership` and :class:`LiveVms`.
+    ``listeners`` receive :class:`Leadership`, and the ``LiveVms`` while this
+    replica leads. Writes go to ``storage``, which must run beside this task.
     """
 
     def __init__(
@@ -45,29 +93,54 @@
         clock: Clock,
         peers: PeerNetwork,
         listeners: list[Mailbox[Any]],
+        opened: OpenedLog,
+        generator: random.Random,
     ) -> None:
-        """Subscribe to proposals and heartbeats."""
-        self._settings = settings
+        """Subscribe to proposals, heartbeats and messages of replicas."""
         self._clock = clock
         self._peers = peers
         self._listeners = listeners
-        self._log: list[bytes] = []
-        self._state = ControlState()
-        self._is_leader = settings.voters[0].vm == settings.vm
         timing = settings.timing
-        self._leases = LeaseTable(
-            timing.vm_lease_ms,
-            timing.clock_error,
+        self._consensus = Consensus(
+            opened.node,
+            opened.stored,
+            ElectionTiming(
+                timing.election_min_ms,
+                timing.election_max_ms,
+                timing.clock_error,
+            ),
+            generator,
             clock.now(),
         )
+        self._machine = decode_machine(opened.stored.snapshot.machine)
+        self._proposals = Proposals(peers)
+        self._audience = Audience(peers, timing, clock.now())
+        self._is_acting = False
+        self._is_saving = False
+        self._live_vms_at = 0
         self.mailbox: Mailbox[Any] = Mailbox()
-        peers.subscribe(self.mailbox, ProposeCommand, Heartbeat)
+        self.storage = StorageTask(
+            opened.store,
+            self.mailbox,
+            opened.run_blocking,
+        )
+        _learn_addresses(peers, self._consensus)
+        peers.subscribe(
+            self.mailbox,
+            ProposeCommand,
+            Heartbeat,
+            ReplicaMessage,
+        )
 
     async def run(self) -> None:
-        """Handle messages until cancelled."""
-        self._notify(Leadership(self._is_leader, 1))
+        """Handle messages until cancelled or until the storage fails."""
         while True:
-            self.handle(await self.mailbox.get())
+            message = await self.mailbox.get()
+            if isinstance(message, StorageFailed):
+                self.mailbox.close()
+                self._notify(Leadership(False, self._consensus.term))
+                return
+            self.handle(message)
 
     async def run_timer(self) -> None:
         """Post ticks until cancelled."""
@@ -77,30 +150,167 @@
 
     def handle(self, message: Any) -> None:
         """Process one message."""
-        if not self._is_leader:
-            return
         now = self._clock.now()
         match message:
             case Received(sender=sender, message=ProposeCommand() as proposal):
-                self._commit(sender, proposal)
+                self._propose(sender, proposal, now)
             case Received(sender=sender, message=Heartbeat() as heartbeat):
                 self._answer_heartbeat(sender, heartbeat, now)
+            case Received(message=ReplicaMessage() as wrapped):
+                self._accept(wrapped, now)
             case Tick():
-                self._notify(
-                    LiveVms(
-                        self._leases.live_vms(now),
-                        self._leases.is_settled(now),
+                self._advance(message, now)
+                self._report_live_vms(now)
+            case Written():
+                self._advance(message, now)
+            case SnapshotTaken(snapshot=snapshot):
+                self._is_saving = False
+                self._advance(message, now)
+                log_event(_logger, Event.SNAPSHOT_SAVED, index=snapshot.index)
+
+    def _propose(
+        self,
+        sender: str,
+        proposal: ProposeCommand,
+        now: int,
+    ) -> None:
+        if not self._consensus.is_acting(now):
+            self._send_hint(sender)
+            return
+        known = self._machine.find_outcome(proposal.proposal_id)
+        if known is not None:
+            self._peers.send(sender, known)
+            return
+        try:
+            command = decode_command(proposal.command)
+        except CodecError as error:
+            result = ProposalResult(
+                proposal.proposal_id,
+                accepted=False,
+                detail=str(error),
+            )
+            self._peers.send(sender, result)
+            return
+        voters = command.voters if isinstance(command, ChangeVoters) else None
+        self._proposals.add(proposal.proposal_id, sender)
+        self._advance(
+            Proposed(proposal.proposal_id, proposal.command, voters),
+            now,
+        )
+
+    def _accept(self, wrapped: ReplicaMessage, now: int) -> None:
+        if wrapped.target != self._consensus.node:
+            return
+        try:
+            message = decode_message(wrapped.body)
+        except CodecError as error:
+            log_event(
+                _logger,
+                Event.MESSAGE_REJECTED,
+                logging.WARNING,
+                sender=wrapped.source,
+                detail=error,
+            )
+            return
+        self._advance(Arrived(wrapped.source, message), now)
+
+    def _send_hint(self, vm: str) -> None:
+        leader = self._consensus.find_leader()
+        if leader is not None and leader != self._consensus.node:
+            hint = LeaderHint(_vm_of(leader), self._consensus.term)
+            self._peers.send(vm, hint)
+
+    def _advance(self, event: ReplicaEvent, now: int) -> None:
+        for effect in self._consensus.handle(event, now):
+            self._carry_out(effect)
+        is_acting = self._consensus.is_acting(now)
+        if is_acting != self._is_acting:
+            self._is_acting = is_acting
+            self._notify(Leadership(is_acting, self._consensus.term))
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(target=target, message=message):
+                self._peers.send(
+                    _vm_of(target),
+                    ReplicaMessage(
+                        self._consensus.node,
+                        target,
+                        encode_message(message),
                     ),
                 )
+            case SaveVote() | AppendLog():
+                self.storage.mailbox.post(effect)
+            case InstallState(snapshot=snapshot):
+                self._machine = decode_machine(snapshot.machine)
+                self.storage.mailbox.post(effect)
+                log_event(
+                    _logger,
+                    Event.SNAPSHOT_INSTALLED,
+                    index=snapshot.index,
+                )
+            case Committed(first_index=first_index, entries=entries):
+                self._apply(first_index, entries)
+            case Elected() | Deposed():
+                self._change_role(effect)
+            case Declined(proposal_id=proposal_id, detail=detail):
+                self._proposals.answer(
+                    ProposalResult(proposal_id, accepted=False, detail=detail),
+                )
+
+    def _change_role(self, effect: Elected | Deposed) -> None:
+        node = self._consensus.node
+        match effect:
+            case Elected(term=term):
+                self._audience.reset(self._clock.now())
+                log_event(_logger, Event.LEADER_ELECTED, node=node, term=term)
+            case Deposed(term=term):
+                self._proposals.clear()
+                log_event(
+                    _logger,
+                    Event.LEADER_STOPPED,
+                    logging.WARNING,
+                    node=node,
+                    term=term,
+                )
+
+    def _apply(self, first_index: int, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self._machine = self._machine.apply(entry)
+        if self._is_acting:
+            self._audience.push(first_index, entries)
+        for applied in entries:
+            self._finish(applied)
+        self._save_if_due()
 
-    def _commit(self, sender: str, proposal: ProposeCommand) -> None:
-        command = decode_command(proposal.command)
-        self._state, outcome = apply_command(self._state, command)
-        self._log.append(proposal.command)
-        entries = CommittedEntries(len(self._log), [proposal.command])
-        for vm in self._leases.reports:
-            self._peers.send(vm, entries)
-        self._peers.send(sender, _to_result(proposal.proposal_id, outcome))
+    def _finish(self, entry: Entry) -> None:
+        result = self._machine.find_outcome(entry.proposal_id)
+        if result is not None:
+            self._proposals.answer(result)
+        if entry.voters is not None:
+            _learn_addresses(self._peers, self._consensus)
+            log_event(
+                _logger,
+                Event.VOTERS_CHANGED,
+                voters=','.join(voter.node for voter in entry.voters),
+            )
+
+    def _save_if_due(self) -> None:
+        history = self._consensus.history
+        index = self._consensus.commit_index
+        is_due = index - history.snapshot.index >= _ENTRIES_PER_SNAPSHOT
+        if self._is_saving or not is_due:
+            return
+        self._is_saving = True
+        self.storage.mailbox.post(
+            SaveSnapshot(
+                index,
+                history.term_at(index) or 0,
+                history.voters_at(index),
+                self._machine.copy(),
+                history.read(index + 1, history.last_index),
+            ),
+        )
 
     def _answer_heartbeat(
         self,
@@ -108,25 +318,35 @@
         heartbeat: Heartbeat,
         now: int,
     ) -> None:
-        committed = len(self._log)
-        if heartbeat.applied_index == 0 and committed:
-            snapshot = StateSnapshot(committed, encode_state(self._state))
-            self._peers.send(sender, snapshot)
-        elif heartbeat.applied_index < committed:
-            missing = self._log[heartbeat.applied_index :]
-            first_index = heartbeat.applied_index + 1
-            self._peers.send(sender, CommittedEntries(first_index, missing))
-        renewal = self._leases.accept(heartbeat, now, 1, committed)
-        self._peers.send(sender, renewal)
+        if not self._consensus.is_acting(now):
+            self._send_hint(sender)
+            return
+        consensus = self._consensus
+        committed = consensus.commit_index
+        self._audience.send_missing(
+            heartbeat,
+            consensus.history,
+            committed,
+            self._machine.state,
+        )
+        self._audience.renew(heartbeat, now, consensus.term, committed)
+
+    def _report_live_vms(self, now: int) -> None:
+        if not self._is_acting or now < self._live_vms_at:
+            return
+        self._live_vms_at = now + _LIVE_VMS_MS
+        self._notify(self._audience.report(now))
 
     def _notify(self, message: object) -> None:
         for listener in self._listeners:
             listener.post(message)
 
 
-def _to_result(proposal_id: str, outcome: CommandOutcome) -> ProposalResult:
-    match outcome:
-        case Accepted(revision=revision):
-            return ProposalResult(proposal_id, accepted=True, revision=revision)
-        case Rejected(detail=detail):
-            return ProposalResult(proposal_id, accepted=False, detail=detail)
+def _vm_of(node: str) -> str:
+    """Return the VM that a replica runs on."""
+    return node.partition('/')[0]
+
+
+def _learn_addresses(peers: PeerNetwork, consensus: Consensus) -> None:
+    for voter in consensus.history.voters:
+        peers.set_address(voter.vm, parse_address(voter.peer))
--- /dev/null
+++ b/src/ibisjunction/control/voters.py
@@ -0,0 +1,18 @@
+"""The voters of a new deployment."""
+
+from ibisjunction.control.protocol import (
+    Voters,
+)
+from ibisjunction.control.records import VoterRecord
+from ibisjunction.settings import Settings
+
+
+def describe_voters(settings: Settings) -> Voters:
+    """Return the voters that the settings name.
+
+    The first disk of a VM has the name of the VM.
+    """
+    return tuple(
+        VoterRecord(voter.vm, voter.vm, str(voter.peer))
+        for voter in settings.voters
+    )
--- /dev/null
+++ b/src/ibisjunction/control/writer.py
@@ -0,0 +1,116 @@
+"""Makes the writes of a replica durable without holding up its messages."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from ibisjunction.control.effects import (
+    SnapshotTaken,
+    Write,
+    Written,
+)
+from ibisjunction.control.machine import Machine, encode_machine
+from ibisjunction.control.protocol import (
+    Entry,
+    Snapshot,
+    Voters,
+)
+from ibisjunction.control.storage import TakeSnapshot
+from ibisjunction.events import Event, log_event
+from ibisjunction.mailbox import Mailbox
+
+_logger = logging.getLogger(__name__)
+
+#: Entries before a snapshot that stay in memory for followers that lag.
+ENTRIES_KEPT: Final = 500
+
+RunBlocking = Callable[..., Awaitable[Any]]
+
+
+class LogStore(Protocol):
+    """Files that block until their data is durable."""
+
+    def write(self, writes: Iterable[Write]) -> None:
+        """Make writes durable, in their order."""
+
+    def replace(self, change: TakeSnapshot) -> None:
+        """Replace the log by a snapshot and the entries after it."""
+
+
+@dataclass(frozen=True, slots=True)
+class SaveSnapshot:
+    """Asks for a snapshot of the applied state; encoded by the worker."""
+
+    index: int
+    term: int
+    voters: Voters
+    machine: Machine
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StorageFailed:
+    """Sent to the control task: nothing more becomes durable."""
+
+
+class StorageTask:
+    """Owns the files of a replica; ``owner`` receives the results.
+
+    All writes that wait are synced together.
+    """
+
+    def __init__(
+        self,
+        store: LogStore,
+        owner: Mailbox[Any],
+        run_blocking: RunBlocking = asyncio.to_thread,
+    ) -> None:
+        """Prepare the task."""
+        self._store = store
+        self._owner = owner
+        self._run_blocking = run_blocking
+        self.mailbox: Mailbox[Any] = Mailbox()
+
+    async def run(self) -> None:
+        """Carry out writes until cancelled or until one fails."""
+        try:
+            while True:
+                await self._write_waiting(await self.mailbox.get())
+        except OSError as error:
+            # After a failed sync the kernel may have dropped the data, so
+            # trying again could report success for data that is lost.
+            log_event(
+                _logger,
+                Event.STORAGE_FAILED,
+                logging.CRITICAL,
+                error=error,
+            )
+            self.mailbox.close()
+            self._owner.post(StorageFailed())
+
+    async def _write_waiting(self, first: Any) -> None:
+        items = [first, *self.mailbox.take_waiting()]
+        writes: list[Write] = []
+        for item in items:
+            match item:
+                case SaveSnapshot():
+                    await self._write(writes)
+                    writes = []
+                    await self._save(item)
+                case _:
+                    writes.append(item)
+        await self._write(writes)
+
+    async def _write(self, writes: list[Write]) -> None:
+        if writes:
+            await self._run_blocking(self._store.write, writes)
+            self._owner.post(Written(writes[-1].number))
+
+    async def _save(self, item: SaveSnapshot) -> None:
+        encoded = await self._run_blocking(encode_machine, item.machine)
+        snapshot = Snapshot(item.index, item.term, item.voters, encoded)
+        change = TakeSnapshot(snapshot, item.entries)
+        await self._run_blocking(self._store.replace, change)
+        self._owner.post(SnapshotTaken(snapshot, ENTRIES_KEPT))
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -4,8 +4,9 @@
 import logging
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, Final, Protocol
 
 from ibisjunction.admin.server import AdminContext, make_admin_server
@@ -13,14 +14,18 @@
 from ibisjunction.clock import Clock, SystemClock
 from ibisjunction.control.client import ControlClient
 from ibisjunction.control.commands import RegisterVm
+from ibisjunction.control.frames import StorageError
 from ibisjunction.control.messages import (
     CommittedEntries,
+    LeaderHint,
     ProposalResult,
     ProposeCommand,
+    ReplicaMessage,
     StateSnapshot,
 )
 from ibisjunction.control.records import VmRecord
-from ibisjunction.control.task import ControlTask
+from ibisjunction.control.storage import find_identity, open_log
+from ibisjunction.control.task import ControlTask, OpenedLog
 from ibisjunction.dispatch.messages import (
     TicketCancel,
     TicketDone,
@@ -52,9 +57,11 @@
 PEER_MESSAGES: Final = (
     CommittedEntries,
     Heartbeat,
+    LeaderHint,
     LeaseRenewal,
     ProposalResult,
     ProposeCommand,
+    ReplicaMessage,
     StateSnapshot,
     TicketCancel,
     TicketDone,
@@ -103,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonTasks:
-    """The tasks of one daemon; ``voter`` exists on voters only."""
+    """The tasks of one daemon; ``voter`` exists on VMs with a replica."""
 
     client: ControlClient
     admin: AdminTask
@@ -131,8 +138,12 @@
             self.routing,
             self.placement,
             *self.with_timer(),
+            *self._list_storage(),
         ]
 
+    def _list_storage(self) -> list[RunnableTask]:
+        return [] if self.voter is None else [self.voter.storage]
+
 
 def build_tasks(
     settings: Settings,
@@ -140,8 +151,12 @@
     clock: Clock,
     peers: PeerNetwork,
     call: GrantCaller,
+    opened: OpenedLog | None = None,
 ) -> DaemonTasks:
-    """Connect the mailboxes of a daemon's tasks."""
+    """Connect the mailboxes of a daemon's tasks.
+
+    ``opened`` are the files of this VM's replica of the control log, if any.
+    """
     client = ControlClient(settings, incarnation, peers)
     admin = AdminTask(settings.vm, clock)
     dispatch = DispatchTask(settings.vm, clock, peers)
@@ -150,11 +165,18 @@
     placement = PlacementTask(client)
     listeners = [
         task.mailbox
-        for task in (admin, dispatch, ownership, routing, placement)
+        for task in (client, admin, dispatch, ownership, routing, placement)
     ]
     voter = None
-    if settings.is_voter:
-        voter = ControlTask(settings, clock, peers, [placement.mailbox])
+    if opened is not None:
+        voter = ControlTask(
+            settings,
+            clock,
+            peers,
+            [placement.mailbox],
+            opened,
+            random.Random(f'{opened.node}-{incarnation}'),
+        )
     return DaemonTasks(
         client=client,
         admin=admin,
@@ -180,8 +202,15 @@
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
     peers = make_peers(settings, incarnation)
-    tasks = build_tasks(settings, incarnation, clock, peers, call_grants)
     async with contextlib.AsyncExitStack() as stack:
+        tasks = build_tasks(
+            settings,
+            incarnation,
+            clock,
+            peers,
+            call_grants,
+            stack.enter_context(open_replica(settings)),
+        )
         await stack.enter_async_context(peers.run())
         for task in tasks.all():
             await stack.enter_async_context(
@@ -198,20 +227,52 @@
         )
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
-        await tasks.client.propose(describe_vm(settings, incarnation))
-        context = RequestContext(
-            clock,
-            tasks.routing.mailbox,
-            pool,
-            random.Random(incarnation),
+        await _register(tasks.client, describe_vm(settings, incarnation))
+        callers = CallerServer(
+            RequestContext(
+                clock,
+                tasks.routing.mailbox,
+                pool,
+                random.Random(incarnation),
+            ),
+            settings.http,
         )
-        callers = CallerServer(context, settings.http)
         callers.start()
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
         yield Daemon(settings, tasks.admin, callers)
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
+async def _register(client: ControlClient, command: RegisterVm) -> None:
+    while await client.propose(command) is None:
+        _logger.warning('no control leader answered the registration')
+
+
+@contextlib.contextmanager
+def open_replica(settings: Settings) -> Iterator[OpenedLog | None]:
+    """Open the files of this VM's replica of the control log, if it has any.
+
+    :raises StorageError: if they are damaged or missing on a voter.
+    """
+    data_folder = settings.data_folder
+    identity = None if data_folder is None else find_identity(data_folder)
+    if data_folder is None or identity is None:
+        if settings.is_voter:
+            raise StorageError(
+                data_folder or Path(),
+                f'{settings.vm} is a voter, but this folder has no identity;'
+                ' run with --initialise if the deployment is new, or with'
+                ' --join to replace a voter that lost its disk (a lost disk'
+                ' must not vote again under its old identity)',
+            )
+        yield None
+        return
+    if identity.vm != settings.vm:
+        raise StorageError(data_folder, f'belongs to VM {identity.vm}')
+    with open_log(data_folder) as log:
+        yield OpenedLog(identity.node, log.load(), log)
+
+
 def make_peers(settings: Settings, incarnation: int) -> PeerTask:
     """Return the peer sockets of a daemon, not yet open."""
     peers = PeerTask(
--- a/src/ibisjunction/daemon/command.py
+++ b/src/ibisjunction/daemon/command.py
@@ -1,6 +1,7 @@
 """The ``ibisjunctiond`` command."""
 
 import asyncio
+import contextlib
 import logging
 import signal
 import sys
@@ -10,9 +11,15 @@
 
 import cappa
 
-from ibisjunction.daemon.assembly import run_daemon
+from ibisjunction.control.frames import StorageError
+from ibisjunction.control.storage import initialise, join
+from ibisjunction.control.voters import describe_voters
+from ibisjunction.daemon.assembly import Daemon, run_daemon
+from ibisjunction.events import Event, log_event
 from ibisjunction.settings import Settings, SettingsError, load_settings
 
+_logger = logging.getLogger(__name__)
+
 _EXIT_USAGE: Final = 2
 _LOG_FORMAT: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
@@ -30,6 +37,20 @@
         bool,
         cappa.Arg(long=True, help='Check the settings and exit.'),
     ] = False
+    initialise: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help='Create the disk identity of a voter of a new deployment.',
+        ),
+    ] = False
+    join: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help='Create the disk identity of a replacement voter.',
+        ),
+    ] = False
 
     def __call__(self) -> int:
         """Load the settings and run until SIGTERM or SIGINT."""
@@ -42,20 +63,77 @@
             sys.stdout.write(f'{self.settings}: valid\n')
             return 0
         logging.basicConfig(level=logging.INFO, format=_LOG_FORMAT)
+        try:
+            return self._run(settings)
+        except StorageError as error:
+            log_event(
+                _logger,
+                Event.STORAGE_REFUSED,
+                logging.CRITICAL,
+                error=error,
+            )
+            return _EXIT_USAGE
+
+    def _run(self, settings: Settings) -> int:
+        if self.initialise or self.join:
+            sys.stdout.write(f'{self._create_identity(settings)}\n')
+            return 0
         return asyncio.run(_run_until_signal(settings))
 
+    def _create_identity(self, settings: Settings) -> str:
+        data_folder = settings.data_folder
+        if data_folder is None:
+            raise StorageError(self.settings, 'data_folder is not set')
+        if self.join:
+            return join(data_folder, settings.vm).node
+        if not settings.is_voter:
+            raise StorageError(
+                self.settings,
+                f'voters does not name {settings.vm}; use --join',
+            )
+        voters = describe_voters(settings)
+        return initialise(data_folder, settings.vm, voters).node
+
 
 async def _run_until_signal(settings: Settings) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    async with run_daemon(settings) as daemon:
+    async with contextlib.AsyncExitStack() as stack:
+        daemon = await _start(stack, settings, stop)
+        if daemon is None:
+            return 0
         await stop.wait()
         cut_requests = await daemon.drain()
     return 1 if cut_requests else 0
 
 
+async def _start(
+    stack: contextlib.AsyncExitStack,
+    settings: Settings,
+    stop: asyncio.Event,
+) -> Daemon | None:
+    """Start the daemon, or return ``None`` if it is stopped before.
+
+    The start waits for a control leader, which may take any time.
+    """
+    starting = asyncio.ensure_future(
+        stack.enter_async_context(run_daemon(settings)),
+    )
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait(
+        {starting, stopping},
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    stopping.cancel()
+    if starting.done():
+        return starting.result()
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+    return None
+
+
 def main() -> int:
     """Run the command line."""
     return int(cappa.invoke(DaemonCommand) or 0)
--- a/src/ibisjunction/mailbox.py
+++ b/src/ibisjunction/mailbox.py
@@ -48,6 +48,14 @@
         self._update_room()
         return message
 
+    def take_waiting(self) -> list[_Message]:
+        """Remove and return all messages without waiting."""
+        messages = []
+        while not self._queue.empty():
+            messages.append(self._queue.get_nowait())
+        self._update_room()
+        return messages
+
     def close(self) -> None:
         """Drop all messages, now and later, and release waiting senders."""
         self._is_closed = True
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -9,11 +9,14 @@
 from ibisjunction.control.messages import (
     CommittedEntries,
     ControlView,
+    LeaderHint,
+    LeaderKnown,
     StateSnapshot,
 )
 from ibisjunction.control.replica import Replica
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.leader import LeaderTracker
 from ibisjunction.membership.leases import VmLease
 from ibisjunction.membership.messages import (
     Heartbeat,
@@ -35,7 +38,8 @@
 class MembershipTask:
     """The VM's side of membership.
 
-    ``listeners`` receive :class:`ControlView` and :class:`LeaseExtended`.
+    ``listeners`` receive :class:`ControlView`, :class:`LeaderKnown` and
+    :class:`LeaseExtended`.
     """
 
     def __init__(
@@ -55,12 +59,15 @@
         self._replica = Replica()
         self._lease = VmLease(incarnation, settings.timing.clock_error)
         self._was_held = False
+        self._tracker = LeaderTracker(settings.timing.heartbeat_ms)
+        self._known = LeaderKnown(None, self._list_voters())
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
             self.mailbox,
             LeaseRenewal,
             CommittedEntries,
             StateSnapshot,
+            LeaderHint,
         )
 
     async def run(self) -> None:
@@ -81,7 +88,11 @@
             case HeartbeatDue():
                 self._send_heartbeat()
                 self._report_lease()
-            case Received(message=LeaseRenewal() as renewal):
+            case Received(message=LeaderHint(vm=vm, term=term)):
+                self._tracker.take_hint(vm, term)
+            case Received(sender=sender, message=LeaseRenewal() as renewal):
+                self._tracker.hear(sender, renewal.term, self._clock.now())
+                self._publish_leader()
                 if self._lease.renew(renewal, self._replica.index):
                     self._publish_lease()
             case Received(message=CommittedEntries() as entries):
@@ -97,8 +108,24 @@
             applied_index=self._replica.index,
             revision=self._replica.state.revision,
         )
-        for voter in self._settings.voters:
-            self._peers.send(voter.vm, heartbeat)
+        targets = self._tracker.choose_targets(
+            self._list_voters(),
+            self._clock.now(),
+        )
+        for vm in sorted(targets):
+            self._peers.send(vm, heartbeat)
+        self._publish_leader()
+
+    def _list_voters(self) -> tuple[str, ...]:
+        voters = self._replica.state.voters or self._settings.voters
+        return tuple(voter.vm for voter in voters)
+
+    def _publish_leader(self) -> None:
+        leader = self._tracker.find(self._clock.now())
+        known = LeaderKnown(leader, self._list_voters())
+        if known != self._known:
+            self._known = known
+            self._notify(known)
 
     def _publish_state(self, changed: bool) -> None:
         if not changed:
@@ -112,6 +139,8 @@
     def _learn_addresses(self, view: ControlView) -> None:
         for record in view.state.vms.values():
             self._peers.set_address(record.vm, parse_address(record.peer))
+        for voter in view.state.voters:
+            self._peers.set_address(voter.vm, parse_address(voter.peer))
 
     def _publish_lease(self) -> None:
         self._notify(LeaseExtended(self._lease.until_ms))
--- a/src/ibisjunction/settings/loader.py
+++ b/src/ibisjunction/settings/loader.py
@@ -98,7 +98,7 @@
     for index, voter in enumerate(model.voters):
         addresses[f'voters[{index}].peer'] = voter.peer
     for name, text in addresses.items():
-        if not _is_address(text):
+        if not is_address(text):
             yield f'{name}: expected "IP number:port", found "{text}"'
     yield from _find_key_problems(model)
     yield from _find_timing_problems(model.timing)
@@ -127,7 +127,8 @@
             yield f'timing.{shorter}: must be less than timing.{longer}'
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Return whether the text is ``host:port`` with an IP number."""
     host, _, port = text.rpartition(':')
     try:
         ipaddress.ip_address(host.strip('[]'))
--- a/tests/session.py
+++ b/tests/session.py
@@ -14,12 +14,20 @@
 from ibisjunction.bench.grants import GrantBook
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.codec import decode_command
+from ibisjunction.control.effects import (
+    Tick as ControlTick,
+)
 from ibisjunction.control.messages import (
     CommittedEntries,
     ProposeCommand,
     StateSnapshot,
 )
-from ibisjunction.control.task import Tick as ControlTick
+from ibisjunction.control.protocol import (
+    Snapshot,
+)
+from ibisjunction.control.roles import Stored
+from ibisjunction.control.task import OpenedLog
+from ibisjunction.control.voters import describe_voters
 from ibisjunction.daemon.assembly import (
     PEER_MESSAGES,
     build_tasks,
@@ -100,6 +108,28 @@
         self._hub.deliver(self._vm, vm, message)
 
 
+class SessionStore:
+    """Files of a replica that are lost with the session."""
+
+    def write(self, writes) -> None:
+        """Count as durable at once."""
+
+    def replace(self, change) -> None:
+        """Count as durable at once."""
+
+
+async def _run_at_once(function, *arguments):
+    return function(*arguments)
+
+
+def _open_log(settings) -> OpenedLog | None:
+    if not settings.is_voter:
+        return None
+    snapshot = Snapshot(0, 0, describe_voters(settings), b'')
+    stored = Stored(0, '', snapshot, ())
+    return OpenedLog(settings.vm, stored, SessionStore(), _run_at_once)
+
+
 class SessionUpstreams:
     """Stand-ins that take grants and answer requests at once."""
 
@@ -196,6 +226,7 @@
                 self.clock,
                 self.networks[vm],
                 self.upstreams.call,
+                _open_log(self.settings[vm]),
             )
             for vm in vms
         }
@@ -216,8 +247,15 @@
                     await stack.enter_async_context(
                         run_task(task.run(), type(task).__name__),
                     )
+            await self._tick_voters()
             yield self
 
+    async def _tick_voters(self) -> None:
+        for tasks in self.tasks.values():
+            if tasks.voter is not None:
+                tasks.voter.mailbox.post(ControlTick())
+        await self.settle()
+
     async def step(self, delta_ms=100) -> None:
         """Advance the clock and let every task look at it."""
         self.clock.advance(delta_ms)
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,46 @@
+"""Tests of what committed entries yield on a replica."""
+
+import unittest
+
+from ibisjunction.control.codec import encode_command
+from ibisjunction.control.commands import PublishRevision
+from ibisjunction.control.machine import (
+    OUTCOMES_KEPT,
+    Machine,
+    decode_machine,
+    encode_machine,
+)
+from ibisjunction.control.protocol import Entry
+
+
+def _publish(number):
+    command = PublishRevision(number, f'publication-{number}', {'a': 'text'})
+    return Entry(1, f'p-{number}', encode_command(command))
+
+
+class MachineTest(unittest.TestCase):
+    """Guards against a resent proposal that gets another outcome."""
+
+    def test_outcome_survives_a_snapshot(self):
+        machine = Machine().apply(_publish(0))
+        restored = decode_machine(encode_machine(machine))
+        self.assertEqual(restored, machine)
+        self.assertEqual(restored.find_outcome('p-0').revision, 1)
+
+    def test_last_outcomes_are_kept(self):
+        machine = Machine()
+        for number in range(OUTCOMES_KEPT + 10):
+            machine = machine.apply(Entry(1, f'p-{number}'))
+        self.assertEqual(len(machine.outcomes), OUTCOMES_KEPT)
+        self.assertIsNone(machine.find_outcome('p-9'))
+        self.assertIsNotNone(machine.find_outcome('p-10'))
+
+    def test_copy_is_not_changed_later(self):
+        machine = Machine().apply(_publish(0))
+        copy = machine.copy()
+        machine.apply(_publish(1))
+        self.assertIsNone(copy.find_outcome('p-1'))
+
+    def test_first_entry_of_a_leader_changes_nothing(self):
+        machine = Machine().apply(Entry(1))
+        self.assertEqual(machine, Machine())
