--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,9 @@
 test: lint unit
 
 lint: .venv/installed
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
-	$(BIN)/flake8 src tests
+	$(BIN)/ruff format --check src specs tests
+	$(BIN)/ruff check src specs tests
+	$(BIN)/flake8 src specs tests
 	$(BIN)/mypy
 
 unit: .venv/installed
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications that minicheck explores completely."""
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -102,9 +102,9 @@
         self.assertEqual(self.load().entries, _ENTRIES)
 
     def test_files_are_used_by_one_process(self):
-        with open_log(self.folder):
-            with self.assertRaisesRegex(StorageError, 'another process'):
-                self.load()
+        used = self.assertRaisesRegex(StorageError, 'another process')
+        with open_log(self.folder), used:
+            self.load()
 
 
 def _cut_tail(data):
