Test losses with real daemons, and measure the control log

Cause: the sockets, files and timers around the decisions were not tested. Change: tests kill and pause the leader, lose a disk, kill a second voter right after the repair, restart all after 200 commands and take the majority away.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -10,6 +10,7 @@
 
 import cappa
 
+from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
 from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
@@ -72,12 +73,24 @@
         return measure_hop(self.requests, sys.stdout)
 
 
+@cappa.command(name='control')
+@dataclass
+class ControlCommand:
+    """Measure commits, restarts and failovers of the control log."""
+
+    def __call__(self) -> int:
+        """Print the figures."""
+        return measure_control(sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
     """Stand-ins, local deployments and measurements."""
 
-    command: cappa.Subcommands[UpstreamCommand | DemoCommand | HopCommand]
+    command: cappa.Subcommands[
+        UpstreamCommand | DemoCommand | HopCommand | ControlCommand
+    ]
 
 
 async def _run_until_signal(profile: UpstreamProfile) -> None:
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -7,14 +7,14 @@
 import sys
 import tempfile
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from itertools import repeat
 from pathlib import Path
 from typing import Final
 
+from ibisjunction.daemon.command import create_identity
+from ibisjunction.settings import load_settings
+
 _MAX_VOTERS: Final = 5
-_INITIALISE: Final = '--initialise'
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -45,20 +45,15 @@
         """Start the daemon of a VM."""
         self._start(vm, self._daemon_command(vm))
 
-    def create_identity(self, vm: str, option: str) -> str:
-        """Create a disk identity with ``--initialise`` or ``--join``.
-
-        :return: the name of the disk.
-        """
-        command = [*self._daemon_command(vm), option]
-        finished = subprocess.run(command, capture_output=True, check=True)
-        return finished.stdout.decode().strip()
+    def create_identity(self, vm: str, *, is_new: bool) -> str:
+        """Create the identity of a VM's disk and return the disk's name."""
+        settings = load_settings(self.folder / f'{vm}.toml')
+        return create_identity(settings, is_new=is_new)
 
     def initialise_voters(self) -> None:
         """Create the disk identities of the voters of a new deployment."""
-        voters = [vm.vm for vm in self.vms[: self.voter_count]]
-        with ThreadPoolExecutor(len(voters)) as pool:
-            list(pool.map(self.create_identity, voters, repeat(_INITIALISE)))
+        for vm in self.vms[: self.voter_count]:
+            self.create_identity(vm.vm, is_new=True)
 
     def kill(self, name: str) -> None:
         """End one process of this deployment without notice."""
--- a/src/ibisjunction/daemon/command.py
+++ b/src/ibisjunction/daemon/command.py
@@ -76,23 +76,31 @@
 
     def _run(self, settings: Settings) -> int:
         if self.initialise or self.join:
-            sys.stdout.write(f'{self._create_identity(settings)}\n')
+            disk = create_identity(settings, is_new=self.initialise)
+            sys.stdout.write(f'{disk}\n')
             return 0
         return asyncio.run(_run_until_signal(settings))
 
-    def _create_identity(self, settings: Settings) -> str:
-        data_folder = settings.data_folder
-        if data_folder is None:
-            raise StorageError(self.settings, 'data_folder is not set')
-        if self.join:
-            return join(data_folder, settings.vm).node
-        if not settings.is_voter:
-            raise StorageError(
-                self.settings,
-                f'voters does not name {settings.vm}; use --join',
-            )
-        voters = describe_voters(settings)
-        return initialise(data_folder, settings.vm, voters).node
+
+def create_identity(settings: Settings, *, is_new: bool) -> str:
+    """Create the identity of a VM's disk and return the disk's name.
+
+    :param is_new: whether the deployment is new; otherwise the disk replaces
+        one that was lost.
+    :raises StorageError: if the folder is used or the VM is no voter.
+    """
+    data_folder = settings.data_folder
+    if data_folder is None:
+        raise StorageError(Path(settings.vm), 'data_folder is not set')
+    if not is_new:
+        return join(data_folder, settings.vm).node
+    if not settings.is_voter:
+        raise StorageError(
+            data_folder,
+            f'voters does not name {settings.vm}; use --join',
+        )
+    voters = describe_voters(settings)
+    return initialise(data_folder, settings.vm, voters).node
 
 
 async def _run_until_signal(settings: Settings) -> int:
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,271 @@
+"""Runs real daemons on loopback and takes them away."""
+
+import asyncio
+import json
+import shutil
+import signal
+import subprocess
+import sys
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.bench.client import call_admin, make_client
+from ibisjunction.bench.deployment import run_deployment
+from ibisjunction.control.storage import find_identity
+
+_POLLS = 400
+_POLL_S = 0.05
+
+
+class Operator:
+    """Proposes through the administration API, and checks what it saw.
+
+    Each accepted publication has the next revision, so a lost or doubled
+    command shows as a wrong revision.
+    """
+
+    def __init__(self, deployment) -> None:
+        self.deployment = deployment
+        self.client = make_client()
+        self.revision = 0
+
+    async def status(self, vm):
+        answer = await call_admin(self.client, 'GET', vm.admin, '/v1/status')
+        return json.loads(answer.body) if answer.status == 200 else None
+
+    async def wait_until(self, condition, vms=None):
+        """Wait until the status of each VM meets a condition."""
+        for _ in range(_POLLS):
+            found = [await self.status(vm) for vm in vms or self.list_running()]
+            if all(status and condition(status) for status in found):
+                return found
+            await asyncio.sleep(_POLL_S)
+        raise AssertionError(f'not reached: {found}')
+
+    async def find_leader(self, vms=None):
+        """Return the VM that all running VMs take for the leader."""
+        running = {vm.vm for vm in self.list_running()}
+        found = await self.wait_until(
+            lambda status: status['ready'] and status['leader'] in running,
+            vms,
+        )
+        return found[0]['leader']
+
+    def list_running(self):
+        return [
+            vm
+            for vm in self.deployment.vms
+            if vm.vm in self.deployment.processes
+        ]
+
+    async def publish(self, vm=None):
+        """Publish until there is an answer; a resend must not count twice."""
+        body = {
+            'base_revision': self.revision,
+            'publication_id': f'publication-{self.revision}',
+            'files': {},
+        }
+        for _ in range(_POLLS):
+            target = vm or self.list_running()[0]
+            answer = await call_admin(
+                self.client,
+                'POST',
+                target.admin,
+                '/v1/revisions',
+                body,
+            )
+            if answer.status == 200:
+                self.revision += 1
+                found = json.loads(answer.body)['revision']
+                if found != self.revision:
+                    raise AssertionError(f'{found} is not {self.revision}')
+                return
+            if answer.status == 409:
+                raise AssertionError(answer.body)
+            await asyncio.sleep(_POLL_S)
+        raise AssertionError('no answer to a publication')
+
+    async def publish_many(self, count):
+        for _ in range(count):
+            await self.publish()
+
+    async def check_all(self):
+        """Wait until each running VM has the last accepted revision."""
+        await self.wait_until(
+            lambda status: status['revision'] == self.revision,
+        )
+
+    async def change_voters(self, **change):
+        answer = None
+        for _ in range(_POLLS):
+            target = self.list_running()[0]
+            answer = await call_admin(
+                self.client,
+                'POST',
+                target.admin,
+                '/v1/voters',
+                change,
+            )
+            if answer.status == 204:
+                return
+            await asyncio.sleep(_POLL_S)
+        raise AssertionError(f'voters not changed: {answer}')
+
+    async def replace_disk(self, vm):
+        """Replace a VM's lost disk and return the new disk's name."""
+        shutil.rmtree(self.deployment.data_folder(vm.vm))
+        disk = self.deployment.create_identity(vm.vm, is_new=False)
+        self.deployment.start_vm(vm.vm)
+        await self.change_voters(add=disk, peer=vm.peer)
+        return disk
+
+
+def _run(scenario, vm_count=5):
+    with run_deployment(vm_count) as deployment:
+        asyncio.run(scenario(Operator(deployment)))
+
+
+async def _kill_leader_twice(operator):
+    for _ in range(2):
+        leader = await operator.find_leader()
+        await operator.publish_many(5)
+        operator.deployment.kill(leader)
+        await operator.publish_many(5)
+    await operator.check_all()
+
+
+async def _pause_leader(operator):
+    leader = await operator.find_leader()
+    await operator.publish_many(3)
+    operator.deployment.signal(leader, signal.SIGSTOP)
+    others = [vm for vm in operator.list_running() if vm.vm != leader]
+    for _ in range(5):
+        await operator.publish(others[0])
+    await operator.wait_until(
+        lambda status: status['leader'] not in {leader, None},
+        others,
+    )
+    operator.deployment.signal(leader, signal.SIGCONT)
+    await operator.publish_many(3)
+    await operator.check_all()
+
+
+async def _lose_disk_then_second(operator):
+    leader = await operator.find_leader()
+    await operator.publish_many(5)
+    vms = operator.deployment.vms
+    lost, second = [vm for vm in vms if vm.vm != leader][:2]
+    operator.deployment.kill(lost.vm)
+    disk = await operator.replace_disk(lost)
+    # The second loss follows the repair at once, before the old disk's name
+    # is removed from the voters.
+    operator.deployment.kill(second.vm)
+    await operator.publish_many(3)
+    await operator.change_voters(remove=lost.vm)
+    await operator.publish_many(3)
+    await operator.check_all()
+    found = await operator.wait_until(lambda status: status['ready'])
+    wanted = {vm.vm for vm in vms} - {lost.vm} | {disk}
+    for status in found:
+        if set(status['voters']) != wanted:
+            raise AssertionError(f'{status["voters"]} are not {wanted}')
+
+
+async def _restart_all(operator):
+    await operator.find_leader()
+    await operator.publish_many(200)
+    deployment = operator.deployment
+    names = [vm.vm for vm in operator.list_running()]
+    for vm in names:
+        deployment.kill(vm)
+    for vm in names:
+        deployment.start_vm(vm)
+    await operator.wait_until(lambda status: status['ready'])
+    await operator.check_all()
+    await operator.publish_many(3)
+
+
+async def _lose_majority(operator):
+    await operator.find_leader()
+    await operator.publish_many(3)
+    names = [vm.vm for vm in operator.deployment.vms]
+    for vm in names[1:4]:
+        operator.deployment.kill(vm)
+    rest = [operator.deployment.vms[0], operator.deployment.vms[4]]
+    await operator.wait_until(lambda status: not status['ready'], rest)
+    for vm in names[1:4]:
+        operator.deployment.start_vm(vm)
+    await operator.wait_until(lambda status: status['ready'])
+    await operator.check_all()
+    await operator.publish_many(3)
+
+
+class LossTest(unittest.TestCase):
+    """Guards against acknowledged commands that a loss takes away."""
+
+    def test_leader_is_killed_twice(self):
+        _run(_kill_leader_twice)
+
+    def test_leader_is_paused_and_resumed(self):
+        _run(_pause_leader)
+
+    def test_disk_is_lost_and_a_second_voter_after_the_repair(self):
+        _run(_lose_disk_then_second)
+
+    def test_all_restart_after_hundreds_of_commands(self):
+        _run(_restart_all)
+
+    def test_without_majority_nothing_is_ready(self):
+        _run(_lose_majority)
+
+
+class IdentityCommandTest(unittest.TestCase):
+    """Guards against command-line options that don't reach the folder."""
+
+    @parameterized.expand([('initialise', True), ('join', False)])
+    def test_option_creates_identity_once(self, option, is_new):
+        with run_deployment(1) as deployment:
+            deployment.kill('vm-1')
+            folder = deployment.data_folder('vm-1')
+            shutil.rmtree(folder)
+            command = [
+                sys.executable,
+                '-m',
+                'ibisjunction.daemon',
+                str(deployment.folder / 'vm-1.toml'),
+                f'--{option}',
+            ]
+            first = subprocess.run(command, capture_output=True, check=True)
+            disk = find_identity(folder).node
+            self.assertEqual(first.stdout.decode().strip(), disk)
+            self.assertEqual(disk == 'vm-1', is_new)
+            again = subprocess.run(command, capture_output=True, check=False)
+            self.assertEqual(again.returncode, 2)
+            self.assertIn(b'already holds', again.stderr)
+
+
+class RefusalTest(unittest.TestCase):
+    """Guards against a voter that starts with what it must not use."""
+
+    def test_voter_without_identity_refuses_to_start(self):
+        with run_deployment(1) as deployment:
+            deployment.kill('vm-1')
+            shutil.rmtree(deployment.data_folder('vm-1'))
+            self._check_refusal(deployment, '--initialise', '--join')
+
+    def test_voter_with_corrupt_log_refuses_to_start(self):
+        with run_deployment(1) as deployment:
+            deployment.kill('vm-1')
+            log = deployment.data_folder('vm-1') / 'control' / 'log-0'
+            data = bytearray(log.read_bytes())
+            data[0] ^= 1
+            log.write_bytes(bytes(data))
+            self._check_refusal(deployment, str(log), 'offset 0')
+
+    def _check_refusal(self, deployment, *parts):
+        deployment.start_vm('vm-1')
+        self.assertEqual(deployment.processes['vm-1'].wait(30), 2)
+        text = (deployment.folder / 'vm-1.log').read_text()
+        for part in parts:
+            self.assertIn(part, text)
