--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -10,10 +10,20 @@
 
 import cappa
 
+from ibisjunction.bench.capacity.command import (
+    project_again,
+    report_capacity,
+)
 from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
-from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
+from ibisjunction.bench.policy import compare_policies
+from ibisjunction.bench.run_command import run_scenario
+from ibisjunction.bench.upstream import (
+    ServiceTime,
+    UpstreamProfile,
+    run_upstream,
+)
 
 
 @cappa.command(name='upstream')
@@ -28,7 +38,14 @@
     announce_to: Annotated[list[str], cappa.Arg(long=True)]
     failure_domain: Annotated[str, cappa.Arg(long=True)] = 'fd-1'
     slots: Annotated[int, cappa.Arg(long=True)] = 3
-    service_ms: Annotated[int, cappa.Arg(long=True)] = 2
+    service_ms: Annotated[float, cappa.Arg(long=True)] = 2
+    spread: Annotated[float, cappa.Arg(long=True)] = 0
+    cold_factor: Annotated[float, cappa.Arg(long=True)] = 1
+    cold_ms: Annotated[int, cappa.Arg(long=True)] = 0
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+    max_queue: Annotated[int, cappa.Arg(long=True)] = 0
+    control_port: Annotated[int, cappa.Arg(long=True)] = 0
+    crash_on: Annotated[str, cappa.Arg(long=True)] = ''
     answer_bytes: Annotated[int, cappa.Arg(long=True)] = 128
     skip_fence_check: Annotated[bool, cappa.Arg(long=True)] = False
 
@@ -40,12 +57,21 @@
             service=self.service,
             failure_domain=self.failure_domain,
             slots=self.slots,
-            service_ms=self.service_ms,
+            service_time=ServiceTime(
+                self.service_ms,
+                self.spread,
+                self.cold_factor,
+                self.cold_ms,
+                self.seed,
+            ),
             download_bytes=self.answer_bytes,
             checks_fence=not self.skip_fence_check,
             announce_to=tuple(self.announce_to),
             token=self.token,
             record_file=self.records,
+            max_queue=self.max_queue,
+            control_port=self.control_port,
+            crash_on=self.crash_on,
         )
         asyncio.run(_run_until_signal(profile))
         return 0
@@ -73,6 +99,56 @@
         return measure_hop(self.requests, sys.stdout)
 
 
+@cappa.command(name='run')
+@dataclass
+class RunCommand:
+    """Run a scenario on both deployments and write a report.
+
+    The exit code is 1 if a check finds a violation.
+
+    :param scenario: name of a scenario that ships, or a path.
+    """
+
+    scenario: str
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    out: Annotated[Path, cappa.Arg(long=True)] = Path('reports')
+
+    def __call__(self) -> int:
+        """Run the scenario and print where the report is."""
+        return run_scenario(self.scenario, self.seed, self.out, sys.stdout)
+
+
+@cappa.command(name='capacity')
+@dataclass
+class CapacityCommand:
+    """Measure costs on this machine and work out the expected size."""
+
+    out: Annotated[Path, cappa.Arg(long=True)] = Path('reports')
+    again: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Use the measurements of the last run.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Write the tables and print where they are."""
+        if self.again:
+            return project_again(self.out, sys.stdout)
+        return report_capacity(self.out, sys.stdout)
+
+
+@cappa.command(name='policy')
+@dataclass
+class PolicyCommand:
+    """Compare dispatch policies on the same arrivals, in one run."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    only: Annotated[str, cappa.Arg(long=True)] = ''
+
+    def __call__(self) -> int:
+        """Print figures for each scenario of both profiles."""
+        return compare_policies(self.seed, self.only, sys.stdout)
+
+
 @cappa.command(name='control')
 @dataclass
 class ControlCommand:
@@ -89,7 +165,13 @@
     """Stand-ins, local deployments and measurements."""
 
     command: cappa.Subcommands[
-        UpstreamCommand | DemoCommand | HopCommand | ControlCommand
+        UpstreamCommand
+        | DemoCommand
+        | HopCommand
+        | RunCommand
+        | CapacityCommand
+        | PolicyCommand
+        | ControlCommand
     ]
 
 
--- a/src/ibisjunction/control/audience.py
+++ b/src/ibisjunction/control/audience.py
@@ -12,7 +12,11 @@
 from ibisjunction.control.protocol import Entry
 from ibisjunction.control.state import ControlState
 from ibisjunction.membership.leases import LeaseTable
-from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.membership.messages import (
+    FetchReports,
+    Heartbeat,
+    VmReports,
+)
 from ibisjunction.peers.link import PeerNetwork
 from ibisjunction.settings import TimingSettings
 
@@ -85,6 +89,11 @@
         else:
             self._peers.send(heartbeat.vm, self._encode(committed, state))
 
+    def answer_fetch(self, vm: str, fetch: FetchReports, now: int) -> None:
+        """Send the revision that each live VM reported."""
+        revisions = self._leases.revisions(now)
+        self._peers.send(vm, VmReports(fetch.request_id, revisions))
+
     def report(self, now: int) -> LiveVms:
         """Return the VMs whose lease may still run."""
         return LiveVms(
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -56,7 +56,10 @@
 )
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
-from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.membership.messages import (
+    FetchReports,
+    Heartbeat,
+)
 from ibisjunction.peers.codec import CodecError
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
@@ -129,6 +132,7 @@
             self.mailbox,
             ProposeCommand,
             Heartbeat,
+            FetchReports,
             ReplicaMessage,
         )
 
@@ -158,6 +162,9 @@
                 self._answer_heartbeat(sender, heartbeat, now)
             case Received(message=ReplicaMessage() as wrapped):
                 self._accept(wrapped, now)
+            case Received(sender=sender, message=FetchReports() as fetch):
+                if self._consensus.is_acting(now):
+                    self._audience.answer_fetch(sender, fetch, now)
             case Tick():
                 self._advance(message, now)
                 self._report_live_vms(now)
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -36,8 +36,14 @@
     MOVE_COMPLETED = (404, 'move completed')
     GRANT_ACCEPTED = (405, 'upstream accepted its grants')
     GRANT_FAILED = (406, 'upstream did not accept its grants')
+    SHARD_RELEASED = (407, 'shard released')
+    TAKEOVER_STARTED = (408, 'survey of tickets started')
+    TAKEOVER_COMPLETED = (409, 'survey of tickets completed')
     TICKET_GRANTED = (501, 'ticket granted')
     TICKET_REFUSED = (502, 'ticket refused')
+    LIMIT_CHANGED = (503, 'limit changed')
+    BREAKER_OPENED = (504, 'breaker opened')
+    BREAKER_CLOSED = (505, 'breaker closed')
     REQUEST_ROUTED = (601, 'request routed')
     REQUEST_ANSWERED = (602, 'request answered')
     REQUEST_REFUSED = (603, 'request refused')
@@ -45,10 +51,12 @@
     UPSTREAM_ANNOUNCED = (701, 'upstream announced')
     UPSTREAM_DRAINING = (702, 'upstream is draining')
     UPSTREAM_REMOVED = (703, 'upstream removed')
+    UPSTREAM_LOST = (704, 'upstream lost')
     MESSAGE_REJECTED = (801, 'peer message rejected')
     PEER_REDIALLED = (802, 'peer link redialled')
     REVISION_PUBLISHED = (901, 'revision published')
     PUBLICATION_REJECTED = (902, 'publication rejected')
+    TERMS_RENEWED = (903, 'terms renewed')
 
     def __init__(self, number: int, summary: str) -> None:
         """Store the number and the summary of the member."""
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -6,14 +6,17 @@
 from typing import Any
 
 from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.control.codec import encode_command
 from ibisjunction.control.messages import (
     CommittedEntries,
     ControlView,
     LeaderHint,
     LeaderKnown,
+    ProposeCommand,
     StateSnapshot,
 )
 from ibisjunction.control.replica import Replica
+from ibisjunction.control.state import ControlState
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leader import LeaderTracker
@@ -23,6 +26,7 @@
     LeaseExtended,
     LeaseRenewal,
 )
+from ibisjunction.membership.registration import Registration, describe_vm
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.settings import Settings
 from ibisjunction.settings.loader import parse_address
@@ -58,6 +62,7 @@
         self._listeners = listeners
         self._replica = Replica()
         self._lease = VmLease(incarnation, settings.timing.clock_error)
+        self._registration = Registration(settings.vm, incarnation)
         self._was_held = False
         self._tracker = LeaderTracker(settings.timing.heartbeat_ms)
         self._known = LeaderKnown(None, self._list_voters())
@@ -70,6 +75,11 @@
             LeaderHint,
         )
 
+    @property
+    def state(self) -> ControlState:
+        """The control state as this VM has applied it."""
+        return self._replica.state
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
@@ -87,6 +97,7 @@
         match message:
             case HeartbeatDue():
                 self._send_heartbeat()
+                self._register_again()
                 self._report_lease()
             case Received(message=LeaderHint(vm=vm, term=term)):
                 self._tracker.take_hint(vm, term)
@@ -107,6 +118,7 @@
             sent_at=self._clock.now(),
             applied_index=self._replica.index,
             revision=self._replica.state.revision,
+            is_registered=self._registration.is_registered,
         )
         targets = self._tracker.choose_targets(
             self._list_voters(),
@@ -127,14 +139,35 @@
             self._known = known
             self._notify(known)
 
+    def _register_again(self) -> None:
+        """Propose the registration of a VM that was removed.
+
+        It is repeated under the same id with each heartbeat until applied. The
+        leader counts the VM as live again once it has renewed the lease.
+        """
+        if not self._registration.was_removed:
+            return
+        if not self._lease.is_held(self._clock.now()):
+            return
+        command = describe_vm(self._settings, self._incarnation)
+        proposal = ProposeCommand(
+            f'{self._settings.vm}-{self._incarnation}-register-'
+            f'{self._replica.index}',
+            encode_command(command),
+        )
+        leader = self._tracker.find(self._clock.now())
+        for vm in (leader,) if leader else self._list_voters():
+            self._peers.send(vm, proposal)
+
     def _publish_state(self, changed: bool) -> None:
         if not changed:
             return
         view = self._replica.view()
+        self._registration.follow(view.state)
         self._learn_addresses(view)
         self._notify(view)
-        if self._lease.advance(self._replica.index):
-            self._publish_lease()
+        self._lease.advance(self._replica.index)
+        self._publish_lease()
 
     def _learn_addresses(self, view: ControlView) -> None:
         for record in view.state.vms.values():
@@ -143,6 +176,12 @@
             self._peers.set_address(voter.vm, parse_address(voter.peer))
 
     def _publish_lease(self) -> None:
+        """Publish the lease; it permits nothing to an unregistered VM.
+
+        Dispatchers survey registered VMs only.
+        """
+        if not self._registration.is_registered:
+            return
         self._notify(LeaseExtended(self._lease.until_ms))
         self._report_lease()
 
