--- a/src/ibisjunction/admin/model.py
+++ b/src/ibisjunction/admin/model.py
@@ -56,6 +56,21 @@
     revision: int
 
 
+class ChangeVotersRequest(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+):
+    """Body of ``POST /v1/voters``: the disk to add or to remove.
+
+    ``peer`` is the ``host:port`` of the VM of a disk to add.
+    """
+
+    add: str | None = None
+    remove: str | None = None
+    peer: str = ''
+
+
 class RenewalRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of ``POST /v1/services/<service>/clients/<client>/renewals``."""
 
@@ -91,6 +106,8 @@
     vm: str
     ready: bool
     revision: int
+    leader: str | None
+    voters: list[str]
     index: int
     vms: list[str]
     upstreams: list[GrantStatus]
--- a/src/ibisjunction/admin/server.py
+++ b/src/ibisjunction/admin/server.py
@@ -8,6 +8,7 @@
     RenewalsHandler,
     RevisionsHandler,
     UpstreamsHandler,
+    VotersHandler,
 )
 from ibisjunction.admin.context import AdminContext
 from ibisjunction.admin.inspection import (
@@ -26,6 +27,7 @@
     ('/v1/revisions', RevisionsHandler),
     ('/v1/services/([^/]+)/keys/(.+)', KeyHandler),
     ('/v1/services/([^/]+)/clients/([^/]+)/renewals', RenewalsHandler),
+    ('/v1/voters', VotersHandler),
     ('/v1/upstreams', UpstreamsHandler),
     ('/v1/upstreams/([^/]+)/drain', DrainHandler),
 )
--- a/src/ibisjunction/admin/task.py
+++ b/src/ibisjunction/admin/task.py
@@ -5,7 +5,7 @@
 
 from ibisjunction.admin.model import GrantStatus, KeyAnswer, StatusAnswer
 from ibisjunction.clock import Clock
-from ibisjunction.control.messages import ControlView
+from ibisjunction.control.messages import ControlView, LeaderKnown
 from ibisjunction.control.records import UpstreamRecord
 from ibisjunction.control.state import ControlState
 from ibisjunction.control.terms import find_spec
@@ -23,6 +23,7 @@
         self._clock = clock
         self._view = ControlView(0, ControlState())
         self._lease_until_ms = 0
+        self._leader: str | None = None
         self.is_draining = False
         self.mailbox: Mailbox[Any] = Mailbox()
 
@@ -34,6 +35,8 @@
                     self._view = view
                 case LeaseExtended(until_ms=until_ms):
                     self._lease_until_ms = until_ms
+                case LeaderKnown(vm=leader):
+                    self._leader = leader
 
     @property
     def state(self) -> ControlState:
@@ -85,6 +88,8 @@
             vm=self._vm,
             ready=self.find_unready_reason() is None,
             revision=state.revision,
+            leader=self._leader,
+            voters=[voter.node for voter in state.voters],
             index=self._view.index,
             vms=sorted(state.vms),
             upstreams=[
--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -14,6 +14,7 @@
     project_again,
     report_capacity,
 )
+from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
 from ibisjunction.bench.policy import compare_policies
@@ -148,6 +149,16 @@
         return compare_policies(self.seed, self.only, sys.stdout)
 
 
+@cappa.command(name='control')
+@dataclass
+class ControlCommand:
+    """Measure commits, restarts and failovers of the control log."""
+
+    def __call__(self) -> int:
+        """Print the figures."""
+        return measure_control(sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
@@ -160,6 +171,7 @@
         | RunCommand
         | CapacityCommand
         | PolicyCommand
+        | ControlCommand
     ]
 
 
