--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -12,7 +12,9 @@
 
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.outage import compare_breakers
 from ibisjunction.bench.policy import compare_policies
+from ibisjunction.bench.sharing import compare_sharing
 from ibisjunction.bench.upstream import UpstreamProfile, run_upstream
 
 
@@ -83,7 +85,9 @@
 
     def __call__(self) -> int:
         """Print figures for each scenario of both profiles."""
-        return compare_policies(self.seed, self.only, sys.stdout)
+        compare_policies(self.seed, self.only, sys.stdout)
+        compare_sharing(self.seed, sys.stdout)
+        return compare_breakers(sys.stdout)
 
 
 @cappa.command(name='ibisjunction-bench')
--- a/src/ibisjunction/bench/policy.py
+++ b/src/ibisjunction/bench/policy.py
@@ -26,7 +26,7 @@
     ResultKind,
     TicketRequest,
 )
-from ibisjunction.services.collection import parse_collection
+from ibisjunction.services.model import parse_service_file
 from ibisjunction.services.spec import Rank, ServiceSpec
 
 #: Arrivals last this long; floods reach their steady state within 1 s.
@@ -97,10 +97,7 @@
     scenario: Scenario,
     seed: int,
 ) -> Iterator[str]:
-    files = read_profile(deployment.profile)
-    spec = parse_collection(
-        {deployment.service: files[f'{deployment.service}.toml']},
-    )[0]
+    spec = read_service(deployment.profile, deployment.service)
     phases = _make_phases(scenario, deployment.slots)
     per_ms = deployment.slots / scenario.service_ms
     arrivals = make_arrivals(spec, scenario, per_ms, seed)
@@ -111,7 +108,13 @@
     }
     for name, scheme in schemes.items():
         ended = Replay(scheme, phases).run(arrivals, 2 * _DURATION_MS)
-        yield _describe(name, spec, ended)
+        yield summarize(name, spec, ended)
+
+
+def read_service(profile: str, service: str) -> ServiceSpec:
+    """Return a service of an example profile."""
+    text = read_profile(profile)[f'{service}.toml']
+    return parse_service_file(text, service)
 
 
 def make_dispatcher(spec: ServiceSpec, slots: int) -> Dispatcher:
@@ -199,7 +202,8 @@
             return [start]
 
 
-def _describe(name: str, spec: ServiceSpec, ended: Sequence[Ended]) -> str:
+def summarize(name: str, spec: ServiceSpec, ended: Sequence[Ended]) -> str:
+    """Return a line with the figures by rank, worth and fairness."""
     good = [item for item in ended if is_on_time(spec, item)]
     ranks_served = [item.arrival.request.rank for item in good]
     worth = sum(spec.ranks[rank].worth for rank in ranks_served)
--- a/src/ibisjunction/dispatch/dispatcher.py
+++ b/src/ibisjunction/dispatch/dispatcher.py
@@ -61,38 +61,38 @@
         self.health = UpstreamHealth(upstream, slots)
         self._fences: dict[int, int] = {}
         self._fences_until_ms = 0
-        self._queue = WorkQueue()
-        self._tickets = Tickets()
+        self.queue = WorkQueue()
+        self.tickets = Tickets()
         self._budget = RetryBudget()
 
     def set_ranks(self, policies: Mapping[Rank, RankPolicy]) -> None:
         """Take the published policies of the ranks."""
-        self._queue.shares.policies = policies
+        self.queue.shares.policies = policies
 
     def hold_shards(self, shards: frozenset[int]) -> None:
         """Issue no ticket for these shards until the next call.
 
         Requests for them wait in the queue.
         """
-        self._queue.hold(shards)
+        self.queue.hold(shards)
 
     def is_idle(self, shard: int) -> bool:
         """Return whether no ticket for the shard is outstanding."""
-        return not self._tickets.has_shard(shard)
+        return not self.tickets.has_shard(shard)
 
     def restore(self, tickets: Mapping[str, Outstanding]) -> None:
         """Take over tickets that an earlier dispatcher issued, by id."""
         for ticket_id, ticket in tickets.items():
-            self._tickets.add(ticket_id, ticket)
+            self.tickets.add(ticket_id, ticket)
 
     def drop_vm(self, vm: str, now: int) -> list[Effect]:
         """Forget what a lost VM asked for or holds.
 
         Only for a VM whose lease has run out: it sends nothing any more.
         """
-        for ticket_id in self._tickets.ids_of_vm(vm):
+        for ticket_id in self.tickets.ids_of_vm(vm):
             self._take_back(ticket_id, now)
-        self._queue.remove_vm(vm)
+        self.queue.remove_vm(vm)
         return self.issue(now)
 
     def confirm_grants(self, grants: GrantsInForce, now: int) -> list[Effect]:
@@ -118,16 +118,16 @@
             arrival = Arrival(
                 vm,
                 request,
-                self._tickets.count_of(request.client),
+                self.tickets.count_of(request.client),
                 self._has_free_slot(now),
                 now,
             )
-            refusal = admit(self._queue, arrival, self.health.capacity)
+            refusal = admit(self.queue, arrival, self.health.capacity)
         if refusal is not None:
             return [SendToVm(vm, refusal), *self.issue(now)]
         effects: list[Effect] = [
             _refuse(victim, Reason.QUEUE_FULL)
-            for victim in self._queue.shorten(request.rank)
+            for victim in self.queue.shorten(request.rank)
         ]
         return effects + self.issue(now)
 
@@ -139,7 +139,7 @@
     def cancel(self, cancel: TicketCancel, now: int) -> list[Effect]:
         """Forget a queued request or take back its ticket."""
         self._take_back(cancel.ticket_id, now)
-        self._queue.remove(cancel.ticket_id)
+        self.queue.remove(cancel.ticket_id)
         return self.issue(now)
 
     def issue(self, now: int) -> list[Effect]:
@@ -148,19 +148,19 @@
         capacity = self.health.capacity
         effects: list[Effect] = [
             _refuse(queued, _reason_of_expiry(queued, now))
-            for queued in self._queue.expire(now, capacity.service_ms)
+            for queued in self.queue.expire(now, capacity.service_ms)
         ]
         effects += [
             _refuse(queued, Reason.QUEUE_FULL)
-            for queued in trim_late(self._queue, capacity)
+            for queued in trim_late(self.queue, capacity)
         ]
-        reserved = self._queue.shares.reserved(
+        reserved = self.queue.shares.reserved(
             capacity.limit,
             capacity.service_ms,
         )
         while now < self._fences_until_ms and self._has_free_slot(now):
-            free = capacity.limit - len(self._tickets)
-            queued = self._queue.take(self._tickets.has_most, free <= reserved)
+            free = capacity.limit - len(self.tickets)
+            queued = self.queue.take(self.tickets.has_most, free <= reserved)
             if queued is None:
                 break
             effects.append(self._answer(queued, now))
@@ -187,7 +187,7 @@
         return None
 
     def _has_free_slot(self, now: int) -> bool:
-        return len(self._tickets) < self.health.allowed(now)
+        return len(self.tickets) < self.health.allowed(now)
 
     def _answer(self, queued: QueuedRequest, now: int) -> SendToVm:
         request = queued.request
@@ -201,7 +201,7 @@
             request.client,
             now,
         )
-        self._tickets.add(request.ticket_id, ticket)
+        self.tickets.add(request.ticket_id, ticket)
         self.health.note_issued()
         granted = TicketGranted(
             request.ticket_id,
@@ -217,10 +217,10 @@
         now: int,
         result: TicketResult = _CANCELLED,
     ) -> list[Effect]:
-        ticket = self._tickets.remove(ticket_id)
+        ticket = self.tickets.remove(ticket_id)
         if ticket is None:
             return []
-        self._queue.unblock(ticket.client)
+        self.queue.unblock(ticket.client)
         effects: list[Effect] = []
         effects += self.health.learn(ticket, result, now)
         breaker = self.health.breaker
@@ -228,7 +228,7 @@
             retry_after_ms = breaker.until_ms - now
             effects += [
                 _refuse(queued, Reason.BREAKER_OPEN, retry_after_ms)
-                for queued in self._queue.drain()
+                for queued in self.queue.drain()
             ]
         return effects
 
--- a/src/ibisjunction/dispatch/health.py
+++ b/src/ibisjunction/dispatch/health.py
@@ -56,7 +56,7 @@
     def capacity(self) -> Capacity:
         """What the upstream can do now, as measured."""
         return Capacity(
-            self.limit.current,
+            max(self.limit.current, 1),
             self.times.median_ms,
             self.times.tail_ms,
         )
--- a/src/ibisjunction/dispatch/tickets.py
+++ b/src/ibisjunction/dispatch/tickets.py
@@ -40,6 +40,10 @@
         """Return the number of outstanding tickets."""
         return len(self._tickets)
 
+    def __contains__(self, ticket_id: str) -> bool:
+        """Return whether a ticket is outstanding."""
+        return ticket_id in self._tickets
+
     def add(self, ticket_id: str, ticket: Outstanding) -> None:
         """Count a ticket; an id that is known replaces its ticket."""
         self.remove(ticket_id)
