--- a/src/ibisjunction/bench/policy.py
+++ b/src/ibisjunction/bench/policy.py
@@ -165,7 +165,7 @@
     client = 0
     if source.random() >= _HEAVY_PART:
         client = source.randrange(1, len(_LEVELS))
-    terms = spec.terms_for(_LEVELS[client])
+    terms = spec.terms[min(_LEVELS[client], len(spec.terms) - 1)]
     request = TicketRequest(
         ticket_id=f'request-{number}',
         upstream=UPSTREAM,
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -18,6 +18,7 @@
     Rejected,
     RemoveUpstream,
     RemoveVm,
+    RenewTerms,
 )
 from ibisjunction.control.records import (
     DispatcherRecord,
@@ -26,6 +27,13 @@
     UpstreamRecord,
     VmRecord,
 )
+from ibisjunction.control.terms import (
+    ClientTerms,
+    Renewal,
+    find_spec,
+    level_of,
+    renew,
+)
 
 _Key = TypeVar('_Key')
 _Item = TypeVar('_Item')
@@ -36,7 +44,8 @@
     """All state that the control log yields; never changed in place.
 
     ``grants`` is keyed by service and shard. ``last_fence`` and ``last_epoch``
-    only grow, so no fence or epoch is issued twice.
+    only grow, so no fence or epoch is issued twice. ``departed`` keeps the
+    incarnation of each upstream that was drained and removed.
     """
 
     vms: dict[str, VmRecord] = field(default_factory=dict)
@@ -48,11 +57,21 @@
     revision: int = 0
     last_fence: int = 0
     last_epoch: int = 0
+    terms: dict[str, dict[str, ClientTerms]] = field(default_factory=dict)
+    departed: dict[str, int] = field(default_factory=dict)
 
     def grant_of(self, service: str, shard: int) -> Grant | None:
         """Return the grant of a shard, or ``None`` if it has no owner."""
         return self.grants.get(service, {}).get(shard)
 
+    def slots_of(self, service: str) -> int:
+        """Return the slots of all upstreams of a service that stay."""
+        return sum(
+            record.slots
+            for record in self.upstreams.values()
+            if record.service == service and not record.draining
+        )
+
     def grants_of(self, upstream: str) -> list[Grant]:
         """Return the grants an upstream holds, by shard."""
         record = self.upstreams.get(upstream)
@@ -86,17 +105,39 @@
             return _complete_move(state, command)
         case PublishRevision():
             return _publish(state, command)
+        case RenewTerms(renewal=renewal):
+            return _renew_terms(state, renewal)
 
 
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
     match command:
         case RegisterVm(record=record):
+            known = state.vms.get(record.vm, record)
+            if known.incarnation != record.incarnation:
+                state = _forget_vm(state, record.vm)
             vms = {**state.vms, record.vm: record}
             return replace(state, vms=vms), Accepted()
-        case RemoveVm(vm=vm):
-            if vm not in state.vms:
-                return state, Rejected(f'VM {vm} is not registered')
-            return replace(state, vms=_without(state.vms, vm)), Accepted()
+        case RemoveVm(vm=vm, incarnation=incarnation):
+            present = state.vms.get(vm)
+            if present is None or present.incarnation != incarnation:
+                return state, Rejected(
+                    f'VM {vm} is not registered with incarnation {incarnation}',
+                )
+            return _forget_vm(state, vm), Accepted()
+
+
+def _forget_vm(state: ControlState, vm: str) -> ControlState:
+    """Remove a process that has lost the state of its dispatchers."""
+    dispatchers = {
+        upstream: record
+        for upstream, record in state.dispatchers.items()
+        if record.vm != vm
+    }
+    return replace(
+        state,
+        vms=_without(state.vms, vm),
+        dispatchers=dispatchers,
+    )
 
 
 def _apply_upstream(
@@ -121,18 +162,47 @@
         return state, Rejected(
             f'upstream {record.upstream} belongs to service {known.service}',
         )
+    newest = 0 if known is None else known.incarnation
+    if record.incarnation < newest:
+        return state, Rejected(
+            f'upstream {record.upstream} has restarted as {newest}',
+        )
+    if record.incarnation <= state.departed.get(record.upstream, -1):
+        return state, Rejected(f'upstream {record.upstream} was drained')
+    if known is not None and known.incarnation == record.incarnation:
+        is_draining = known.draining or record.draining
+        record = replace(record, draining=is_draining)
     upstreams = {**state.upstreams, record.upstream: record}
+    state = _move_to_new_process(state, record)
     return replace(state, upstreams=upstreams), Accepted()
 
 
+def _move_to_new_process(
+    state: ControlState,
+    record: UpstreamRecord,
+) -> ControlState:
+    """Start to move the shards of a former process of the upstream."""
+    for grant in state.grants_of(record.upstream):
+        is_former = grant.incarnation != record.incarnation
+        if is_former and grant.moving_to is None:
+            moving = replace(grant, moving_to=record.upstream)
+            state = _with_grant(state, moving)
+    return state
+
+
 def _remove_upstream(state: ControlState, upstream: str) -> Applied:
-    if upstream not in state.upstreams:
+    record = state.upstreams.get(upstream)
+    if record is None:
         return state, Rejected(f'upstream {upstream} is not known')
     if state.grants_of(upstream):
         return state, Rejected(f'upstream {upstream} still owns shards')
+    departed = state.departed
+    if record.draining:
+        departed = {**departed, upstream: record.incarnation}
     return (
         replace(
             state,
+            departed=departed,
             upstreams=_without(state.upstreams, upstream),
             dispatchers=_without(state.dispatchers, upstream),
         ),
@@ -148,6 +218,12 @@
         return state, Rejected(f'upstream {command.upstream} is not known')
     if command.vm not in state.vms:
         return state, Rejected(f'VM {command.vm} is not registered')
+    current = state.dispatchers.get(command.upstream)
+    current_epoch = 0 if current is None else current.epoch
+    if current_epoch != command.replaces_epoch:
+        return state, Rejected(
+            f'upstream {command.upstream} is under epoch {current_epoch}',
+        )
     epoch = state.last_epoch + 1
     record = DispatcherRecord(command.upstream, command.vm, epoch)
     dispatchers = {**state.dispatchers, command.upstream: record}
@@ -158,7 +234,8 @@
 
 
 def _assign_shards(state: ControlState, command: AssignShards) -> Applied:
-    if command.upstream not in state.upstreams:
+    record = state.upstreams.get(command.upstream)
+    if record is None:
         return state, Rejected(f'upstream {command.upstream} is not known')
     held = dict(state.grants.get(command.service, {}))
     fence = state.last_fence
@@ -168,7 +245,13 @@
                 f'shard {shard} of {command.service} has an owner',
             )
         fence += 1
-        held[shard] = Grant(command.service, shard, command.upstream, fence)
+        held[shard] = Grant(
+            command.service,
+            shard,
+            command.upstream,
+            fence,
+            record.incarnation,
+        )
     grants = {**state.grants, command.service: held}
     return replace(state, grants=grants, last_fence=fence), Accepted()
 
@@ -192,7 +275,13 @@
         grants = {**state.grants, command.service: held}
         return replace(state, grants=grants), Accepted()
     fence = state.last_fence + 1
-    moved = Grant(command.service, command.shard, grant.moving_to, fence)
+    moved = Grant(
+        command.service,
+        command.shard,
+        grant.moving_to,
+        fence,
+        state.upstreams[grant.moving_to].incarnation,
+    )
     return _with_grant(replace(state, last_fence=fence), moved), Accepted()
 
 
@@ -221,6 +310,17 @@
     )
 
 
+def _renew_terms(state: ControlState, renewal: Renewal) -> Applied:
+    spec = find_spec(state.files, renewal.service)
+    if spec is None:
+        return state, Rejected(f'service {renewal.service} is not published')
+    held = state.terms.get(renewal.service, {})
+    renewed = renew(spec, held, renewal, state.slots_of(renewal.service))
+    terms = {**state.terms, renewal.service: {**held, renewal.client: renewed}}
+    level = level_of(spec, terms[renewal.service], renewal.client)
+    return replace(state, terms=terms), Accepted(level=level)
+
+
 def _with_grant(state: ControlState, grant: Grant) -> ControlState:
     held = {**state.grants.get(grant.service, {}), grant.shard: grant}
     return replace(state, grants={**state.grants, grant.service: held})
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -8,31 +8,42 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
-from ibisjunction.admin.server import AdminContext, make_admin_server
+from ibisjunction.admin.context import AdminContext
+from ibisjunction.admin.server import make_admin_server
 from ibisjunction.admin.task import AdminTask
 from ibisjunction.clock import Clock, SystemClock
 from ibisjunction.control.client import ControlClient
-from ibisjunction.control.commands import RegisterVm
 from ibisjunction.control.messages import (
     CommittedEntries,
     ProposalResult,
     ProposeCommand,
     StateSnapshot,
 )
-from ibisjunction.control.records import VmRecord
 from ibisjunction.control.task import ControlTask
 from ibisjunction.dispatch.messages import (
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    TicketsHeld,
+    UpstreamSpeed,
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
-from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.messages import (
+    FetchReports,
+    Heartbeat,
+    LeaseRenewal,
+    VmReports,
+)
+from ibisjunction.membership.registration import describe_vm
+from ibisjunction.membership.reports import ReportsClient
 from ibisjunction.membership.task import MembershipTask
+from ibisjunction.metrics import MetricsTask
+from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
 from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
@@ -42,8 +53,8 @@
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
+from ibisjunction.upstreams.grants import GrantConnections
 from ibisjunction.upstreams.pool import ConnectionPool
-from ibisjunction.upstreams.protocol import call_grants
 
 _logger = logging.getLogger(__name__)
 
@@ -51,16 +62,23 @@
 #: Every message that crosses the network between daemons.
 PEER_MESSAGES: Final = (
     CommittedEntries,
+    FetchReports,
     Heartbeat,
     LeaseRenewal,
     ProposalResult,
     ProposeCommand,
+    ShardReleased,
     StateSnapshot,
+    SurveyTickets,
     TicketCancel,
     TicketDone,
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    VmReports,
+    TicketsHeld,
+    UpstreamLost,
+    UpstreamSpeed,
 )
 
 
@@ -106,6 +124,8 @@
     """The tasks of one daemon; ``voter`` exists on voters only."""
 
     client: ControlClient
+    reports: ReportsClient
+    metrics: MetricsTask
     admin: AdminTask
     dispatch: DispatchTask
     ownership: OwnershipTask
@@ -127,6 +147,8 @@
         """Return every task."""
         return [
             self.client,
+            self.reports,
+            self.metrics,
             self.admin,
             self.routing,
             self.placement,
@@ -144,10 +166,18 @@
     """Connect the mailboxes of a daemon's tasks."""
     client = ControlClient(settings, incarnation, peers)
     admin = AdminTask(settings.vm, clock)
-    dispatch = DispatchTask(settings.vm, clock, peers)
-    ownership = OwnershipTask(settings, clock, dispatch.mailbox, call)
+    grants: Mailbox[Any] = Mailbox()
+    dispatch = DispatchTask(settings, clock, peers, grants)
+    ownership = OwnershipTask(
+        settings,
+        clock,
+        peers,
+        dispatch.mailbox,
+        call,
+        grants,
+    )
     routing = RoutingTask(settings.vm, clock, peers)
-    placement = PlacementTask(client)
+    placement = PlacementTask(settings, clock, peers, client)
     listeners = [
         task.mailbox
         for task in (admin, dispatch, ownership, routing, placement)
@@ -157,6 +187,8 @@
         voter = ControlTask(settings, clock, peers, [placement.mailbox])
     return DaemonTasks(
         client=client,
+        reports=ReportsClient(settings, peers),
+        metrics=MetricsTask(),
         admin=admin,
         dispatch=dispatch,
         ownership=ownership,
@@ -179,22 +211,23 @@
     clock = SystemClock()
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
-    peers = make_peers(settings, incarnation)
-    tasks = build_tasks(settings, incarnation, clock, peers, call_grants)
+    peers = make_peers(settings, incarnation, clock)
+    calls = GrantConnections(clock)
+    tasks = build_tasks(settings, incarnation, clock, peers, calls.call)
     async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(calls.close)
         await stack.enter_async_context(peers.run())
-        for task in tasks.all():
-            await stack.enter_async_context(
-                run_task(task.run(), type(task).__name__),
-            )
-        for timed in tasks.with_timer():
-            await stack.enter_async_context(
-                run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
-            )
+        await _start_tasks(stack, tasks)
         pool = ConnectionPool(clock)
         stack.push_async_callback(pool.close)
         server = make_admin_server(
-            AdminContext(settings, tasks.admin, tasks.client),
+            AdminContext(
+                settings,
+                tasks.admin,
+                tasks.client,
+                tasks.reports,
+                tasks.metrics.mailbox,
+            ),
         )
         server.listen(settings.admin.port, settings.admin.host)
         stack.callback(server.stop)
@@ -212,11 +245,31 @@
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
-def make_peers(settings: Settings, incarnation: int) -> PeerTask:
+async def _start_tasks(
+    stack: contextlib.AsyncExitStack,
+    tasks: DaemonTasks,
+) -> None:
+    """Run the tasks until the stack is closed."""
+    for task in tasks.all():
+        await stack.enter_async_context(
+            run_task(task.run(), type(task).__name__),
+        )
+    for timed in tasks.with_timer():
+        await stack.enter_async_context(
+            run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
+        )
+
+
+def make_peers(
+    settings: Settings,
+    incarnation: int,
+    clock: Clock,
+) -> PeerTask:
     """Return the peer sockets of a daemon, not yet open."""
     peers = PeerTask(
         settings.vm,
         incarnation,
+        clock,
         settings.peer,
         Codec(PEER_MESSAGES),
         Authenticator(settings.keys),
@@ -224,17 +277,3 @@
     for voter in settings.voters:
         peers.set_address(voter.vm, voter.peer)
     return peers
-
-
-def describe_vm(settings: Settings, incarnation: int) -> RegisterVm:
-    """Return the command that registers this VM."""
-    return RegisterVm(
-        VmRecord(
-            vm=settings.vm,
-            peer=str(settings.peer),
-            http=str(settings.http),
-            region=settings.region,
-            failure_domain=settings.failure_domain,
-            incarnation=incarnation,
-        ),
-    )
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -114,9 +114,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GrantsFailed:
-    """The upstream did not confirm its grants."""
+class SurveyTickets:
+    """Asks a VM which tickets of earlier epochs it has started to use.
+
+    From then on the VM drops tickets of epochs before ``epoch``.
+    """
+
+    upstream: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTicket:
+    """A ticket in use; ``remaining_ms`` is the time until its deadline."""
+
+    ticket_id: str
+    shard: int
+    remaining_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TicketsHeld:
+    """Answers :class:`SurveyTickets` of the dispatcher with this epoch."""
 
     upstream: str
     epoch: int
-    detail: str
+    tickets: list[HeldTicket]
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """Tells the leader the measured speed of an upstream, each second.
+
+    ``speed`` is in requests per slot and second, 0 while unknown.
+    """
+
+    upstream: str
+    incarnation: int
+    speed: float
