Keep each rank's share of a full queue

Cause: with a fast upstream an urgent flood filled the queue and pushed out the deferrable requests, so that their rank fell below its min_share of 5%. Change: a rank keeps min_share of the queue's length from others.

--- a/src/ibisjunction/dispatch/queue.py
+++ b/src/ibisjunction/dispatch/queue.py
@@ -131,13 +131,19 @@
     def shorten(self, rank: Rank) -> Iterator[QueuedRequest]:
         """Remove and return what is worth least, if too many wait.
 
-        A request of ``rank`` was added; less urgent ones make room for it.
+        A request of ``rank`` was added; less urgent ones make room for it, but
+        each rank keeps its ``min_share`` of the queue, without which it could
+        not use its share of the slots.
         """
         if len(self) <= QUEUE_LENGTH:
             return
         ranks = tuple(Rank)
         for candidate in reversed(ranks[ranks.index(rank) :]):
-            victim = self._lanes[candidate].take_last()
+            lane = self._lanes[candidate]
+            kept = self.shares.policies[candidate].min_share * QUEUE_LENGTH
+            victim = None
+            if candidate is rank or len(lane) > kept:
+                victim = lane.take_last()
             if victim is not None:
                 yield victim
                 return
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -128,6 +128,16 @@
         effects = dispatcher.finish(TicketDone('t-0', 'up-1', _SUCCESS), 1)
         self.assertEqual(_kinds(effects)[0], ('urgent', None))
 
+    def test_ranks_keep_their_share_of_a_full_queue(self):
+        dispatcher = _make_dispatcher(slots=1)
+        for number in range(26):
+            _ask(dispatcher, f't-{number}', rank=Rank.DEFERRABLE)
+        answers = []
+        for number in range(232):
+            answers += _ask(dispatcher, f'u-{number}', rank=Rank.URGENT)
+        refused = [(answer.ticket_id, answer.reason) for answer in answers]
+        self.assertEqual(refused, [('u-231', Reason.QUEUE_FULL)])
+
     def test_client_has_no_more_than_its_terms_allow(self):
         request = make_ticket_request(client='b', max_in_flight=1)
         dispatcher = _make_dispatcher(slots=2)
