--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -77,6 +77,16 @@
         self.finish(msgspec.json.encode(self.reporter.load()))
 
 
+class _CancelHandler(_StandInHandler):
+    async def post(self, request_id: str) -> None:
+        await self.wait_until_thawed()
+        task = self.stand_in.tasks.get(request_id)
+        is_cancelled = task is not None and task.cancel()
+        self.set_status(
+            HTTPStatus.NO_CONTENT if is_cancelled else HTTPStatus.NOT_FOUND,
+        )
+
+
 @stream_request_body
 class _WorkHandler(_StandInHandler):
     def initialize(self, stand_in: StandIn, reporter: LoadReporter) -> None:
@@ -114,8 +124,11 @@
             self.stand_in.clock.now(),
         )
         self._task = asyncio.create_task(self._run(work))
+        self.stand_in.tasks[work.request_id] = self._task
         await asyncio.wait({self._task})
+        self.stand_in.tasks.pop(work.request_id, None)
         if self._task.cancelled():
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         error = self._task.exception()
         if error is not None and not isinstance(error, StreamClosedError):
@@ -175,6 +188,7 @@
         Application(
             [
                 ('/ibis/grants', _GrantsHandler, shared),
+                ('/ibis/cancel/(.+)', _CancelHandler, shared),
                 ('/ibis/health', _HealthHandler, shared),
                 ('/ibis/load', _LoadHandler, shared),
                 ('/.*', _WorkHandler, shared),
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -274,7 +274,8 @@
 
     def ask(self, ticket_id) -> None:
         route = RouteMatch(make_spec(), READ, 'key', 0)
-        self.task.handle(ObtainTicket(ticket_id, route, '', 2000, self.reply))
+        ask = ObtainTicket(ticket_id, 'print', route, '', 2000, self.reply)
+        self.task.handle(ask)
 
     def receive(self, message, sender='vm-1') -> None:
         self.task.handle(Received(sender, message))
