Work out relays, publications and idle daemons

Change: rows for relays, for publications with the cost of parsing service files, and for an idle daemon.

--- a/src/ibisjunction/bench/capacity/control_costs.py
+++ b/src/ibisjunction/bench/capacity/control_costs.py
@@ -10,6 +10,7 @@
     measure_cpu_us,
     measure_kib,
 )
+from ibisjunction.bench.demo import read_profile
 from ibisjunction.control.codec import decode_state, encode_state
 from ibisjunction.control.commands import (
     AnnounceUpstream,
@@ -23,6 +24,7 @@
 from ibisjunction.control.records import UpstreamRecord, VmRecord
 from ibisjunction.control.state import ControlState, apply_command
 from ibisjunction.placement.planner import PlacementInput, plan_commands
+from ibisjunction.services.collection import parse_collection
 
 _KIB: Final = 1024
 _SERVICE: Final = 'service-0001'
@@ -109,6 +111,20 @@
     return fit_line('applying a publication', 'us', 'service file', points)
 
 
+def measure_parsing() -> Fit:
+    """Return the time to parse service files against their number."""
+    sample = read_profile('consorcio')['mail-log.toml']
+    points = {}
+    for count in (3, 30, 100):
+        files = {
+            f'{number}.toml': sample.replace('mail-log', f'mail-log-{number}')
+            for number in range(count)
+        }
+        work = partial(parse_collection, files)
+        points[count] = measure_cpu_us(work, _REPEATS)
+    return fit_line('parsing service files', 'us', 'service file', points)
+
+
 def _build_sized(per: str, size: int) -> ControlState:
     match per:
         case 'shard':
--- a/src/ibisjunction/bench/capacity/costs.py
+++ b/src/ibisjunction/bench/capacity/costs.py
@@ -4,6 +4,7 @@
 
 from ibisjunction.bench.capacity.control_costs import (
     measure_apply,
+    measure_parsing,
     measure_publication,
     measure_state,
 )
@@ -49,6 +50,7 @@
             *measure_state(),
             *measure_apply(),
             measure_publication(),
+            measure_parsing(),
             measure_lease_table(),
             measure_links(),
             *measure_idle(),
--- a/src/ibisjunction/bench/capacity/projection.py
+++ b/src/ibisjunction/bench/capacity/projection.py
@@ -1,6 +1,5 @@
 """Works out the costs of the expected size from the measured slopes."""
 
-import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -152,28 +151,18 @@
         'us/s',
         counts.targets.control_cpu_us_per_s,
     )
-    publications = counts.targets.publications_per_day / SECONDS_PER_DAY
-    yield Row(role, 'publications/s', publications, '')
-    catalogue = counts.assumed.services * counts.assumed.file_kib * _KIB
-    yield Row(
-        role,
-        'bytes/s if each carries all service files',
-        publications * catalogue,
-        'bytes/s',
-        counts.targets.control_bytes_per_s,
-    )
 
 
 def _project_heartbeat(costs: Costs, counts: Counts) -> Iterator[Row]:
-    role = 'heartbeat of a daemon, as built'
+    role = 'idle daemon, as built'
     sent = costs.message('Heartbeat').wire_bytes
     received = costs.message('LeaseRenewal').wire_bytes
-    voters = counts.targets.regions * counts.assumed.voters_per_region
+    voters = counts.assumed.voters
     rate = counts.assumed.heartbeats_per_s
     limit = counts.targets.control_bytes_per_s
     yield Row(
         role,
-        'bytes/s to every voter',
+        'heartbeat bytes/s to every voter',
         rate * (sent * voters + received),
         'bytes/s',
         limit,
@@ -186,10 +175,59 @@
         'us/s',
         counts.targets.control_cpu_us_per_s,
     )
+    memory = costs.fit('resident memory', 'VM')
+    yield Row(
+        role,
+        'resident memory of an idle daemon',
+        memory.points[-1][1],
+        'MiB',
+        counts.targets.control_memory_mib,
+    )
+
+
+def _project_publication(costs: Costs, counts: Counts) -> Iterator[Row]:
+    role = 'publication'
+    targets = counts.targets
+    rate = targets.publications_per_day / SECONDS_PER_DAY
+    services = counts.assumed.services
+    yield Row(role, 'publications/s', rate, '')
+    catalogue = services * counts.assumed.file_kib * _KIB
+    yield Row(
+        role,
+        'bytes/s of a daemon if each carries all service files',
+        rate * catalogue,
+        'bytes/s',
+        targets.control_bytes_per_s,
+    )
+    applying = costs.fit('applying a publication', 'service file')
+    parsing = costs.fit('parsing service files', 'service file')
+    whole = applying.at(services) + parsing.at(services)
+    yield Row(
+        role,
+        'processor time if all files are parsed anew',
+        rate * whole,
+        'us/s',
+        targets.control_cpu_us_per_s,
+    )
+    cell_share = rate / counts.cells
+    yield Row(
+        role,
+        'processor time if a cell parses its own changed file',
+        cell_share * parsing.at(1),
+        'us/s',
+        targets.control_cpu_us_per_s,
+    )
+    yield Row(
+        role,
+        'bytes/s if a cell receives its own changed file',
+        cell_share * counts.assumed.file_kib * _KIB,
+        'bytes/s',
+        targets.control_bytes_per_s,
+    )
 
 
 def _project_cell(costs: Costs, counts: Counts) -> Iterator[Row]:
-    role = 'with cells and relays'
+    role = 'with cells'
     targets = counts.targets
     memory = _state_kib(costs, counts, 'control state', counts.cells)
     yield Row(
@@ -209,7 +247,6 @@
         'us/s',
         targets.control_cpu_us_per_s,
     )
-    yield from _project_relays(costs, counts)
     links = counts.cell_daemons * costs.fit('link to a peer', 'link').slope
     yield Row(role, 'memory of links in a cell', links / _KIB, 'MiB')
     planning = costs.fit('planning', 'shard').at(shards)
@@ -225,35 +262,53 @@
 
 
 def _project_relays(costs: Costs, counts: Counts) -> Iterator[Row]:
-    """Relays take heartbeats of a few daemons and send one for all."""
-    role = 'with cells and relays'
+    """One reserved VM per failure domain answers for the leader."""
+    role = 'control relay, one reserved VM per failure domain'
     targets = counts.targets
     beat = costs.message('Heartbeat')
     renewal = costs.message('LeaseRenewal')
     # Twice the interval of today leaves two beats before a lease runs out.
     rate = counts.assumed.heartbeats_per_s / 2
-    own = rate * (beat.wire_bytes + renewal.wire_bytes)
+    exchange_bytes = beat.wire_bytes + renewal.wire_bytes
     yield Row(
         role,
         'bytes/s of a daemon to its relay, 200 ms apart',
-        own,
+        rate * exchange_bytes,
         'bytes/s',
         targets.control_bytes_per_s,
     )
-    per_child = rate * (beat.receive_us + renewal.send_us)
-    # Half of the budget; the rest is for the daemon's own control work.
-    fan_in = math.floor(targets.control_cpu_us_per_s / 2 / per_child)
-    yield Row(role, 'daemons per relay at half of 1.4% of a core', fan_in, '')
-    levels = math.ceil(math.log(targets.daemons, fan_in))
-    yield Row(role, 'levels from daemon to leader', levels, '')
-    heard = math.ceil(targets.daemons / fan_in ** (levels - 1))
-    yield Row(role, 'relays the leader hears from', heard, '')
+    beats = rate * targets.domain_size
+    yield Row(
+        role, 'reserved VMs', targets.failure_domains, '', targets.reserved_vms
+    )
+    yield Row(role, 'daemons per relay', targets.domain_size, '')
+    yield Row(role, 'heartbeats/s at a relay', beats, '')
+    yield Row(
+        role, 'bytes/s at a relay', beats * exchange_bytes / _KIB, 'KiB/s'
+    )
+    as_built = costs.fit('idle leader, per second', 'VM').slope
+    per_beat = as_built / counts.assumed.heartbeats_per_s
+    yield Row(role, 'processor time per heartbeat, as built', per_beat, 'us')
     yield Row(
         role,
-        'bytes/s of a relay',
-        own * fan_in,
-        'bytes/s',
-        targets.control_bytes_per_s,
+        'cores for heartbeats, as built',
+        beats * per_beat / _US_PER_S,
+        'cores',
+        1,
+    )
+    encoding = beat.receive_us + renewal.send_us
+    yield Row(
+        role,
+        'cores for heartbeats, decoding and encoding only',
+        beats * encoding / _US_PER_S,
+        'cores',
+        1,
+    )
+    yield Row(
+        role,
+        'other relays the leader hears from',
+        targets.failure_domains - 1,
+        '',
     )
 
 
@@ -315,7 +370,9 @@
     _project_leader,
     _project_copy,
     _project_heartbeat,
+    _project_publication,
     _project_cell,
+    _project_relays,
     _project_ledger,
     _project_pool,
 )
--- a/src/ibisjunction/bench/capacity/targets.py
+++ b/src/ibisjunction/bench/capacity/targets.py
@@ -73,7 +73,7 @@
     retention_s: int = 600
     record_replicas: int = 3
     heartbeats_per_s: float = 10
-    voters_per_region: int = 3
+    voters: int = 5
 
 
 @dataclass(frozen=True, slots=True)
