--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -112,23 +112,20 @@
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
     match command:
         case RegisterVm(record=record):
-            return _register_vm(state, record), Accepted()
+            known = state.vms.get(record.vm, record)
+            if known.incarnation != record.incarnation:
+                state = _forget_vm(state, record.vm)
+            vms = {**state.vms, record.vm: record}
+            return replace(state, vms=vms), Accepted()
         case RemoveVm(vm=vm, incarnation=incarnation):
-            known = state.vms.get(vm)
-            if known is None or known.incarnation != incarnation:
+            present = state.vms.get(vm)
+            if present is None or present.incarnation != incarnation:
                 return state, Rejected(
                     f'VM {vm} is not registered with incarnation {incarnation}',
                 )
             return _forget_vm(state, vm), Accepted()
 
 
-def _register_vm(state: ControlState, record: VmRecord) -> ControlState:
-    known = state.vms.get(record.vm)
-    if known is not None and known.incarnation != record.incarnation:
-        state = _forget_vm(state, record.vm)
-    return replace(state, vms={**state.vms, record.vm: record})
-
-
 def _forget_vm(state: ControlState, vm: str) -> ControlState:
     """Remove a process that has lost the state of its dispatchers."""
     dispatchers = {
@@ -176,9 +173,23 @@
         is_draining = known.draining or record.draining
         record = replace(record, draining=is_draining)
     upstreams = {**state.upstreams, record.upstream: record}
+    state = _move_to_new_process(state, record)
     return replace(state, upstreams=upstreams), Accepted()
 
 
+def _move_to_new_process(
+    state: ControlState,
+    record: UpstreamRecord,
+) -> ControlState:
+    """Start to move the shards of a former process of the upstream."""
+    for grant in state.grants_of(record.upstream):
+        is_former = grant.incarnation != record.incarnation
+        if is_former and grant.moving_to is None:
+            moving = replace(grant, moving_to=record.upstream)
+            state = _with_grant(state, moving)
+    return state
+
+
 def _remove_upstream(state: ControlState, upstream: str) -> Applied:
     record = state.upstreams.get(upstream)
     if record is None:
@@ -223,7 +234,8 @@
 
 
 def _assign_shards(state: ControlState, command: AssignShards) -> Applied:
-    if command.upstream not in state.upstreams:
+    record = state.upstreams.get(command.upstream)
+    if record is None:
         return state, Rejected(f'upstream {command.upstream} is not known')
     held = dict(state.grants.get(command.service, {}))
     fence = state.last_fence
@@ -233,7 +245,13 @@
                 f'shard {shard} of {command.service} has an owner',
             )
         fence += 1
-        held[shard] = Grant(command.service, shard, command.upstream, fence)
+        held[shard] = Grant(
+            command.service,
+            shard,
+            command.upstream,
+            fence,
+            record.incarnation,
+        )
     grants = {**state.grants, command.service: held}
     return replace(state, grants=grants, last_fence=fence), Accepted()
 
@@ -257,7 +275,13 @@
         grants = {**state.grants, command.service: held}
         return replace(state, grants=grants), Accepted()
     fence = state.last_fence + 1
-    moved = Grant(command.service, command.shard, grant.moving_to, fence)
+    moved = Grant(
+        command.service,
+        command.shard,
+        grant.moving_to,
+        fence,
+        state.upstreams[grant.moving_to].incarnation,
+    )
     return _with_grant(replace(state, last_fence=fence), moved), Accepted()
 
 
--- a/src/ibisjunction/dispatch/handover.py
+++ b/src/ibisjunction/dispatch/handover.py
@@ -10,7 +10,14 @@
     Effect,
     Outstanding,
 )
-from ibisjunction.dispatch.messages import GrantsInForce, TicketsHeld
+from ibisjunction.dispatch.messages import (
+    GrantsInForce,
+    ResultKind,
+    TicketDone,
+    TicketsHeld,
+    UpstreamSpeed,
+)
+from ibisjunction.dispatch.speed import SpeedMeter
 from ibisjunction.dispatch.takeover import TicketSurvey
 from ibisjunction.ownership.messages import ShardsIdle
 
@@ -19,8 +26,8 @@
     """One upstream of which this VM is the dispatcher, under one epoch.
 
     A shard is held, so that requests for it wait, until the survey is
-    complete and the upstream's present process has confirmed its grant, and
-    again from the start of its move.
+    complete and the upstream has confirmed its grant, and again from the
+    start of its move.
     """
 
     def __init__(
@@ -33,6 +40,7 @@
         self.dispatcher = Dispatcher(record.upstream, epoch, record.slots)
         self.survey = TicketSurvey(epoch, vms)
         self._record = record
+        self._speed = SpeedMeter()
         self._vms = dict(vms)
         self._grants: dict[int, Grant] = {}
         self._confirmed: GrantsInForce | None = None
@@ -47,9 +55,9 @@
         self._grants = {grant.shard: grant for grant in grants}
         self.survey.follow(state.vms)
         self._hold()
-        for vm, record in self._vms.items():
+        for vm, former in self._vms.items():
             present = state.vms.get(vm)
-            if present is None or present.incarnation != record.incarnation:
+            if present is None or present.incarnation != former.incarnation:
                 effects += self.dispatcher.drop_vm(vm, now)
         self._vms = dict(state.vms)
         return effects + self._confirm(now)
@@ -89,6 +97,20 @@
         self._hold()
         return self.dispatcher.issue(now)
 
+    def finish(self, done: TicketDone, now: int) -> list[Effect]:
+        """Take a ticket back and measure the upstream's speed."""
+        if done.result.kind is ResultKind.SUCCEEDED:
+            self._speed.record(done.result.service_ms)
+        return self.dispatcher.finish(done, now)
+
+    def describe_speed(self) -> UpstreamSpeed:
+        """Return the report for the leader."""
+        return UpstreamSpeed(
+            self.dispatcher.upstream,
+            self._record.incarnation,
+            self._speed.hint,
+        )
+
     def set_leased(self, *, is_leased: bool) -> None:
         """Hold every shard while the VM has no lease."""
         if is_leased != self._is_leased:
@@ -119,6 +141,7 @@
         self._record = record
         if record.incarnation == earlier:
             return []
+        self._speed = SpeedMeter()
         return self.dispatcher.restart_cold(now)
 
     def _confirm(self, now: int) -> list[Effect]:
@@ -150,6 +173,4 @@
         confirmed = self._confirmed
         if confirmed is None or grant.moving_to is not None:
             return False
-        if confirmed.incarnation != self._record.incarnation:
-            return False
         return confirmed.fences.get(grant.shard) == grant.fence
