Take VMs that do not answer out of the balancer

Cause: a poll that times out raises HTTPClientError, which isn't an OSError. Other calls of the tool had the same gap. Change: calls treat HTTPClientError as no answer; the balancer runs as a task whose failure is logged.

--- a/src/ibisjunction/bench/announcing.py
+++ b/src/ibisjunction/bench/announcing.py
@@ -6,7 +6,11 @@
 from typing import Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+)
 
 from ibisjunction.bench.profile import UpstreamProfile
 from ibisjunction.bench.stand_in import StandIn
@@ -69,6 +73,6 @@
     )
     try:
         response = await AsyncHTTPClient().fetch(request, raise_error=False)
-    except OSError:
+    except (OSError, HTTPClientError):
         return False
     return response.code == HTTPStatus.NO_CONTENT
--- a/src/ibisjunction/bench/balancer.py
+++ b/src/ibisjunction/bench/balancer.py
@@ -12,7 +12,11 @@
 from http import HTTPStatus
 from typing import Final
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+)
 
 from ibisjunction.bench.caller import CallerConnection, connect
 from ibisjunction.bench.deployment import VmAddresses
@@ -103,6 +107,6 @@
 async def _is_ready(client: AsyncHTTPClient, request: HTTPRequest) -> bool:
     try:
         response = await client.fetch(request, raise_error=False)
-    except OSError:
+    except (OSError, HTTPClientError):
         return False
     return response.code == HTTPStatus.OK
--- a/src/ibisjunction/bench/client.py
+++ b/src/ibisjunction/bench/client.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
 from ibisjunction.bench.deployment import OPERATOR_TOKEN
 
@@ -50,7 +55,7 @@
     )
     try:
         response = await client.fetch(request, raise_error=False)
-    except OSError as error:
+    except (OSError, HTTPClientError) as error:
         return Answer(NO_ANSWER, {}, str(error).encode())
     return _to_answer(response)
 
--- a/src/ibisjunction/bench/load.py
+++ b/src/ibisjunction/bench/load.py
@@ -14,6 +14,7 @@
 from ibisjunction.bench.request_records import Attempt, RequestRecord
 from ibisjunction.bench.workload import CallBuilder, PlannedCall
 from ibisjunction.clock import MS_PER_S, Clock, in_seconds
+from ibisjunction.mailbox import run_task
 from ibisjunction.upstreams.protocol import REQUEST_ID_HEADER
 from ibisjunction.verdict import VERDICT_HEADER, Verdict, parse_verdict
 
@@ -155,9 +156,6 @@
 @asynccontextmanager
 async def run_balancer(balancer: Balancer) -> AsyncIterator[Balancer]:
     """Poll the VMs for the duration of the block."""
-    polling = asyncio.create_task(balancer.run())
-    try:
+    async with run_task(balancer.run(), 'balancer'):
         yield balancer
-    finally:
-        polling.cancel()
-        balancer.close()
+    balancer.close()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -94,14 +94,13 @@
     post = _refuse
 
 
+def _serve(handler, **fields):
+    return _listen([('/ready', _ReadyHandler), ('/.*', handler, fields)])
+
+
 @contextlib.asynccontextmanager
-async def _serve(handler, **fields):
-    server = HTTPServer(
-        Application(
-            [('/ready', _ReadyHandler), ('/.*', handler, fields)],
-            log_function=lambda _: None,
-        ),
-    )
+async def _listen(handlers):
+    server = HTTPServer(Application(handlers, log_function=lambda _: None))
     sockets = bind_sockets(0, '127.0.0.1')
     server.add_sockets(sockets)
     yield f'127.0.0.1:{sockets[0].getsockname()[1]}'
@@ -182,3 +181,34 @@
             self.assertEqual(attempt.status, 503)
             self.assertEqual(attempt.verdict, Verdict.NOT_RUN)
             self.assertEqual(attempt.reason, 'the queue is full')
+
+
+class _HangingHandler(RequestHandler):
+    """Answers once and then not any more."""
+
+    def initialize(self, answered):
+        self._answered = answered
+
+    async def get(self):
+        if self._answered.is_set():
+            await asyncio.Event().wait()
+        self._answered.set()
+        self.finish('ready')
+
+
+class ReadinessTest(unittest.TestCase):
+    """Guards against a balancer that keeps a VM which does not answer."""
+
+    def test_silent_vm_is_taken_out(self):
+        async def run():
+            handlers = [('/ready', _HangingHandler, {'answered': answered})]
+            async with _listen(handlers) as address:
+                balancer = Balancer([VmAddresses('vm-1', '', address, '')])
+                async with run_balancer(balancer):
+                    await balancer.wait_until_ready()
+                    while balancer.choose():
+                        await asyncio.sleep(0.01)
+
+        answered = asyncio.Event()
+        asyncio.run(asyncio.wait_for(run(), 30))
+        self.assertTrue(answered.is_set())
