--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -16,6 +16,7 @@
 )
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.policy import compare_policies
 from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.upstream import (
     ServiceTime,
@@ -134,6 +135,19 @@
         return report_capacity(self.out, sys.stdout)
 
 
+@cappa.command(name='policy')
+@dataclass
+class PolicyCommand:
+    """Compare dispatch policies on the same arrivals, in one run."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    only: Annotated[str, cappa.Arg(long=True)] = ''
+
+    def __call__(self) -> int:
+        """Print figures for each scenario of both profiles."""
+        return compare_policies(self.seed, self.only, sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
@@ -145,6 +159,7 @@
         | HopCommand
         | RunCommand
         | CapacityCommand
+        | PolicyCommand
     ]
 
 
--- a/src/ibisjunction/dispatch/shares.py
+++ b/src/ibisjunction/dispatch/shares.py
@@ -16,6 +16,8 @@
 #: Weight of the newest ticket in the recent share of each rank; the share
 #: follows a change within some tens of tickets.
 _NEWEST: Final = 0.05
+#: A request that waits for a slot takes the time of two.
+_WAIT_AND_RUN: Final = 2
 #: A rank that could not use its turns keeps at most this many.
 _MOST_CREDIT: Final = 2
 
@@ -39,11 +41,33 @@
     credit: dict[Rank, float] = field(default_factory=_make_zeroes)
     recent: dict[Rank, float] = field(default_factory=_make_zeroes)
 
-    def order(self, waiting: Collection[Rank]) -> list[Rank]:
-        """Return the waiting ranks, the one whose turn it is first."""
+    def reserved(self, limit: int, service_ms: int) -> int:
+        """Return how many slots less urgent ranks leave free.
+
+        One, where the upstream is so slow that a request that waits for a slot
+        misses the urgent target, and while urgent requests arrive.
+        """
+        if self.recent[Rank.URGENT] <= _NEWEST:
+            return 0
+        target_ms = self.policies[Rank.URGENT].target_ms
+        is_slow = service_ms * _WAIT_AND_RUN > target_ms
+        return int(is_slow and limit > 1)
+
+    def order(
+        self,
+        waiting: Collection[Rank],
+        is_last: bool = False,
+    ) -> list[Rank]:
+        """Return the waiting ranks, the one whose turn it is first.
+
+        If the last slot is reserved (``is_last``), only urgent requests and
+        ranks that earned a turn may go.
+        """
         earned = [rank for rank in waiting if self.credit[rank] >= 1]
         earned.sort(key=self.credit.__getitem__, reverse=True)
         rest = [rank for rank in waiting if rank not in earned]
+        if is_last:
+            rest = [rank for rank in rest if rank is Rank.URGENT]
         return earned + rest
 
     def charge(self, issued: Rank, waiting: Collection[Rank]) -> None:
@@ -63,12 +87,13 @@
         More urgent ranks keep what they recently took and less urgent ones
         that wait keep their minimum.
         """
-        ranks = tuple(Rank)
-        position = ranks.index(rank)
-        taken = sum(self.recent[other] for other in ranks[:position])
-        kept = sum(
-            self.policies[other].min_share
-            for other in ranks[position + 1 :]
-            if other in waiting
-        )
-        return max(self.policies[rank].min_share, 1 - taken - kept)
+        share: float = 1
+        is_more_urgent = True
+        for other, recent in self.recent.items():
+            if other is rank:
+                is_more_urgent = False
+            elif is_more_urgent:
+                share -= recent
+            elif other in waiting:
+                share -= self.policies[other].min_share
+        return max(self.policies[rank].min_share, share)
