--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -196,6 +196,11 @@
         self.finish('ready')
 
 
+async def _wait_until_empty(balancer):
+    while balancer.choose():
+        await asyncio.sleep(0.01)
+
+
 class ReadinessTest(unittest.TestCase):
     """Guards against a balancer that keeps a VM which does not answer."""
 
@@ -206,8 +211,7 @@
                 balancer = Balancer([VmAddresses('vm-1', '', address, '')])
                 async with run_balancer(balancer):
                     await balancer.wait_until_ready()
-                    while balancer.choose():
-                        await asyncio.sleep(0.01)
+                    await _wait_until_empty(balancer)
 
         answered = asyncio.Event()
         asyncio.run(asyncio.wait_for(run(), 30))
