--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -19,6 +19,7 @@
     TicketsHeld,
 )
 from ibisjunction.events import Event, log_event
+from ibisjunction.ledger.messages import CrashSuspects
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
 from ibisjunction.outcomes import Reason, Refused
@@ -50,6 +51,7 @@
     epoch: int
     request: TicketRequest
     deadline_ms: int
+    fingerprint: str
     reply: Mailbox[TicketAnswer]
     is_held: bool = False
 
@@ -66,6 +68,7 @@
         self._catalog = ServiceCatalog()
         self._lease_until_ms = 0
         self._waiting: dict[str, Waiting] = {}
+        self._suspects = CrashSuspects(frozenset(), frozenset())
         # Lowest epoch whose tickets may be used, by upstream.
         self._epochs: dict[str, int] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -100,6 +103,8 @@
                 self._give_back(message)
             case LeaseExtended(until_ms=until_ms):
                 self._extend_lease(until_ms)
+            case CrashSuspects():
+                self._suspects = message
             case ControlView(state=state):
                 self._follow(state)
 
@@ -170,6 +175,9 @@
         if now >= self._lease_until_ms:
             ask.reply.post(Refused(Reason.NOT_LEASED, self._vm))
             return
+        if ask.fingerprint in self._suspects.blocked:
+            ask.reply.post(Refused(Reason.CRASH_LIMIT))
+            return
         spec = ask.route.spec
         grant = self._state.grant_of(spec.service, ask.route.shard)
         if grant is None or grant.upstream not in self._state.dispatchers:
@@ -184,6 +192,7 @@
             dispatcher.epoch,
             request,
             ask.deadline_ms,
+            ask.fingerprint,
             ask.reply,
         )
         log_event(
@@ -240,6 +249,7 @@
                 granted,
                 parse_address(record.address),
                 self._lease_until_ms,
+                waiting.fingerprint in self._suspects.suspected,
             ),
         )
 
