Measure request records and non-idempotent requests

Cause: the ledger has landed and its memory and time belong to the projection. Change: memory per record, time to find one, and processor time of a non-idempotent request at the accepting VM.

--- a/src/ibisjunction/bench/capacity/costs.py
+++ b/src/ibisjunction/bench/capacity/costs.py
@@ -9,6 +9,7 @@
     measure_state,
 )
 from ibisjunction.bench.capacity.fit import Fit
+from ibisjunction.bench.capacity.ledger_costs import measure_records
 from ibisjunction.bench.capacity.link_costs import measure_links
 from ibisjunction.bench.capacity.message_costs import (
     MessageCost,
@@ -52,6 +53,7 @@
             measure_publication(),
             measure_parsing(),
             measure_lease_table(),
+            *measure_records(),
             measure_links(),
             *measure_idle(),
             *measure_requests(),
--- a/src/ibisjunction/bench/capacity/process_costs.py
+++ b/src/ibisjunction/bench/capacity/process_costs.py
@@ -28,6 +28,8 @@
 _CONCURRENCY: Final = 4
 _SMALL_BYTES: Final = 128
 _WARM_UP: Final = 100
+_READS: Final = 'read'
+_WRITES: Final = 'write'
 _SERVICES: Final = ('mail-log', 'contracts', 'documents')
 
 
@@ -121,6 +123,7 @@
     )
     remote = await _measure_path(deployment, accepting, dispatcher)
     local = await _measure_path(deployment, dispatcher, dispatcher)
+    writes = await _measure_path(deployment, accepting, dispatcher, _WRITES)
     return [
         fit_line(
             'accepting VM, dispatcher elsewhere', 'us', 'request', remote[0]
@@ -129,6 +132,9 @@
         fit_line(
             'accepting VM that is the dispatcher', 'us', 'request', local[0]
         ),
+        fit_line(
+            'non-idempotent at the accepting VM', 'us', 'request', writes[0]
+        ),
         fit_line(
             'download at the accepting VM',
             'us',
@@ -156,18 +162,19 @@
     deployment: Deployment,
     accepting: str,
     dispatcher: str,
+    kind: str = _READS,
 ) -> tuple[dict[int, float], dict[int, float]]:
     """Return processor time by number of requests at both VMs."""
     address = next(vm.http for vm in deployment.vms if vm.vm == accepting)
     connections = [
         await connect(parse_address(address)) for _ in range(_CONCURRENCY)
     ]
-    await _send(connections, _WARM_UP, 'warm')
+    await _send(connections, _WARM_UP, f'{kind}-{accepting}')
     at_accepting: dict[int, float] = {}
     at_dispatcher: dict[int, float] = {}
     for count in _REQUEST_COUNTS:
         before = [read_usage(deployment, vm) for vm in (accepting, dispatcher)]
-        await _send(connections, count, str(count))
+        await _send(connections, count, f'{kind}-{accepting}-{count}')
         after = [read_usage(deployment, vm) for vm in (accepting, dispatcher)]
         at_accepting[count] = after[0].cpu_us - before[0].cpu_us
         at_dispatcher[count] = after[1].cpu_us - before[1].cpu_us
@@ -191,8 +198,19 @@
     label: str,
 ) -> None:
     for number in numbers:
-        call = Call('GET', f'/mail-log/key-{number}/{label}', {})
-        await connection.perform(call, Reply())
+        await connection.perform(_make_call(number, label), Reply())
+
+
+def _make_call(number: int, label: str) -> Call:
+    """Return a read, or a write if the label names writes."""
+    if not label.startswith(_WRITES):
+        return Call('GET', f'/mail-log/key-{number}/{label}', {})
+    return Call(
+        'POST',
+        f'/contracts/key-{number}/{label}',
+        {'Idempotency-Key': f'{label}-{number}'},
+        b'content of a form',
+    )
 
 
 async def _measure_downloads(
--- a/src/ibisjunction/bench/capacity/projection.py
+++ b/src/ibisjunction/bench/capacity/projection.py
@@ -320,6 +320,8 @@
     kept = rate * assumed.retention_s * replicas
     yield Row(role, 'records/s written per daemon', rate * replicas, '')
     yield Row(role, 'records kept per daemon', kept, '')
+    size = costs.fit('request record', 'record').slope
+    yield Row(role, 'memory of records', kept * size / _KIB, 'MiB')
 
 
 def _project_pool(costs: Costs, counts: Counts) -> Iterator[Row]:
