Check that no VM falls back to an older revision

Change: a refusal for an unknown service is a violation of R8. Result: the seeded violation is found; without the check its test fails.

--- a/src/ibisjunction/bench/checks.py
+++ b/src/ibisjunction/bench/checks.py
@@ -17,6 +17,7 @@
 from ibisjunction.bench.publication_checks import (
     check_in_force,
     check_publications,
+    check_reverted,
 )
 from ibisjunction.bench.request_checks import (
     check_answers,
@@ -39,6 +40,7 @@
         'graceful shutdown': check_shutdowns,
         'publications': check_publications,
         'in force': check_in_force,
+        'never reverted': check_reverted,
     }
 )
 
--- a/src/ibisjunction/bench/publication_checks.py
+++ b/src/ibisjunction/bench/publication_checks.py
@@ -1,5 +1,6 @@
 """Checks of publications (R8)."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -7,7 +8,11 @@
 
 from ibisjunction.bench.evidence import Evidence, PublicationRecord
 from ibisjunction.bench.violations import Violation
+from ibisjunction.outcomes import Reason
 
+_OLDER_REVISION: Final = frozenset(
+    (Reason.UNKNOWN_SERVICE.value, Reason.UNKNOWN_OPERATION.value)
+)
 #: Time within which a revision is in force everywhere.
 IN_FORCE_LIMIT_MS: Final = 10_000
 
@@ -57,3 +62,23 @@
                 record.vm,
                 f'revision {record.revision} after {delay_ms} ms',
             )
+
+
+def check_reverted(evidence: Evidence) -> Iterator[Violation]:
+    """Find VMs that served under a revision older than the accepted one.
+
+    The load uses only published services and starts when the first revision
+    is in force, so a VM that doesn't know a service has fallen back.
+    """
+    counts = Counter(
+        attempt.vm
+        for request in evidence.requests
+        for attempt in request.attempts
+        if attempt.reason in _OLDER_REVISION
+    )
+    for vm, count in counts.items():
+        yield Violation(
+            'never reverted',
+            vm,
+            f'{count} requests for published services were not known',
+        )
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -15,6 +15,7 @@
 )
 from ibisjunction.bench.request_records import Attempt, Kind, RequestRecord
 from ibisjunction.bench.run_records import DrainStarted, Run, RunStarted
+from ibisjunction.outcomes import Reason
 from ibisjunction.verdict import Verdict
 
 _TARGET = '/contracts/key-1/r-1'
@@ -55,7 +56,8 @@
 
 
 def _refused(**fields):
-    return _attempt(status=503, verdict=Verdict.NOT_RUN, digest='', **fields)
+    refusal = {'status': 503, 'verdict': Verdict.NOT_RUN, 'digest': ''}
+    return _attempt(**{**refusal, **fields})
 
 
 def _missing(**fields):
@@ -250,6 +252,16 @@
         Evidence(publications=(_publish('a', 2),), in_force=(_FORCED,)),
     ),
     ('in force', Evidence(in_force=(ForceRecord('vm-2', 0, 10),))),
+    (
+        'never reverted',
+        Evidence(
+            requests=(
+                _request(
+                    _refused(status=404, reason=Reason.UNKNOWN_SERVICE.value),
+                ),
+            )
+        ),
+    ),
 ]
 
 
