--- a/src/ibisjunction/bench/capacity/costs.py
+++ b/src/ibisjunction/bench/capacity/costs.py
@@ -4,10 +4,12 @@
 
 from ibisjunction.bench.capacity.control_costs import (
     measure_apply,
+    measure_parsing,
     measure_publication,
     measure_state,
 )
 from ibisjunction.bench.capacity.fit import Fit
+from ibisjunction.bench.capacity.ledger_costs import measure_records
 from ibisjunction.bench.capacity.link_costs import measure_links
 from ibisjunction.bench.capacity.message_costs import (
     MessageCost,
@@ -49,7 +51,9 @@
             *measure_state(),
             *measure_apply(),
             measure_publication(),
+            measure_parsing(),
             measure_lease_table(),
+            *measure_records(),
             measure_links(),
             *measure_idle(),
             *measure_requests(),
