--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,9 @@
 test: lint unit
 
 lint: .venv/installed
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
-	$(BIN)/flake8 src tests
+	$(BIN)/ruff format --check src tests specs
+	$(BIN)/ruff check src tests specs
+	$(BIN)/flake8 src tests specs
 	$(BIN)/mypy
 
 unit: .venv/installed
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications that a model checker explores exhaustively."""
