Register a VM until it is listed

Cause: a daemon proposed its registration for 5 s after its start and then ran unregistered for good; seen once in a process test under load.

Change: each heartbeat of an unregistered VM that holds a lease repeats the proposal, unless a later process of the VM is listed.

--- a/src/ibisjunction/membership/registration.py
+++ b/src/ibisjunction/membership/registration.py
@@ -26,22 +26,20 @@
     def __init__(self, vm: str, incarnation: int) -> None:
         """Start unregistered."""
         self.is_registered = False
-        self.was_removed = False
+        self.is_missing = True
         self._vm = vm
         self._incarnation = incarnation
 
     def follow(self, state: ControlState) -> None:
         """Take a new control state.
 
-        A removal is remembered until the VM is registered again. A record of
-        a later process means that this one was replaced.
+        The process is missing before its registration and after its removal,
+        but not once a later process of the VM has replaced it.
         """
         record = state.vms.get(self._vm)
-        was_registered = self.is_registered
         self.is_registered = (
             record is not None and record.incarnation == self._incarnation
         )
-        if self.is_registered:
-            self.was_removed = False
-        elif was_registered and record is None:
-            self.was_removed = True
+        self.is_missing = record is None or (
+            record.incarnation < self._incarnation
+        )
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -90,7 +90,7 @@
         match message:
             case HeartbeatDue():
                 self._send_heartbeat()
-                self._register_again()
+                self._register()
                 self._report_lease()
             case Received(message=LeaseRenewal() as renewal):
                 if self._lease.renew(renewal, self._replica.index):
@@ -112,13 +112,13 @@
         for voter in self._settings.voters:
             self._peers.send(voter.vm, heartbeat)
 
-    def _register_again(self) -> None:
-        """Propose the registration of a VM that was removed.
+    def _register(self) -> None:
+        """Propose the registration of a VM that is not registered.
 
         It is repeated under the same id with each heartbeat until applied. The
         leader counts the VM as live again once it has renewed the lease.
         """
-        if not self._registration.was_removed:
+        if not self._registration.is_missing:
             return
         if not self._lease.is_held(self._clock.now()):
             return
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -101,17 +101,17 @@
 
     @parameterized.expand(
         [
-            ('listed', 1, True, False),
+            ('listed', 2, True, False),
             ('removed', None, False, True),
-            ('replaced', 2, False, False),
+            ('not yet listed', 1, False, True),
+            ('replaced', 3, False, False),
         ]
     )
-    def test_follows_state(self, _name, incarnation, is_registered, removed):
-        registration = Registration('vm-1', 1)
-        registration.follow(ControlState(vms={'vm-1': make_vm()}))
+    def test_follows_state(self, _name, incarnation, is_registered, is_missing):
+        registration = Registration('vm-1', 2)
         vms = {}
         if incarnation is not None:
             vms = {'vm-1': replace(make_vm(), incarnation=incarnation)}
         registration.follow(ControlState(vms=vms))
         self.assertEqual(registration.is_registered, is_registered)
-        self.assertEqual(registration.was_removed, removed)
+        self.assertEqual(registration.is_missing, is_missing)
