--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -12,6 +12,7 @@
 
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
+from ibisjunction.bench.placement import print_comparison
 from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.upstream import (
     ServiceTime,
@@ -112,13 +113,27 @@
         return run_scenario(self.scenario, self.seed, self.out, sys.stdout)
 
 
+@cappa.command(name='placement')
+@dataclass
+class PlacementCommand:
+    """Compare placement with two baselines, in one run."""
+
+    def __call__(self) -> int:
+        """Print the table."""
+        return print_comparison(sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
     """Stand-ins, local deployments and measurements."""
 
     command: cappa.Subcommands[
-        UpstreamCommand | DemoCommand | HopCommand | RunCommand
+        UpstreamCommand
+        | DemoCommand
+        | HopCommand
+        | RunCommand
+        | PlacementCommand
     ]
 
 
