--- a/src/ibisjunction/routing/results.py
+++ b/src/ibisjunction/routing/results.py
@@ -12,6 +12,7 @@
         Reason.UPSTREAM_SHED: ResultKind.SHED,
         Reason.CONNECT_FAILED: ResultKind.UNREACHED,
         Reason.CONNECTION_LOST: ResultKind.FAILED,
+        Reason.BAD_ANSWER: ResultKind.FAILED,
         Reason.DEADLINE_PASSED: ResultKind.TIMED_OUT,
     },
 )
--- a/src/ibisjunction/upstreams/grants.py
+++ b/src/ibisjunction/upstreams/grants.py
@@ -131,7 +131,15 @@
         ('Content-Length', str(len(encoded))),
     )
     connection.mailbox.post(
-        Exchange('PUT', GRANTS_PATH, headers, _NO_LIMIT_MS, body, answers),
+        Exchange(
+            f'grants {call.epoch}.{call.sequence}',
+            'PUT',
+            GRANTS_PATH,
+            headers,
+            _NO_LIMIT_MS,
+            body,
+            answers,
+        ),
     )
     return await _collect(answers)
 
