Test that the comparison applies planned moves

Cause: of 9 faults put into the last changes one at a time, the tests caught 8; moves that the comparison leaves out were not seen. Change: a join and a change of speed must move keys and be more even than modulo.

--- a/tests/test_placement_bench.py
+++ b/tests/test_placement_bench.py
@@ -42,3 +42,10 @@
     @parameterized.expand([('modulo',), ('consistent',)])
     def test_baselines_ignore_speed(self, way):
         self.assertEqual(_measure('speed', way).moved, 0)
+
+    @parameterized.expand([('join',), ('speed',)])
+    def test_planner_evens_out(self, name):
+        """Guards against planned moves that the figures leave out."""
+        outcome = _measure(name, 'planner')
+        self.assertGreater(outcome.moved, 0)
+        self.assertLess(outcome.imbalance, _measure(name, 'modulo').imbalance)
