--- a/src/ibisjunction/membership/registration.py
+++ b/src/ibisjunction/membership/registration.py
@@ -26,19 +26,20 @@
     def __init__(self, vm: str, incarnation: int) -> None:
         """Start unregistered."""
         self.is_registered = False
-        self.was_removed = False
+        self.is_missing = True
         self._vm = vm
         self._incarnation = incarnation
 
     def follow(self, state: ControlState) -> None:
         """Take a new control state.
 
-        A state without this VM means that it was removed, or is not yet
-        registered; the first state that a VM receives may be either. A record
-        of a later process means that this one was replaced.
+        The process is missing before its registration and after its removal,
+        but not once a later process of the VM has replaced it.
         """
         record = state.vms.get(self._vm)
         self.is_registered = (
             record is not None and record.incarnation == self._incarnation
         )
-        self.was_removed = record is None
+        self.is_missing = record is None or (
+            record.incarnation < self._incarnation
+        )
--- a/src/ibisjunction/membership/task.py
+++ b/src/ibisjunction/membership/task.py
@@ -97,7 +97,7 @@
         match message:
             case HeartbeatDue():
                 self._send_heartbeat()
-                self._register_again()
+                self._register()
                 self._report_lease()
             case Received(message=LeaderHint(vm=vm, term=term)):
                 self._tracker.take_hint(vm, term)
@@ -139,13 +139,13 @@
             self._known = known
             self._notify(known)
 
-    def _register_again(self) -> None:
-        """Propose the registration of a VM that was removed.
+    def _register(self) -> None:
+        """Propose the registration of a VM that is not registered.
 
         It is repeated under the same id with each heartbeat until applied. The
         leader counts the VM as live again once it has renewed the lease.
         """
-        if not self._registration.was_removed:
+        if not self._registration.is_missing:
             return
         if not self._lease.is_held(self._clock.now()):
             return
