Let the first holder settle which of several senders goes on

Cause: three VMs that sent one key at once each got their own holder first, so none reached 2 of 3 and all were refused (measured: 23 of 24 sends, 7 of 8 keys never ran). An answer cut short was reported as if the caller had left, because closing its connection cancelled the request's task.

Aborting an answer no longer cancels the task.

--- a/src/ibisjunction/ledger/requesting.py
+++ b/src/ibisjunction/ledger/requesting.py
@@ -38,7 +38,7 @@
         reservation = Reservation(ask, holders, now)
         self._voting[ask.request_id] = reservation
         message = reservation.request()
-        return [SendToVm(holder.vm, message) for holder in holders]
+        return [SendToVm(one.vm, message) for one in reservation.first()]
 
     def close(self, closing: CloseRecord) -> list[Effect]:
         """Tell the holders how a request ended."""
@@ -56,9 +56,10 @@
         if reservation is None:
             return []
         decision = reservation.vote(sender, vote)
-        if decision is None:
-            return []
-        return self._settle(reservation, decision)
+        if decision is not None:
+            return self._settle(reservation, decision)
+        message = reservation.request()
+        return [SendToVm(one.vm, message) for one in reservation.others(vote)]
 
     def tick(self, now: int) -> list[Effect]:
         """Repeat questions, and end votes that took too long."""
--- a/src/ibisjunction/ledger/reservation.py
+++ b/src/ibisjunction/ledger/reservation.py
@@ -32,7 +32,12 @@
 
 
 class Reservation:
-    """The votes of the holders on one request."""
+    """The votes of the holders on one request.
+
+    The first holder is asked before the others. It settles which of several
+    senders goes on; if all were asked at once, three senders could get one
+    holder each, and none could run.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,7 @@
         self.holders = holders
         self._ends_at = now + RESERVE_TIMEOUT_MS
         self._repeat_at = now + RESERVE_REPEAT_MS
+        self._has_asked_others = False
         self._votes: dict[Holder, Vote] = {}
         self.asked_vms = {holder.vm for holder in holders}
 
@@ -57,6 +63,17 @@
             self.holders,
         )
 
+    def first(self) -> tuple[Holder, ...]:
+        """Return the holder to ask first."""
+        return self.holders[:1]
+
+    def others(self, vote: Vote) -> tuple[Holder, ...]:
+        """Return the holders to ask after a vote, or none."""
+        if self._has_asked_others or isinstance(vote, RecordHeld):
+            return ()
+        self._has_asked_others = True
+        return self.holders[1:]
+
     def repeat(self, holders: tuple[Holder, ...], now: int) -> list[Holder]:
         """Return the holders to ask again, under the current view.
 
@@ -66,6 +83,7 @@
             return []
         self._repeat_at = now + RESERVE_REPEAT_MS
         self.holders = holders
+        self._has_asked_others = True
         self.asked_vms |= {holder.vm for holder in holders}
         return [
             holder
--- a/src/ibisjunction/routing/server.py
+++ b/src/ibisjunction/routing/server.py
@@ -223,6 +223,9 @@
         self._connection.finish()
 
     def abort(self) -> None:
+        # The task goes on to report its outcome; it is not to be cancelled as
+        # if the caller had left.
+        self._connection.set_close_callback(None)
         self._connection.stream.close()
 
 
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,97 @@
+"""At most one run per key, from the records of a stand-in."""
+
+import asyncio
+import collections
+import signal
+import unittest
+
+from ibisjunction.bench.client import call, make_client
+from ibisjunction.bench.demo import publish, wait_for
+from ibisjunction.bench.deployment import run_deployment
+from ibisjunction.bench.run_records import RunStarted, read_events
+from ibisjunction.verdict import VERDICT_HEADER
+
+_KEYS = 8
+
+
+class _Scene:
+    """Three daemons, one stand-in and the runs it has recorded."""
+
+    def __init__(self, deployment) -> None:
+        self._deployment = deployment
+        self._client = make_client()
+
+    async def prepare(self) -> bool:
+        await wait_for(self._deployment, self._client, 1, 0)
+        await publish(self._deployment, self._client, 'consorcio')
+        return await wait_for(self._deployment, self._client, 1, 1)
+
+    async def send(self, number, key):
+        """Send a write through the VM with this number, from 0."""
+        answer = await call(
+            self._client,
+            'POST',
+            f'http://{self._deployment.vms[number].http}/contracts/{key}',
+            b'content',
+            {'Idempotency-Key': key},
+        )
+        return answer.status, answer.headers.get(VERDICT_HEADER)
+
+    def count_runs(self) -> collections.Counter:
+        path = self._deployment.folder / 'contracts-1.jsonl'
+        return collections.Counter(
+            event.idempotency_key
+            for event in read_events([path])
+            if isinstance(event, RunStarted)
+        )
+
+
+async def _send_through_all(scene) -> list:
+    assert await scene.prepare()
+    return await asyncio.gather(
+        *(
+            scene.send(number, f'key-{key}')
+            for key in range(_KEYS)
+            for number in range(3)
+        ),
+    )
+
+
+async def _lose_the_vm(scene, deployment) -> list:
+    """Kill a VM while its request runs, and resend it through the others."""
+    sending = asyncio.create_task(scene.send(2, 'lost'))
+    while not scene.count_runs()['lost']:
+        await asyncio.sleep(0.01)
+    deployment.signal('vm-3', signal.SIGKILL)
+    await asyncio.gather(sending, return_exceptions=True)
+    await deployment.wait_for_exit('vm-3')
+    return [await scene.send(number, 'lost') for number in (0, 1)]
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Guards against a key that runs twice in real processes."""
+
+    def test_simultaneous_and_resent(self):
+        with run_deployment(3) as deployment:
+            deployment.start_upstream(
+                'contracts-1',
+                '--service=contracts',
+                '--service-ms=300',
+            )
+            scene = _Scene(deployment)
+            answers = asyncio.run(_send_through_all(scene))
+            runs = scene.count_runs()
+            resent = asyncio.run(_lose_the_vm(_Scene(deployment), deployment))
+            runs_of_lost = scene.count_runs()['lost']
+        with self.subTest('one run of each key'):
+            self.assertEqual(set(runs.values()), {1})
+            self.assertEqual(len(runs), _KEYS)
+        with self.subTest('each answer belongs to a run'):
+            statuses = collections.Counter(status for status, _ in answers)
+            self.assertEqual(statuses[200], runs.total())
+        with self.subTest('a refusal does not deny a run'):
+            verdicts = {verdict for _, verdict in answers}
+            self.assertLessEqual(verdicts, {'ran', 'may-have-run', 'not-run'})
+        with self.subTest('a resend is not run'):
+            self.assertEqual(runs_of_lost, 1)
+            self.assertNotIn(200, {status for status, _ in resent})
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -200,6 +200,19 @@
         self.assertTrue(world.may_run(first))
         self.assertEqual(world.decisions[second], _IN_PROGRESS)
 
+    @parameterized.expand([('three senders', 3), ('five senders', 5)])
+    def test_one_of_several_senders_runs(self, _name, count):
+        """Guards against senders that block each other."""
+        for number in range(10):
+            world = LedgerWorld(_FIVE)
+            opened = [world.open(vm, f'k{number}') for vm in 'abcde'[:count]]
+            # A VM's messages to itself arrive first.
+            for vm in _FIVE:
+                if (vm, vm) in world.links:
+                    world.deliver((vm, vm))
+            world.settle(8)
+            self.assertEqual(sum(map(world.may_run, opened)), 1)
+
     def test_unreachable_records(self):
         world = LedgerWorld(_THREE)
         world.stop('b')
@@ -219,8 +232,7 @@
             world.cut = {missing}
             sender = min(_THREE.keys() - {missing})
             first = world.open(sender, 'k')
-            while world.links:
-                world.deliver(min(world.links))
+            world.settle(2)
             self.assertTrue(world.may_run(first))
             world.cut = set()
             world.stop(lost)
@@ -289,7 +301,7 @@
         world = LedgerWorld(_THREE)
         world.cut = {'c'}
         first = world.open('a', 'k')
-        world.settle(0)
+        world.settle(2)
         self.assertTrue(world.may_run(first))
         world.cut = {'a'}
         world.stop('b')
@@ -323,6 +335,7 @@
         key = _find_key_moved_to_d()
         world = LedgerWorld(_THREE)
         first = world.open('a', key)
+        world.tick()  # asks all holders
         delayed = dict(world.links)
         world.links.clear()
         world.domains['d'] = 'fd-4'
