--- a/src/ibisjunction/routing/messages.py
+++ b/src/ibisjunction/routing/messages.py
@@ -27,12 +27,12 @@
     """
 
     ticket_id: str
+    fingerprint: str
     route: RouteMatch
     client: str
     deadline_ms: int
     reply: Mailbox[Any]
     attempt: int = 0
-    fingerprint: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -184,12 +184,12 @@
         context.routing.post(
             ObtainTicket(
                 ticket_id,
+                run.fingerprint,
                 run.route,
                 client,
                 run.deadline_ms,
                 reply,
                 run.sent,
-                run.fingerprint,
             ),
         )
         try:
