--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -61,10 +61,13 @@
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
-from ibisjunction.upstreams.cancellation import CancelCaller, CancellationTask
+from ibisjunction.upstreams.cancellation import (
+    CancelCaller,
+    CancellationTask,
+    call_cancel,
+)
 from ibisjunction.upstreams.grants import GrantConnections
 from ibisjunction.upstreams.pool import ConnectionPool
-from ibisjunction.upstreams.protocol import call_cancel
 
 _logger = logging.getLogger(__name__)
 
--- a/src/ibisjunction/ledger/records.py
+++ b/src/ibisjunction/ledger/records.py
@@ -38,6 +38,7 @@
 
     def __init__(self) -> None:
         """Start without records."""
+        self._next_expiry = 0
         self._buckets: list[dict[str, Record]] = [{} for _ in range(BUCKETS)]
 
     def __len__(self) -> int:
@@ -85,13 +86,14 @@
         )
 
     def expire(self, now: int) -> None:
-        """Forget records that are older than the retention time."""
-        for bucket in self._buckets:
-            expired = [
-                key for key, held in bucket.items() if _is_expired(held, now)
-            ]
-            for key in expired:
-                bucket.pop(key)
+        """Forget what is too old in the next bucket, one at each call."""
+        bucket = self._buckets[self._next_expiry]
+        self._next_expiry = (self._next_expiry + 1) % BUCKETS
+        expired = [
+            key for key, held in bucket.items() if _is_expired(held, now)
+        ]
+        for key in expired:
+            bucket.pop(key)
 
     def next_bucket(self, start: int) -> int | None:
         """Return the first bucket with records from ``start`` on."""
--- a/src/ibisjunction/routing/messages.py
+++ b/src/ibisjunction/routing/messages.py
@@ -22,7 +22,8 @@
 class ObtainTicket:
     """Asks for a ticket of the upstream that owns the request's key.
 
-    ``attempt`` counts the earlier attempts that were sent.
+    ``attempt`` counts the earlier attempts that were sent. ``fingerprint`` is
+    what a request and its resends have in common.
     """
 
     ticket_id: str
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -11,9 +11,6 @@
 from typing import Final
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-
-from ibisjunction.clock import in_seconds
 
 #: Where the dispatcher sends grants at an upstream.
 GRANTS_PATH: Final = '/ibis/grants'
@@ -78,23 +75,3 @@
     connections: int
     checks_fence: bool
     incarnation: int
-
-
-async def call_cancel(address: str, request_id: str, timeout_ms: int) -> None:
-    """Cancel a request at the upstream at ``host:port``.
-
-    The call uses a connection of its own.
-
-    :raises UpstreamUnreachableError: without an answer in time.
-    """
-    request = HTTPRequest(
-        f'http://{address}{CANCEL_PATH}{request_id}',
-        method='POST',
-        body=b'',
-        connect_timeout=in_seconds(timeout_ms),
-        request_timeout=in_seconds(timeout_ms),
-    )
-    try:
-        await AsyncHTTPClient().fetch(request, raise_error=False)
-    except (HTTPClientError, OSError) as error:
-        raise UpstreamUnreachableError(f'{address}: {error}') from error
