Stop a daemon when one of its tasks fails, and measure requests

Cause: a daemon went on without its ledger after that task failed, and callers of non-idempotent requests got no answer. The metrics had no source. Change: run_task notes a failure; the daemon then drains and exits with code 3 (E104). The request path posts service, rank, upstream, outcome and duration to the metrics task; log lines of ended requests moved to routing/reporting.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Puts the tasks of one daemon together and runs them."""
 
+import asyncio
 import contextlib
 import logging
 import random
@@ -271,12 +272,20 @@
         random.Random(seed),
         tasks.ledger.mailbox,
         tasks.cancellation.mailbox,
+        tasks.metrics.mailbox,
     )
 
 
 @contextlib.asynccontextmanager
-async def run_daemon(settings: Settings) -> AsyncIterator[Daemon]:
-    """Run a daemon for the duration of the block."""
+async def run_daemon(
+    settings: Settings,
+    failed: asyncio.Event,
+) -> AsyncIterator[Daemon]:
+    """Run a daemon for the duration of the block.
+
+    ``failed`` is set when one of its tasks ends with an error. The others
+    can't work without it, so the daemon has to be stopped then.
+    """
     clock = SystemClock()
     # Wall-clock time grows across restarts, unlike the time since boot.
     incarnation = time.time_ns() // _NS_PER_MS
@@ -294,7 +303,7 @@
         )
         stack.push_async_callback(calls.close)
         await stack.enter_async_context(peers.run())
-        await _start_tasks(stack, tasks)
+        await _start_tasks(stack, tasks, failed)
         pool = ConnectionPool(clock)
         stack.push_async_callback(pool.close)
         server = make_admin_server(
@@ -352,15 +361,16 @@
 async def _start_tasks(
     stack: contextlib.AsyncExitStack,
     tasks: DaemonTasks,
+    failed: asyncio.Event,
 ) -> None:
     """Run the tasks until the stack is closed."""
     for task in tasks.all():
-        await stack.enter_async_context(
-            run_task(task.run(), type(task).__name__),
-        )
+        name = type(task).__name__
+        await stack.enter_async_context(run_task(task.run(), name, failed))
     for timed in tasks.with_timer():
+        name = f'{type(timed).__name__} timer'
         await stack.enter_async_context(
-            run_task(timed.run_timer(), f'{type(timed).__name__} timer'),
+            run_task(timed.run_timer(), name, failed),
         )
 
 
--- a/src/ibisjunction/daemon/command.py
+++ b/src/ibisjunction/daemon/command.py
@@ -21,6 +21,7 @@
 _logger = logging.getLogger(__name__)
 
 _EXIT_USAGE: Final = 2
+_EXIT_FAILED: Final = 3
 _LOG_FORMAT: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -105,31 +106,46 @@
 
 async def _run_until_signal(settings: Settings) -> int:
     stop = asyncio.Event()
+    failed = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with contextlib.AsyncExitStack() as stack:
-        daemon = await _start(stack, settings, stop)
+        daemon = await _start(stack, settings, stop, failed)
         if daemon is None:
             return 0
-        await stop.wait()
+        await wait_for_any(stop, failed)
         cut_requests = await daemon.drain()
+    if failed.is_set():
+        log_event(_logger, Event.TASK_FAILED, logging.CRITICAL, vm=settings.vm)
+        return _EXIT_FAILED
     return 1 if cut_requests else 0
 
 
+async def wait_for_any(*events: asyncio.Event) -> None:
+    """Wait until one of the events is set."""
+    waiters = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for waiter in waiters:
+            waiter.cancel()
+
+
 async def _start(
     stack: contextlib.AsyncExitStack,
     settings: Settings,
     stop: asyncio.Event,
+    failed: asyncio.Event,
 ) -> Daemon | None:
     """Start the daemon, or return ``None`` if it is stopped before.
 
     The start waits for a control leader, which may take any time.
     """
     starting = asyncio.ensure_future(
-        stack.enter_async_context(run_daemon(settings)),
+        stack.enter_async_context(run_daemon(settings, failed)),
     )
-    stopping = asyncio.ensure_future(stop.wait())
+    stopping = asyncio.ensure_future(wait_for_any(stop, failed))
     await asyncio.wait(
         {starting, stopping},
         return_when=asyncio.FIRST_COMPLETED,
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -19,6 +19,7 @@
     DAEMON_STARTED = (101, 'daemon started')
     DAEMON_DRAINING = (102, 'daemon is draining')
     DAEMON_STOPPED = (103, 'daemon stopped')
+    TASK_FAILED = (104, 'daemon stopped because a task failed')
     LEADER_ELECTED = (201, 'control leader elected')
     LEADER_STOPPED = (202, 'control leader stopped acting')
     VOTERS_CHANGED = (203, 'voters changed')
--- a/src/ibisjunction/mailbox.py
+++ b/src/ibisjunction/mailbox.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any, Generic, TypeVar
@@ -79,14 +80,15 @@
 async def run_task(
     coroutine: Coroutine[Any, Any, None],
     name: str,
+    failed: asyncio.Event | None = None,
 ) -> AsyncIterator['asyncio.Task[None]']:
     """Run a coroutine as a task for the duration of the block.
 
-    A task that ends with an exception is logged when it happens. On exit the
-    task is cancelled and awaited.
+    A task that ends with an exception is logged when it happens, and sets
+    ``failed``. On exit the task is cancelled and awaited.
     """
     task = asyncio.create_task(coroutine, name=name)
-    task.add_done_callback(_log_failure)
+    task.add_done_callback(functools.partial(_note_failure, failed))
     try:
         yield task
     finally:
@@ -94,9 +96,13 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-def _log_failure(task: 'asyncio.Task[None]') -> None:
-    if task.cancelled():
+def _note_failure(
+    failed: asyncio.Event | None,
+    task: 'asyncio.Task[None]',
+) -> None:
+    error = None if task.cancelled() else task.exception()
+    if error is None:
         return
-    error = task.exception()
-    if error is not None:
-        _logger.error('task %s failed', task.get_name(), exc_info=error)
+    _logger.error('task %s failed', task.get_name(), exc_info=error)
+    if failed is not None:
+        failed.set()
--- a/src/ibisjunction/routing/model.py
+++ b/src/ibisjunction/routing/model.py
@@ -7,7 +7,7 @@
 from ibisjunction.clock import Clock
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.routing.body import CopiedBody
-from ibisjunction.services.catalog import RequestHead
+from ibisjunction.services.catalog import RequestHead, RouteMatch
 from ibisjunction.upstreams.cancellation import CancelAtUpstream
 from ibisjunction.upstreams.messages import AnswerHead, HeaderList
 from ibisjunction.upstreams.pool import ConnectionPool
@@ -36,7 +36,8 @@
     ``has_body`` says whether body parts follow in ``body``.
     ``is_answer_started`` is set once the caller may have received a byte of an
     answer; nothing else can be sent to it then. ``is_caller_busy`` is set while
-    the caller has to take a part of the answer.
+    the caller has to take a part of the answer. ``route`` and ``upstream`` are
+    set once they are known.
     """
 
     request_id: str
@@ -47,6 +48,8 @@
     caller: Caller
     is_answer_started: bool = False
     is_caller_busy: bool = False
+    route: RouteMatch | None = None
+    upstream: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,3 +62,4 @@
     random: random.Random
     ledger: Mailbox[Any]
     cancellations: Mailbox[CancelAtUpstream] = field(default_factory=Mailbox)
+    metrics: Mailbox[Any] = field(default_factory=Mailbox)
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -55,6 +55,7 @@
     context.routing.post(FindRoute(request.head, reply))
     match await reply.get():
         case RouteMatch() as route:
+            request.route = route
             return await _route_until_deadline(context, request, route)
         case Refused() as refused:
             return refused
@@ -201,6 +202,7 @@
             case Refused():
                 return answer
             case TicketHeld():
+                run.request.upstream = answer.granted.upstream
                 use.started_ms = context.clock.now()
                 use.outcome = Failed(Reason.CALLER_GONE)
                 use.outcome = await _send(run, answer)
--- a/src/ibisjunction/routing/server.py
+++ b/src/ibisjunction/routing/server.py
@@ -23,7 +23,6 @@
 from tornado.netutil import bind_sockets
 
 from ibisjunction.clock import MS_PER_S, in_seconds
-from ibisjunction.events import Event, log_event
 from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import (
@@ -35,6 +34,7 @@
 )
 from ibisjunction.routing.body import CopiedBody
 from ibisjunction.routing.model import CallerRequest, RequestContext
+from ibisjunction.routing.reporting import log_outcome, measure
 from ibisjunction.routing.request import route_request
 from ibisjunction.services.catalog import RequestHead
 from ibisjunction.settings import Address
@@ -236,6 +236,7 @@
 ) -> None:
     caller: Any = request.caller
     outcome: Outcome = Failed(Reason.CALLER_GONE)
+    started_ms = context.clock.now()
     try:
         outcome = await route_request(context, request)
         if not isinstance(outcome, Answered) and not caller.has_started:
@@ -245,7 +246,9 @@
         outcome = Failed(Reason.CALLER_GONE)
     finally:
         body.close()
-        _log_outcome(request, outcome)
+        log_outcome(request, outcome)
+        duration_ms = context.clock.now() - started_ms
+        context.metrics.post(measure(request, outcome, duration_ms))
 
 
 async def _discard_body(request: CallerRequest) -> None:
@@ -305,32 +308,3 @@
             return math.ceil(delay_ms / MS_PER_S)
         case Failed():
             return None
-
-
-def _log_outcome(request: CallerRequest, outcome: Outcome) -> None:
-    match outcome:
-        case Answered(status=status, service_ms=service_ms):
-            log_event(
-                _logger,
-                Event.REQUEST_ANSWERED,
-                request=request.request_id,
-                status=status,
-                ms=service_ms,
-            )
-        case Refused(reason=reason, detail=detail):
-            log_event(
-                _logger,
-                Event.REQUEST_REFUSED,
-                request=request.request_id,
-                reason=reason.name,
-                detail=detail,
-            )
-        case Failed(reason=reason, detail=detail, verdict=verdict):
-            log_event(
-                _logger,
-                Event.REQUEST_FAILED,
-                request=request.request_id,
-                reason=reason.name,
-                verdict=verdict.value,
-                detail=detail,
-            )
