--- a/src/ibisjunction/bench/stand_in.py
+++ b/src/ibisjunction/bench/stand_in.py
@@ -86,6 +86,7 @@
         self.connections = ConnectionBook()
         self.switches = Switches(crash_prefix=profile.crash_on)
         self.switches.thawed.set()
+        self.tasks: dict[str, asyncio.Task[None]] = {}
         self.running = 0
         self.queued = 0
         self._slots = asyncio.Semaphore(profile.slots)
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -38,6 +38,8 @@
 )
 from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
+from ibisjunction.ledger.messages import Holder
+from ibisjunction.ledger.task import LEDGER_MESSAGES, LedgerTask
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import (
     FetchReports,
@@ -55,12 +57,14 @@
 from ibisjunction.peers.codec import Codec
 from ibisjunction.peers.link import PeerNetwork, PeerTask
 from ibisjunction.placement.task import PlacementTask
-from ibisjunction.routing.request import RequestContext
+from ibisjunction.routing.model import RequestContext
 from ibisjunction.routing.server import CallerServer
 from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
+from ibisjunction.upstreams.cancellation import CancelCaller, CancellationTask
 from ibisjunction.upstreams.grants import GrantConnections
 from ibisjunction.upstreams.pool import ConnectionPool
+from ibisjunction.upstreams.protocol import call_cancel
 
 _logger = logging.getLogger(__name__)
 
@@ -83,6 +87,7 @@
     TicketGranted,
     TicketRefused,
     TicketRequest,
+    *LEDGER_MESSAGES,
     VmReports,
     TicketsHeld,
     UpstreamLost,
@@ -141,6 +146,8 @@
     placement: PlacementTask
     membership: MembershipTask
     voter: ControlTask | None
+    cancellation: CancellationTask
+    ledger: LedgerTask
 
     def with_timer(self) -> list[TimedTask]:
         """Return the tasks that post periodic messages to themselves."""
@@ -148,6 +155,7 @@
             self.membership,
             self.dispatch,
             self.ownership,
+            self.ledger,
         ]
         return timed if self.voter is None else [*timed, self.voter]
 
@@ -160,6 +168,7 @@
             self.admin,
             self.routing,
             self.placement,
+            self.cancellation,
             *self.with_timer(),
             *self._list_storage(),
         ]
@@ -174,6 +183,7 @@
     clock: Clock,
     peers: PeerNetwork,
     call: GrantCaller,
+    cancel: CancelCaller = call_cancel,
     opened: OpenedLog | None = None,
 ) -> DaemonTasks:
     """Connect the mailboxes of a daemon's tasks.
@@ -193,10 +203,24 @@
         grants,
     )
     routing = RoutingTask(settings.vm, clock, peers)
+    ledger = LedgerTask(
+        Holder(settings.vm, incarnation),
+        clock,
+        peers,
+        [routing.mailbox],
+    )
     placement = PlacementTask(settings, clock, peers, client)
     listeners = [
         task.mailbox
-        for task in (client, admin, dispatch, ownership, routing, placement)
+        for task in (
+            client,
+            admin,
+            dispatch,
+            ownership,
+            routing,
+            ledger,
+            placement,
+        )
     ]
     voter = None
     if opened is not None:
@@ -225,6 +249,25 @@
             listeners,
         ),
         voter=voter,
+        cancellation=CancellationTask(cancel),
+        ledger=ledger,
+    )
+
+
+def make_context(
+    tasks: DaemonTasks,
+    clock: Clock,
+    pool: ConnectionPool,
+    seed: int,
+) -> RequestContext:
+    """Return what the tasks of all requests share."""
+    return RequestContext(
+        clock,
+        tasks.routing.mailbox,
+        pool,
+        random.Random(seed),
+        tasks.ledger.mailbox,
+        tasks.cancellation.mailbox,
     )
 
 
@@ -243,7 +286,7 @@
             clock,
             peers,
             calls.call,
-            stack.enter_context(open_replica(settings)),
+            opened=stack.enter_context(open_replica(settings)),
         )
         stack.push_async_callback(calls.close)
         await stack.enter_async_context(peers.run())
@@ -263,12 +306,7 @@
         stack.callback(server.stop)
         await _register(tasks.client, describe_vm(settings, incarnation))
         callers = CallerServer(
-            RequestContext(
-                clock,
-                tasks.routing.mailbox,
-                pool,
-                random.Random(incarnation),
-            ),
+            make_context(tasks, clock, pool, incarnation),
             settings.http,
         )
         callers.start()
--- a/src/ibisjunction/routing/messages.py
+++ b/src/ibisjunction/routing/messages.py
@@ -26,6 +26,7 @@
     """
 
     ticket_id: str
+    fingerprint: str
     route: RouteMatch
     client: str
     deadline_ms: int
@@ -53,11 +54,13 @@
     """Answers :class:`ObtainTicket`: the request may be sent.
 
     It must be started before ``start_before_ms``, the end of the VM lease.
+    ``is_suspect`` says that an upstream was lost during an earlier run of it.
     """
 
     granted: TicketGranted
     address: Address
     start_before_ms: int
+    is_suspect: bool
 
 
 TicketAnswer = TicketHeld | Refused
