--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -183,7 +183,7 @@
     clock: Clock,
     peers: PeerNetwork,
     call: GrantCaller,
-    cancel: CancelCaller = call_cancel,
+    cancel: CancelCaller,
     opened: OpenedLog | None = None,
 ) -> DaemonTasks:
     """Connect the mailboxes of a daemon's tasks.
@@ -286,7 +286,8 @@
             clock,
             peers,
             calls.call,
-            opened=stack.enter_context(open_replica(settings)),
+            call_cancel,
+            stack.enter_context(open_replica(settings)),
         )
         stack.push_async_callback(calls.close)
         await stack.enter_async_context(peers.run())
