--- a/src/ibisjunction/bench/client.py
+++ b/src/ibisjunction/bench/client.py
@@ -55,7 +55,7 @@
     )
     try:
         response = await client.fetch(request, raise_error=False)
-    except (OSError, HTTPClientError) as error:
+    except (HTTPClientError, OSError) as error:
         return Answer(NO_ANSWER, {}, str(error).encode())
     return _to_answer(response)
 
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -1,7 +1,7 @@
 """The control state and the rule by which each command changes it."""
 
 from dataclasses import dataclass, field, replace
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from ibisjunction.control.commands import (
     Accepted,
@@ -9,6 +9,7 @@
     AssignDispatcher,
     AssignShards,
     BeginMove,
+    ChangeVoters,
     Command,
     CommandOutcome,
     CompleteMove,
@@ -26,6 +27,7 @@
     Publication,
     UpstreamRecord,
     VmRecord,
+    VoterRecord,
 )
 from ibisjunction.control.terms import (
     ClientTerms,
@@ -37,6 +39,9 @@
 
 _Key = TypeVar('_Key')
 _Item = TypeVar('_Item')
+#: A publication that is sent again later than this many publications after
+#: its first outcome is taken for a new one, and refused for its old base.
+_PUBLICATIONS_KEPT: Final = 1000
 
 
 @dataclass(frozen=True)
@@ -44,8 +49,10 @@
     """All state that the control log yields; never changed in place.
 
     ``grants`` is keyed by service and shard. ``last_fence`` and ``last_epoch``
-    only grow, so no fence or epoch is issued twice. ``departed`` keeps the
-    incarnation of each upstream that was drained and removed.
+    only grow, so no fence or epoch is issued twice. ``publications`` holds the
+    last ones only, in their order. ``voters`` is empty while they are those of
+    the settings. ``departed`` keeps the incarnation of each upstream that was
+    drained and removed.
     """
 
     vms: dict[str, VmRecord] = field(default_factory=dict)
@@ -59,6 +66,7 @@
     last_epoch: int = 0
     terms: dict[str, dict[str, ClientTerms]] = field(default_factory=dict)
     departed: dict[str, int] = field(default_factory=dict)
+    voters: tuple[VoterRecord, ...] = ()
 
     def grant_of(self, service: str, shard: int) -> Grant | None:
         """Return the grant of a shard, or ``None`` if it has no owner."""
@@ -107,6 +115,9 @@
             return _publish(state, command)
         case RenewTerms(renewal=renewal):
             return _renew_terms(state, renewal)
+        case ChangeVoters(voters=voters):
+            state = replace(state, voters=voters)
+    return state, Accepted()
 
 
 def _apply_vm(state: ControlState, command: RegisterVm | RemoveVm) -> Applied:
@@ -296,15 +307,16 @@
         )
     revision = state.revision + 1
     publication = Publication(command.publication_id, revision)
+    publications = [
+        *state.publications.items(),
+        (command.publication_id, publication),
+    ]
     return (
         replace(
             state,
             files=dict(command.files),
             revision=revision,
-            publications={
-                **state.publications,
-                command.publication_id: publication,
-            },
+            publications=dict(publications[-_PUBLICATIONS_KEPT:]),
         ),
         Accepted(revision),
     )
--- a/tests/session.py
+++ b/tests/session.py
@@ -13,12 +13,20 @@
 from ibisjunction.bench.grants import GrantBook
 from ibisjunction.clock import ManualClock, in_seconds
 from ibisjunction.control.codec import decode_command
+from ibisjunction.control.effects import (
+    Tick as ControlTick,
+)
 from ibisjunction.control.messages import (
     CommittedEntries,
     ProposeCommand,
     StateSnapshot,
 )
-from ibisjunction.control.task import Tick as ControlTick
+from ibisjunction.control.protocol import (
+    Snapshot,
+)
+from ibisjunction.control.roles import Stored
+from ibisjunction.control.task import OpenedLog
+from ibisjunction.control.voters import describe_voters
 from ibisjunction.daemon.assembly import (
     PEER_MESSAGES,
     build_tasks,
@@ -110,6 +118,28 @@
         self._hub.deliver(self._vm, vm, message)
 
 
+class SessionStore:
+    """Files of a replica that are lost with the session."""
+
+    def write(self, writes) -> None:
+        """Count as durable at once."""
+
+    def replace(self, change) -> None:
+        """Count as durable at once."""
+
+
+async def _run_at_once(function, *arguments):
+    return function(*arguments)
+
+
+def _open_log(settings) -> OpenedLog | None:
+    if not settings.is_voter:
+        return None
+    snapshot = Snapshot(0, 0, describe_voters(settings), b'')
+    stored = Stored(0, '', snapshot, ())
+    return OpenedLog(settings.vm, stored, SessionStore(), _run_at_once)
+
+
 class SessionUpstreams:
     """Stand-ins that take grants and answer requests at once.
 
@@ -239,6 +269,7 @@
                 self.networks[vm],
                 self.upstreams.call,
                 self.upstreams.cancel,
+                _open_log(self.settings[vm]),
             )
             for vm in vms
         }
@@ -268,8 +299,15 @@
                     await stack.enter_async_context(
                         run_task(task.run(), type(task).__name__),
                     )
+            await self._tick_voters()
             yield self
 
+    async def _tick_voters(self) -> None:
+        for tasks in self.tasks.values():
+            if tasks.voter is not None:
+                tasks.voter.mailbox.post(ControlTick())
+        await self.settle()
+
     def resume(self, vm) -> None:
         """Deliver what a paused VM was sent."""
         self.paused.discard(vm)
