Accept answers under the router's request ids in the hop measurement

Cause: connections drop answers that name another request; the router names its own, so ibisjunction-bench hop counted every routed request as failed. Change: the measurement expects no id, as the connection allows for servers that give ids of their own.

--- a/src/ibisjunction/bench/hop.py
+++ b/src/ibisjunction/bench/hop.py
@@ -133,7 +133,7 @@
     body.post(BodyEnd())
     connection.mailbox.post(
         Exchange(
-            'hop',
+            None,
             'GET',
             target,
             (('Host', 'x'),),
