--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -18,6 +18,7 @@
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.hop import measure_hop
 from ibisjunction.bench.outage import compare_breakers
+from ibisjunction.bench.placement import print_comparison
 from ibisjunction.bench.policy import compare_policies
 from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.sharing import compare_sharing
@@ -120,6 +121,16 @@
         return run_scenario(self.scenario, self.seed, self.out, sys.stdout)
 
 
+@cappa.command(name='placement')
+@dataclass
+class PlacementCommand:
+    """Compare placement with two baselines, in one run."""
+
+    def __call__(self) -> int:
+        """Print the table."""
+        return print_comparison(sys.stdout)
+
+
 @cappa.command(name='capacity')
 @dataclass
 class CapacityCommand:
@@ -173,6 +184,7 @@
         | DemoCommand
         | HopCommand
         | RunCommand
+        | PlacementCommand
         | CapacityCommand
         | PolicyCommand
         | ControlCommand
--- a/src/ibisjunction/upstreams/cancellation.py
+++ b/src/ibisjunction/upstreams/cancellation.py
@@ -7,10 +7,16 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from ibisjunction.clock import in_seconds
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
-from ibisjunction.upstreams.protocol import UpstreamUnreachableError
+from ibisjunction.upstreams.protocol import (
+    CANCEL_PATH,
+    UpstreamUnreachableError,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -77,3 +83,23 @@
             address=ask.address,
             request=ask.request_id,
         )
+
+
+async def call_cancel(address: str, request_id: str, timeout_ms: int) -> None:
+    """Cancel a request at the upstream at ``host:port``.
+
+    The call uses a connection of its own.
+
+    :raises UpstreamUnreachableError: without an answer in time.
+    """
+    request = HTTPRequest(
+        f'http://{address}{CANCEL_PATH}{request_id}',
+        method='POST',
+        body=b'',
+        connect_timeout=in_seconds(timeout_ms),
+        request_timeout=in_seconds(timeout_ms),
+    )
+    try:
+        await AsyncHTTPClient().fetch(request, raise_error=False)
+    except (HTTPClientError, OSError) as error:
+        raise UpstreamUnreachableError(f'{address}: {error}') from error
--- a/src/ibisjunction/upstreams/grants.py
+++ b/src/ibisjunction/upstreams/grants.py
@@ -84,11 +84,11 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = [kept.task for kept in self._kept.values()]
+        kept_connections = tuple(self._kept.values())
         self._kept.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for kept in kept_connections:
+            kept.connection.stop()
+            await kept.task
 
     def _find(self, address: Address) -> _Kept:
         kept = self._kept.get(address)
@@ -104,7 +104,7 @@
         return kept
 
     def _close(self, address: Address, kept: _Kept) -> None:
-        kept.task.cancel()
+        kept.connection.stop()
         if self._kept.get(address) is kept:
             self._kept.pop(address)
 
@@ -132,13 +132,7 @@
     )
     connection.mailbox.post(
         Exchange(
-            f'grants {call.epoch}.{call.sequence}',
-            'PUT',
-            GRANTS_PATH,
-            headers,
-            _NO_LIMIT_MS,
-            body,
-            answers,
+            None, 'PUT', GRANTS_PATH, headers, _NO_LIMIT_MS, body, answers
         ),
     )
     return await _collect(answers)
