Remember rejected publications, and specify publication

Cause: a publication on top of a revision that did not exist yet was rejected, but its resend was accepted once that revision had come, so a resend did not get the first outcome. Change: rejections are kept with the accepted ones, up to the same bound; the error asks for a new id. specs/publication.py is explored completely, with 5 seeded mistakes that the checker catches, and every sequence of up to 4 publications is compared with the code.

--- a/src/ibisjunction/control/records.py
+++ b/src/ibisjunction/control/records.py
@@ -68,10 +68,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Publication:
-    """The outcome of one publication: the revision it became."""
+    """The outcome of one publication.
+
+    ``revision`` is the one it became, or the one in force when it was
+    rejected.
+    """
 
     publication_id: str
+    base_revision: int
     revision: int
+    is_accepted: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -297,28 +297,37 @@
 
 
 def _publish(state: ControlState, command: PublishRevision) -> Applied:
-    earlier = state.publications.get(command.publication_id)
-    if earlier is not None:
-        return state, Accepted(earlier.revision)
-    if command.base_revision != state.revision:
-        return state, Rejected(
-            f'based on revision {command.base_revision}, but revision'
-            f' {state.revision} is in force; fetch it and publish again',
-        )
-    revision = state.revision + 1
-    publication = Publication(command.publication_id, revision)
+    """Judge a publication; a resend gets the outcome of the first."""
+    known = state.publications.get(command.publication_id)
+    if known is not None:
+        return state, _describe_publication(known)
+    is_accepted = command.base_revision == state.revision
+    publication = Publication(
+        command.publication_id,
+        command.base_revision,
+        state.revision + is_accepted,
+        is_accepted,
+    )
     publications = [
         *state.publications.items(),
         (command.publication_id, publication),
     ]
-    return (
-        replace(
-            state,
-            files=dict(command.files),
-            revision=revision,
-            publications=dict(publications[-_PUBLICATIONS_KEPT:]),
-        ),
-        Accepted(revision),
+    judged = replace(
+        state,
+        files=dict(command.files) if is_accepted else state.files,
+        revision=publication.revision,
+        publications=dict(publications[-_PUBLICATIONS_KEPT:]),
+    )
+    return judged, _describe_publication(publication)
+
+
+def _describe_publication(publication: Publication) -> CommandOutcome:
+    if publication.is_accepted:
+        return Accepted(publication.revision)
+    return Rejected(
+        f'based on revision {publication.base_revision}, but revision'
+        f' {publication.revision} was in force; fetch the current one and'
+        ' publish again under a new id',
     )
 
 
--- /dev/null
+++ b/tests/test_publication_spec.py
@@ -0,0 +1,57 @@
+"""Explores the specification of publications and ties the code to it."""
+
+import itertools
+import unittest
+
+from minicheck import check_safety
+from parameterized import parameterized
+from specs.publication import BASES, Mistake, judge, make_protocol
+
+from ibisjunction.control.commands import Accepted, PublishRevision
+from ibisjunction.control.state import ControlState, apply_command
+
+_MAX_STATES = 100_000
+
+
+class PublicationSpecTest(unittest.TestCase):
+    """Guards against a protocol under which a revision is lost or reverted."""
+
+    def test_rules_hold_in_every_state(self):
+        found = check_safety(make_protocol(), max_states=_MAX_STATES)
+        self.assertTrue(found['exhaustive'])
+        for name, outcome in found['properties'].items():
+            self.assertTrue(outcome['holds'], name)
+
+    @parameterized.expand(
+        [
+            (Mistake.BASE_IGNORED, 'one publication per base wins'),
+            (Mistake.ID_IGNORED, 'a resend gets the first outcome'),
+            (Mistake.OLDER_SNAPSHOT, 'a serving VM never goes back'),
+            (Mistake.LEASE_WITHOUT_INDEX, 'in force after one lease'),
+            (Mistake.LEASE_NOT_COUNTED, 'in force after one lease'),
+        ]
+    )
+    def test_finds_mistake(self, mistake, invariant):
+        found = check_safety(make_protocol(mistake), max_states=_MAX_STATES)
+        self.assertIs(found['properties'][invariant]['holds'], False)
+
+
+class PublicationRefinementTest(unittest.TestCase):
+    """Guards against code that judges publications otherwise than the spec."""
+
+    @parameterized.expand(
+        [
+            (''.join(ids),)
+            for length in (1, 2, 3, 4)
+            for ids in itertools.product(BASES, repeat=length)
+        ]
+    )
+    def test_same_outcomes(self, ids):
+        state = ControlState()
+        outcomes = []
+        for name in ids:
+            command = PublishRevision(BASES[name], name, {name: ''})
+            state, outcome = apply_command(state, command)
+            is_accepted = isinstance(outcome, Accepted)
+            outcomes.append(outcome.revision if is_accepted else 0)
+        self.assertEqual(outcomes, judge(ids))
