--- a/specs/publication.py
+++ b/specs/publication.py
@@ -16,6 +16,7 @@
 
 import enum
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 
 from minicheck import Protocol
 
@@ -27,7 +28,7 @@
 _SENDS = 2
 
 #: The revision that each publication is based on.
-BASES = {'a': 0, 'b': 0, 'c': 1}
+BASES = MappingProxyType({'a': 0, 'b': 0, 'c': 1})
 
 
 class Mistake(enum.Enum):
--- a/src/ibisjunction/control/state.py
+++ b/src/ibisjunction/control/state.py
@@ -1,7 +1,7 @@
 """The control state and the rule by which each command changes it."""
 
 from dataclasses import dataclass, field, replace
-from typing import Final, TypeVar
+from typing import TypeVar
 
 from ibisjunction.control.commands import (
     Accepted,
@@ -21,6 +21,11 @@
     RemoveVm,
     RenewTerms,
 )
+from ibisjunction.control.publications import (
+    describe_publication,
+    judge_publication,
+    keep_publication,
+)
 from ibisjunction.control.records import (
     DispatcherRecord,
     Grant,
@@ -39,9 +44,6 @@
 
 _Key = TypeVar('_Key')
 _Item = TypeVar('_Item')
-#: A publication that is sent again later than this many publications after
-#: its first outcome is taken for a new one, and refused for its old base.
-_PUBLICATIONS_KEPT: Final = 1000
 
 
 @dataclass(frozen=True)
@@ -297,38 +299,18 @@
 
 
 def _publish(state: ControlState, command: PublishRevision) -> Applied:
-    """Judge a publication; a resend gets the outcome of the first."""
     known = state.publications.get(command.publication_id)
     if known is not None:
-        return state, _describe_publication(known)
-    is_accepted = command.base_revision == state.revision
-    publication = Publication(
-        command.publication_id,
-        command.base_revision,
-        state.revision + is_accepted,
-        is_accepted,
-    )
-    publications = [
-        *state.publications.items(),
-        (command.publication_id, publication),
-    ]
+        return state, describe_publication(known)
+    publication = judge_publication(command, state.revision)
+    files = command.files if publication.is_accepted else state.files
     judged = replace(
         state,
-        files=dict(command.files) if is_accepted else state.files,
+        files=dict(files),
         revision=publication.revision,
-        publications=dict(publications[-_PUBLICATIONS_KEPT:]),
-    )
-    return judged, _describe_publication(publication)
-
-
-def _describe_publication(publication: Publication) -> CommandOutcome:
-    if publication.is_accepted:
-        return Accepted(publication.revision)
-    return Rejected(
-        f'based on revision {publication.base_revision}, but revision'
-        f' {publication.revision} was in force; fetch the current one and'
-        ' publish again under a new id',
+        publications=keep_publication(state.publications, publication),
     )
+    return judged, describe_publication(publication)
 
 
 def _renew_terms(state: ControlState, renewal: Renewal) -> Applied:
