Propose the commands of one plan together

Cause: after the loss of an upstream each of its shards took two commits one after the other, 11 ms each with 5 voters. Change: the commands of a plan are proposed at once, in order, and share the syncs of the log. A failing planner now ends the placement task.

--- a/src/ibisjunction/placement/task.py
+++ b/src/ibisjunction/placement/task.py
@@ -19,7 +19,7 @@
 from ibisjunction.control.state import ControlState
 from ibisjunction.dispatch.messages import UpstreamSpeed
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import Mailbox, run_task
+from ibisjunction.mailbox import Mailbox
 from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
 from ibisjunction.peers.link import PeerNetwork, Received
 from ibisjunction.placement.losses import LossTable
@@ -62,7 +62,8 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        async with run_task(self._run_planner(), 'planner'):
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_planner(), name='planner')
             while True:
                 self.handle(await self.mailbox.get())
 
@@ -98,9 +99,12 @@
         while True:
             await self._is_due.wait()
             self._is_due.clear()
-            for command in self._plan():
+            commands = self._plan()
+            for command in commands:
                 _log_command(command)
-                await self._control.propose(command)
+            # Together they share a few syncs of the log. They are sent in
+            # order, and each names the fence or epoch that it replaces.
+            await asyncio.gather(*map(self._control.propose, commands))
 
     def _plan(self) -> list[Command]:
         state = self._state
