Ask for tickets that did not come back

Cause: a message is lost when its receiver stays unreachable while more than 256 are sent; a lost TicketDone kept its slot taken, and its shard from being moved, until the holder's VM restarted. Change: 1 s after a ticket's deadline its dispatcher asks the holder, which cancels what it does not hold.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -28,6 +28,7 @@
 from ibisjunction.control.storage import find_identity, open_log
 from ibisjunction.control.task import ControlTask, OpenedLog
 from ibisjunction.dispatch.messages import (
+    CheckTickets,
     SurveyTickets,
     TicketCancel,
     TicketDone,
@@ -75,6 +76,7 @@
 _NS_PER_MS: Final = 1_000_000
 #: Every message that crosses the network between daemons.
 PEER_MESSAGES: Final = (
+    CheckTickets,
     CommittedEntries,
     FetchReports,
     Heartbeat,
--- a/src/ibisjunction/dispatch/messages.py
+++ b/src/ibisjunction/dispatch/messages.py
@@ -84,6 +84,18 @@
     result: TicketResult
 
 
+@dataclass(frozen=True, slots=True)
+class CheckTickets:
+    """Asks a VM for tickets that should have come back by now.
+
+    It answers with a :class:`TicketCancel` for each that it does not hold:
+    the message that gave it back was lost.
+    """
+
+    upstream: str
+    ticket_ids: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class TicketCancel:
     """Withdraws a request for a ticket, or gives an unused ticket back."""
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -22,6 +22,7 @@
     TicketRequest,
     TicketsHeld,
 )
+from ibisjunction.dispatch.overdue import OverdueCheck
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import LeaseExtended
@@ -65,6 +66,7 @@
         self._upstreams: dict[str, DispatchedUpstream] = {}
         self._lease_until_ms = 0
         self._ownership = ownership
+        self._overdue = OverdueCheck()
         self._revision = -1
         self._specs: dict[str, ServiceSpec] = {}
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -109,12 +111,18 @@
             case Received():
                 self._handle_peer(message, now)
             case Tick():
-                for dispatched in self._upstreams.values():
-                    self._ask_awaited(dispatched)
-                    self._carry_out(dispatched.dispatcher.issue(now))
-                self._report_speeds(now)
+                self._look(now)
         self._report_idle()
 
+    def _look(self, now: int) -> None:
+        """Do what the passing of time asks for."""
+        for dispatched in self._upstreams.values():
+            self._ask_awaited(dispatched)
+            self._carry_out(dispatched.dispatcher.issue(now))
+        self._report_speeds(now)
+        for vm, check in self._overdue.list_checks(self._upstreams, now):
+            self._peers.send(vm, check)
+
     def _check_lease(self, now: int) -> None:
         """Hold every shard while the VM has no lease."""
         is_leased = now < self._lease_until_ms
--- a/src/ibisjunction/dispatch/tickets.py
+++ b/src/ibisjunction/dispatch/tickets.py
@@ -2,10 +2,13 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Final, TypeVar
 
 _Name = TypeVar('_Name', str, int)
 
+#: A request ends by its deadline; its ticket comes back within a round trip.
+_OVERDUE_MS: Final = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class Outstanding:
@@ -67,6 +70,14 @@
             if ticket.vm == vm
         ]
 
+    def find_overdue(self, now: int) -> dict[str, list[str]]:
+        """Return the ids of tickets that should have come back, by VM."""
+        overdue: dict[str, list[str]] = {}
+        for ticket_id, ticket in self._tickets.items():
+            if now >= ticket.deadline_ms + _OVERDUE_MS:
+                overdue.setdefault(ticket.vm, []).append(ticket_id)
+        return overdue
+
     def has_shard(self, shard: int) -> bool:
         """Return whether a ticket for the shard is outstanding."""
         return self._by_shard[shard] > 0
--- a/src/ibisjunction/routing/task.py
+++ b/src/ibisjunction/routing/task.py
@@ -1,6 +1,7 @@
 """Finds routes and tickets for the requests that this VM accepted."""
 
 import logging
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -9,6 +10,7 @@
 from ibisjunction.control.state import ControlState
 from ibisjunction.control.terms import level_of
 from ibisjunction.dispatch.messages import (
+    CheckTickets,
     HeldTicket,
     SurveyTickets,
     TicketCancel,
@@ -77,6 +79,7 @@
             TicketGranted,
             TicketRefused,
             SurveyTickets,
+            CheckTickets,
         )
 
     async def run(self) -> None:
@@ -97,6 +100,8 @@
                 self._pass_refusal(refused)
             case Received(sender=sender, message=SurveyTickets() as survey):
                 self._answer_survey(sender, survey)
+            case Received(sender=sender, message=CheckTickets() as check):
+                self._answer_check(sender, check)
             case AbandonTicket(ticket_id=ticket_id):
                 self._abandon(ticket_id)
             case ReturnTicket():
@@ -170,6 +175,10 @@
             TicketsHeld(survey.upstream, survey.epoch, held),
         )
 
+    def _answer_check(self, sender: str, check: CheckTickets) -> None:
+        for cancel in _list_unknown(check, self._waiting):
+            self._peers.send(sender, cancel)
+
     def _obtain(self, ask: ObtainTicket) -> None:
         now = self._clock.now()
         if now >= self._lease_until_ms:
@@ -304,3 +313,13 @@
                     returned.result,
                 ),
             )
+
+
+def _list_unknown(
+    check: CheckTickets,
+    waiting: Mapping[str, Waiting],
+) -> Iterator[TicketCancel]:
+    """Yield the cancellation of each ticket that this VM does not hold."""
+    for ticket_id in check.ticket_ids:
+        if ticket_id not in waiting:
+            yield TicketCancel(ticket_id, check.upstream)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -92,6 +92,22 @@
         self.assertEqual(message, TicketRefused('t-1', reason))
 
 
+class OverdueTest(unittest.TestCase):
+    """Guards against slots that a lost message keeps taken for good."""
+
+    @parameterized.expand(
+        [
+            ('before the deadline', 999, {}),
+            ('on its way', 1999, {}),
+            ('overdue', 2000, {'vm-1': ['t-1']}),
+        ]
+    )
+    def test_asks_the_holder(self, _name, now, expected):
+        dispatcher = _make_dispatcher()
+        _ask(dispatcher, 't-1')
+        self.assertEqual(dispatcher.tickets.find_overdue(now), expected)
+
+
 class LostVmTest(unittest.TestCase):
     """Guards against slots that stay taken after a VM is lost."""
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -21,6 +21,7 @@
 from ibisjunction.control.state import ControlState, apply_command
 from ibisjunction.dispatch.handover import DispatchedUpstream
 from ibisjunction.dispatch.messages import (
+    CheckTickets,
     GrantsInForce,
     HeldTicket,
     ResultKind,
@@ -343,6 +344,14 @@
             [Refused(Reason.NOT_DISPATCHER, 'up-1')],
         )
 
+    @parameterized.expand([('held', 't-1', 0), ('given back', 't-9', 1)])
+    def test_check_cancels_only_what_is_not_held(self, _name, ticket_id, sent):
+        vm = _Vm()
+        vm.receive(_TICKET)
+        vm.receive(CheckTickets('up-1', [ticket_id]))
+        cancel = ('vm-1', TicketCancel(ticket_id, 'up-1'))
+        self.assertEqual(vm.sent(TicketCancel), [cancel][:sent])
+
     def test_survey_drops_tickets_of_earlier_epochs(self):
         """The answer to the survey counts the ticket as not in use."""
         vm = _Vm()
