Send reports to the current voters

Cause: after a voter was replaced by another VM, reports of released shards, lost upstreams and speeds, and questions about revisions, still went to the voters of the settings. Change: these tasks follow LeaderKnown, as heartbeats and proposals do.

--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -197,6 +197,7 @@
     ``opened`` are the files of this VM's replica of the control log, if any.
     """
     client = ControlClient(settings, incarnation, peers)
+    reports = ReportsClient(settings, peers)
     admin = AdminTask(settings.vm, clock)
     grants: Mailbox[Any] = Mailbox()
     dispatch = DispatchTask(settings, clock, peers, grants)
@@ -220,6 +221,7 @@
         task.mailbox
         for task in (
             client,
+            reports,
             admin,
             dispatch,
             ownership,
@@ -240,7 +242,7 @@
         )
     return DaemonTasks(
         client=client,
-        reports=ReportsClient(settings, peers),
+        reports=reports,
         metrics=MetricsTask(),
         admin=admin,
         dispatch=dispatch,
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from ibisjunction.clock import Clock, in_seconds
-from ibisjunction.control.messages import ControlView
+from ibisjunction.control.messages import ControlView, LeaderKnown
 from ibisjunction.control.state import ControlState
 from ibisjunction.dispatch.decision_log import log_effect
 from ibisjunction.dispatch.dispatcher import Effect, SendToVm
@@ -59,7 +59,7 @@
     ) -> None:
         """Subscribe to the messages of accepting VMs."""
         self._vm = settings.vm
-        self._voters = [voter.vm for voter in settings.voters]
+        self._voters = tuple(voter.vm for voter in settings.voters)
         self._speeds_due_at = 0
         self._clock = clock
         self._peers = peers
@@ -97,6 +97,8 @@
             case LeaseExtended(until_ms=until_ms):
                 self._lease_until_ms = until_ms
                 self._check_lease(now)
+            case LeaderKnown(voters=voters):
+                self._voters = voters
             case ControlView(state=state):
                 self._follow(state, now)
             case GrantsInForce(upstream=upstream):
--- a/src/ibisjunction/ownership/task.py
+++ b/src/ibisjunction/ownership/task.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from ibisjunction.clock import Clock, in_seconds
-from ibisjunction.control.messages import ControlView
+from ibisjunction.control.messages import ControlView, LeaderKnown
 from ibisjunction.dispatch.messages import GrantsInForce
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox
@@ -73,6 +73,7 @@
         self._clock = clock
         self._peers = peers
         self._dispatch = dispatch
+        self._voters = tuple(voter.vm for voter in settings.voters)
         self._lease_until_ms = 0
         self._upstreams: dict[str, UpstreamGrants] = {}
         self._calls: set[asyncio.Task[None]] = set()
@@ -98,6 +99,8 @@
         """Process one message."""
         now = self._clock.now()
         match message:
+            case LeaderKnown(voters=voters):
+                self._voters = voters
             case LeaseExtended(until_ms=until_ms):
                 self._lease_until_ms = until_ms
             case ControlView():
@@ -181,8 +184,8 @@
 
     def _report(self, report: ShardReleased | UpstreamLost) -> None:
         _log_report(report)
-        for voter in self._settings.voters:
-            self._peers.send(voter.vm, report)
+        for vm in self._voters:
+            self._peers.send(vm, report)
 
     def _start_call(self, upstream: str, send: SendCall, now: int) -> None:
         # A VM without a lease leaves the call unanswered, and the next renewal
