Split the daemon's assembly

Change: daemon/tasks.py connects the mailboxes, daemon/assembly.py runs and stops the tasks. No behaviour changes.

--- a/src/ibisjunction/bench/capacity/message_costs.py
+++ b/src/ibisjunction/bench/capacity/message_costs.py
@@ -6,7 +6,7 @@
 
 from ibisjunction.bench.capacity.fit import Fit, fit_line, measure_cpu_us
 from ibisjunction.clock import ManualClock
-from ibisjunction.daemon.assembly import PEER_MESSAGES
+from ibisjunction.daemon.tasks import PEER_MESSAGES
 from ibisjunction.dispatch.messages import (
     ResultKind,
     TicketDone,
--- a/src/ibisjunction/daemon/assembly.py
+++ b/src/ibisjunction/daemon/assembly.py
@@ -1,14 +1,13 @@
-"""Puts the tasks of one daemon together and runs them."""
+"""Runs the tasks of one daemon and shuts them down."""
 
 import asyncio
 import contextlib
 import logging
-import random
 import time
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final, Protocol
+from typing import Final
 
 from ibisjunction.admin.context import AdminContext
 from ibisjunction.admin.server import make_admin_server
@@ -17,55 +16,23 @@
 from ibisjunction.control.client import ControlClient
 from ibisjunction.control.commands import RegisterVm
 from ibisjunction.control.frames import StorageError
-from ibisjunction.control.messages import (
-    CommittedEntries,
-    LeaderHint,
-    ProposalResult,
-    ProposeCommand,
-    ReplicaMessage,
-    StateSnapshot,
-)
 from ibisjunction.control.storage import find_identity, open_log
-from ibisjunction.control.task import ControlTask, OpenedLog
-from ibisjunction.dispatch.messages import (
-    CheckTickets,
-    SurveyTickets,
-    TicketCancel,
-    TicketDone,
-    TicketGranted,
-    TicketRefused,
-    TicketRequest,
-    TicketsHeld,
-    UpstreamSpeed,
+from ibisjunction.control.task import OpenedLog
+from ibisjunction.daemon.tasks import (
+    PEER_MESSAGES,
+    DaemonTasks,
+    build_tasks,
+    make_context,
 )
-from ibisjunction.dispatch.task import DispatchTask
 from ibisjunction.events import Event, log_event
-from ibisjunction.ledger.messages import Holder
-from ibisjunction.ledger.task import LEDGER_MESSAGES, LedgerTask
-from ibisjunction.mailbox import Mailbox, run_task
-from ibisjunction.membership.messages import (
-    FetchReports,
-    Heartbeat,
-    LeaseRenewal,
-    VmReports,
-)
+from ibisjunction.mailbox import run_task
 from ibisjunction.membership.registration import describe_vm
-from ibisjunction.membership.reports import ReportsClient
-from ibisjunction.membership.task import MembershipTask
-from ibisjunction.metrics import MetricsTask
-from ibisjunction.ownership.messages import ShardReleased, UpstreamLost
-from ibisjunction.ownership.task import GrantCaller, OwnershipTask
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec
-from ibisjunction.peers.link import PeerNetwork, PeerTask
-from ibisjunction.placement.task import PlacementTask
-from ibisjunction.routing.model import RequestContext
+from ibisjunction.peers.link import PeerTask
 from ibisjunction.routing.server import CallerServer
-from ibisjunction.routing.task import RoutingTask
 from ibisjunction.settings import Settings
 from ibisjunction.upstreams.cancellation import (
-    CancelCaller,
-    CancellationTask,
     call_cancel,
 )
 from ibisjunction.upstreams.grants import GrantConnections
@@ -74,31 +41,6 @@
 _logger = logging.getLogger(__name__)
 
 _NS_PER_MS: Final = 1_000_000
-#: Every message that crosses the network between daemons.
-PEER_MESSAGES: Final = (
-    CheckTickets,
-    CommittedEntries,
-    FetchReports,
-    Heartbeat,
-    LeaderHint,
-    LeaseRenewal,
-    ProposalResult,
-    ProposeCommand,
-    ShardReleased,
-    ReplicaMessage,
-    StateSnapshot,
-    SurveyTickets,
-    TicketCancel,
-    TicketDone,
-    TicketGranted,
-    TicketRefused,
-    TicketRequest,
-    *LEDGER_MESSAGES,
-    VmReports,
-    TicketsHeld,
-    UpstreamLost,
-    UpstreamSpeed,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,164 +64,6 @@
         return await self.callers.drain(self.settings.timing.drain_ms)
 
 
-class RunnableTask(Protocol):
-    """A task with a mailbox."""
-
-    mailbox: Mailbox[Any]
-
-    async def run(self) -> None:
-        """Handle messages until cancelled."""
-
-
-class TimedTask(RunnableTask, Protocol):
-    """A task that also has a timer."""
-
-    async def run_timer(self) -> None:
-        """Post periodic messages until cancelled."""
-
-
-@dataclass(frozen=True, slots=True)
-class DaemonTasks:
-    """The tasks of one daemon; ``voter`` exists on VMs with a replica."""
-
-    client: ControlClient
-    reports: ReportsClient
-    metrics: MetricsTask
-    admin: AdminTask
-    dispatch: DispatchTask
-    ownership: OwnershipTask
-    routing: RoutingTask
-    placement: PlacementTask
-    membership: MembershipTask
-    voter: ControlTask | None
-    cancellation: CancellationTask
-    ledger: LedgerTask
-
-    def with_timer(self) -> list[TimedTask]:
-        """Return the tasks that post periodic messages to themselves."""
-        timed: list[TimedTask] = [
-            self.membership,
-            self.dispatch,
-            self.ownership,
-            self.ledger,
-        ]
-        return timed if self.voter is None else [*timed, self.voter]
-
-    def all(self) -> list[RunnableTask]:
-        """Return every task."""
-        return [
-            self.client,
-            self.reports,
-            self.metrics,
-            self.admin,
-            self.routing,
-            self.placement,
-            self.cancellation,
-            *self.with_timer(),
-            *self._list_storage(),
-        ]
-
-    def _list_storage(self) -> list[RunnableTask]:
-        return [] if self.voter is None else [self.voter.storage]
-
-
-def build_tasks(
-    settings: Settings,
-    incarnation: int,
-    clock: Clock,
-    peers: PeerNetwork,
-    call: GrantCaller,
-    cancel: CancelCaller,
-    opened: OpenedLog | None = None,
-) -> DaemonTasks:
-    """Connect the mailboxes of a daemon's tasks.
-
-    ``opened`` are the files of this VM's replica of the control log, if any.
-    """
-    client = ControlClient(settings, incarnation, peers)
-    reports = ReportsClient(settings, peers)
-    admin = AdminTask(settings.vm, clock)
-    grants: Mailbox[Any] = Mailbox()
-    dispatch = DispatchTask(settings, clock, peers, grants)
-    ownership = OwnershipTask(
-        settings,
-        clock,
-        peers,
-        dispatch.mailbox,
-        call,
-        grants,
-    )
-    routing = RoutingTask(settings.vm, clock, peers)
-    ledger = LedgerTask(
-        Holder(settings.vm, incarnation),
-        clock,
-        peers,
-        [routing.mailbox],
-    )
-    placement = PlacementTask(settings, clock, peers, client)
-    listeners = [
-        task.mailbox
-        for task in (
-            client,
-            reports,
-            admin,
-            dispatch,
-            ownership,
-            routing,
-            ledger,
-            placement,
-        )
-    ]
-    voter = None
-    if opened is not None:
-        voter = ControlTask(
-            settings,
-            clock,
-            peers,
-            [placement.mailbox],
-            opened,
-            random.Random(f'{opened.node}-{incarnation}'),
-        )
-    return DaemonTasks(
-        client=client,
-        reports=reports,
-        metrics=MetricsTask(),
-        admin=admin,
-        dispatch=dispatch,
-        ownership=ownership,
-        routing=routing,
-        placement=placement,
-        membership=MembershipTask(
-            settings,
-            incarnation,
-            clock,
-            peers,
-            listeners,
-        ),
-        voter=voter,
-        cancellation=CancellationTask(cancel),
-        ledger=ledger,
-    )
-
-
-def make_context(
-    tasks: DaemonTasks,
-    clock: Clock,
-    pool: ConnectionPool,
-    seed: int,
-) -> RequestContext:
-    """Return what the tasks of all requests share."""
-    return RequestContext(
-        clock,
-        tasks.routing.mailbox,
-        pool,
-        random.Random(seed),
-        tasks.ledger.mailbox,
-        tasks.cancellation.mailbox,
-        tasks.metrics.mailbox,
-    )
-
-
 @contextlib.asynccontextmanager
 async def run_daemon(
     settings: Settings,
--- a/src/ibisjunction/dispatch/task.py
+++ b/src/ibisjunction/dispatch/task.py
@@ -113,11 +113,11 @@
             case Received():
                 self._handle_peer(message, now)
             case Tick():
-                self._look(now)
+                self._handle_tick(now)
         self._report_idle()
 
-    def _look(self, now: int) -> None:
-        """Do what the passing of time asks for."""
+    def _handle_tick(self, now: int) -> None:
+        """Process a tick of the timer."""
         for dispatched in self._upstreams.values():
             self._ask_awaited(dispatched)
             self._carry_out(dispatched.dispatcher.issue(now))
--- a/tests/session.py
+++ b/tests/session.py
@@ -27,10 +27,9 @@
 from ibisjunction.control.roles import Stored
 from ibisjunction.control.task import OpenedLog
 from ibisjunction.control.voters import describe_voters
-from ibisjunction.daemon.assembly import (
+from ibisjunction.daemon.tasks import (
     PEER_MESSAGES,
     build_tasks,
-    describe_vm,
     make_context,
 )
 from ibisjunction.dispatch.messages import UpstreamSpeed
@@ -39,6 +38,7 @@
 from ibisjunction.ledger.task import Tick as LedgerTick
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.registration import describe_vm
 from ibisjunction.membership.task import HeartbeatDue
 from ibisjunction.ownership.task import RenewalDue
 from ibisjunction.peers.codec import Codec
