Add commands to add and remove voters

Cause: replacing a voter took a hand-written call. Result: the session of test_cli covers a wrong address and the last voter.

--- a/src/ibisjunction/cli/changes.py
+++ b/src/ibisjunction/cli/changes.py
@@ -8,7 +8,11 @@
 
 import cappa
 
-from ibisjunction.admin.model import RenewalAnswer, RenewalRequest
+from ibisjunction.admin.model import (
+    ChangeVotersRequest,
+    RenewalAnswer,
+    RenewalRequest,
+)
 from ibisjunction.cli.connection import Connection, print_answer
 
 
@@ -31,6 +35,49 @@
         return 0
 
 
+@cappa.command(name='add-voter')
+@dataclass
+class AddVoterCommand:
+    """Add a disk to those that hold the control log.
+
+    The disk votes once it has caught up. Start its daemon first; its name is
+    what "ibisjunctiond SETTINGS --join" printed.
+    """
+
+    disk: str
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+    peer: Annotated[
+        str,
+        cappa.Arg(long=True, help='Peer address of its VM, IP number:port.'),
+    ]
+
+    def __call__(self) -> int:
+        """Add the disk and wait until it votes."""
+        request = ChangeVotersRequest(add=self.disk, peer=self.peer)
+        self.connection.open().send('POST', '/v1/voters', request)
+        sys.stderr.write(
+            f'{self.disk} votes; remove the disk that it replaces with'
+            ' "ibisjunction remove-voter"\n',
+        )
+        return 0
+
+
+@cappa.command(name='remove-voter')
+@dataclass
+class RemoveVoterCommand:
+    """Remove a disk from those that hold the control log."""
+
+    disk: str
+    connection: Annotated[Connection, cappa.Arg.destructured()]
+
+    def __call__(self) -> int:
+        """Remove the disk."""
+        request = ChangeVotersRequest(remove=self.disk)
+        self.connection.open().send('POST', '/v1/voters', request)
+        sys.stderr.write(f'{self.disk} no longer votes\n')
+        return 0
+
+
 @cappa.command(name='renew-terms')
 @dataclass
 class RenewTermsCommand:
--- a/src/ibisjunction/cli/command.py
+++ b/src/ibisjunction/cli/command.py
@@ -9,7 +9,12 @@
 
 import cappa
 
-from ibisjunction.cli.changes import DrainUpstreamCommand, RenewTermsCommand
+from ibisjunction.cli.changes import (
+    AddVoterCommand,
+    DrainUpstreamCommand,
+    RemoveVoterCommand,
+    RenewTermsCommand,
+)
 from ibisjunction.cli.connection import EXIT_INVALID, CommandError
 from ibisjunction.cli.inspection import (
     ExplainEventCommand,
@@ -39,6 +44,8 @@
         | ExplainEventCommand
         | DrainUpstreamCommand
         | RenewTermsCommand
+        | AddVoterCommand
+        | RemoveVoterCommand
     ]
 
 
--- a/src/ibisjunction/cli/connection.py
+++ b/src/ibisjunction/cli/connection.py
@@ -20,7 +20,8 @@
 EXIT_UNREACHABLE: Final = 4
 EXIT_NOT_IN_FORCE: Final = 5
 
-_TIMEOUT_S: Final = 20.0
+#: Longer than the 20 s after which a new voter is declined.
+_TIMEOUT_S: Final = 30.0
 _ADMIN_VARIABLE: Final = 'IBISJUNCTION_ADMIN'
 _TOKEN_VARIABLE: Final = 'IBISJUNCTION_TOKEN'
 
@@ -62,12 +63,17 @@
                 EXIT_UNREACHABLE,
             ) from error
 
-    def send(self, method: str, path: str) -> None:
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: msgspec.Struct | None = None,
+    ) -> None:
         """Send a call that has no answer.
 
         :raises CommandError: if the call failed.
         """
-        self._send(method, path, None)
+        self._send(method, path, body)
 
     def _send(
         self,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -99,6 +99,12 @@
             with self.subTest('key without an owner'):
                 done = _run('explain-key', 'mail-log', 'tenant/7', admin)
                 self.assertIn('upstream: -', done.stdout)
+            with self.subTest('voter with a wrong address'):
+                done = _run('add-voter', 'vm-1/x', '--peer=host', admin)
+                self._check(done, EXIT_INVALID, 'IP number:port')
+            with self.subTest('the only voter can not be removed'):
+                done = _run('remove-voter', 'vm-1', admin)
+                self._check(done, EXIT_REJECTED, 'voter')
             with self.subTest('terms'):
                 done = _run('renew-terms', 'mail-log', 'c', admin)
                 self.assertEqual(done.stdout, 'c: level 1\n')
