Ask again while a breaker is open

Cause: requests were refused while the breaker of a lost upstream was open, though their key had a new owner a moment later. Ruled out: the wait itself reaches no upstream, since each attempt asks the breaker first. Change: BREAKER_OPEN is retried by the accepting VM after the time that the refusal asks for, within the deadline and at most 4 attempts.

--- a/src/ibisjunction/routing/attempts.py
+++ b/src/ibisjunction/routing/attempts.py
@@ -20,6 +20,9 @@
         Reason.CONNECT_FAILED,
         Reason.UPSTREAM_FENCED,
         Reason.UPSTREAM_SHED,
+        # A breaker opens at the loss of an upstream, and its keys have another
+        # owner within about a second.
+        Reason.BREAKER_OPEN,
     )
 )
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -21,6 +21,7 @@
 _SAFE = Failed(Reason.CONNECTION_LOST, verdict=Verdict.NOT_RUN)
 _MOVED = Refused(Reason.NO_OWNER)
 _FULL = Refused(Reason.QUEUE_FULL)
+_OPEN = Refused(Reason.BREAKER_OPEN)
 
 
 class DecideRetryTest(unittest.TestCase):
@@ -32,6 +33,7 @@
             ('lost non-idempotent', _LOST, 0, False, True, 1000, False),
             ('safe non-idempotent', _SAFE, 0, False, True, 1000, True),
             ('moved', _MOVED, 0, False, True, 1000, True),
+            ('breaker open', _OPEN, 0, False, True, 1000, True),
             ('overload', _FULL, 0, True, True, 1000, False),
             ('answered', Answered(200, 1), 0, True, True, 1000, False),
             ('last attempt', _LOST, 3, True, True, 1000, False),
