--- a/src/ibisjunction/catalogue/routes.py
+++ b/src/ibisjunction/catalogue/routes.py
@@ -16,6 +16,10 @@
     route: Route
 
 
+#: A route's name and its targets; new weights are another split.
+_Split = tuple[str, tuple[Target, ...]]
+
+
 class RouteTable:
     """Routes by host and longest prefix."""
 
@@ -61,7 +65,7 @@
     def __init__(self, generator: random.Random) -> None:
         """Start without history; the generator draws where a route starts."""
         self._generator = generator
-        self._credits: dict[tuple[str, tuple[Target, ...]], list[float]] = {}
+        self._credits: dict[_Split, list[float]] = {}
 
     def choose(self, route: NamedRoute) -> str:
         """Return the service that takes the next request of a route."""
--- a/src/ibisjunction/control/writer.py
+++ b/src/ibisjunction/control/writer.py
@@ -125,19 +125,25 @@
 
     async def _persist(self, write: Callable[[Any], None], data: Any) -> None:
         """Repeat a write while the disk is full; it changed nothing then."""
-        is_reported = False
-        while True:
-            try:
-                return await self._run_blocking(write, data)
-            except OSError as error:
-                if error.errno not in _DISK_FULL:
-                    raise
-                if not is_reported:
-                    log_event(
-                        _logger,
-                        Event.STORAGE_FULL,
-                        logging.ERROR,
-                        error=error,
-                    )
-                is_reported = True
+        while not await self._try_write(write, data):
             await asyncio.sleep(in_seconds(_DISK_FULL_RETRY_MS))
+
+    async def _try_write(
+        self,
+        write: Callable[[Any], None],
+        data: Any,
+    ) -> bool:
+        """Return whether a write was not refused for lack of room."""
+        try:
+            await self._run_blocking(write, data)
+        except OSError as error:
+            if error.errno not in _DISK_FULL:
+                raise
+            log_event(
+                _logger,
+                Event.STORAGE_FULL,
+                logging.ERROR,
+                error=error,
+            )
+            return False
+        return True
--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -1,19 +1,14 @@
 """Decides which upstream takes which shards.
 
-Shards without an owner are taken by upstreams as they check in, because a
-grant can only travel in the answer to a check-in. Shards move between
-upstreams only while few do, and where it evens out the load.
+A grant travels only in the answer to a check-in. So shards without an owner
+are taken by upstreams as they check in, and a shard is released as its owner
+checks in, if another upstream will check in soon after it has been freed.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.fleet.commands import (
-    FleetCommand,
-    ReleaseShards,
-    SplitShard,
-)
 from ibisjunction.fleet.model import FleetState, Shard, Shards, Upstream
 
 #: Shards per upstream when the keys of a service are first divided.
@@ -22,38 +17,60 @@
 #: one shard takes up to 60 bytes of it.
 _MIN_SHARDS: Final = 64
 _MAX_SHARDS: Final = 1024
-#: An upstream gives shards away above this multiple of its fair share.
-_HIGH: Final = 1.25
-#: An upstream takes shards up to this multiple of its fair share.
-_FULL: Final = 1.05
-#: Added to the limit for each interval that shards have been free.
-_FULLNESS_PER_INTERVAL: Final = 0.5
-#: Shards that are on the move at a time; their keys are not served meanwhile.
-_MAX_MOVING: Final = 2
-#: A shard with more than this part of one upstream's fair share is divided.
-_SPLIT_SHARE: Final = 0.5
 #: Shards that one upstream may have; bounds the size of an answer.
-_MAX_OWNED: Final = 48
-
-LoadOf = Callable[[Shard], float]
+_MAX_OWNED: Final = 56
+#: Utilisation below which an upstream keeps its shards: requests rarely wait.
+_CALM: Final = 0.35
+#: An upstream gives shards away above this multiple of the mean utilisation.
+_HIGH: Final = 1.3
+#: A move must lower the higher of the two utilisations to this part.
+_GAIN: Final = 0.9
+#: Part of a service's requests that may be without an owner because of moves.
+_MAX_MOVING: Final = 0.15
+#: A shard with more than this utilisation of its owner is divided.
+_SPLIT_ABOVE: Final = 0.15
+#: A taker's check-in should arrive in this time after the giver's. A giver
+#: frees keys within 100 ms once it has finished their requests.
+_TAKE_AFTER_MS: Final = 250
+_TAKE_BEFORE_MS: Final = 650
+#: Overload that an upstream accepts for each interval of check-ins that shards
+#: have been free, so that none waits for one that does not check in.
+_FULLNESS_PER_INTERVAL: Final = 0.5
+_FULL: Final = 1.05
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """An upstream that may own shards; ``capacity`` is relative."""
+    """An upstream that may own shards.
+
+    ``capacity`` is in requests each second; ``next_ms`` is when its next
+    check-in is expected.
+    """
 
     upstream: Upstream
     capacity: float
+    next_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ServiceView:
-    """One service as the balance sees it."""
+    """One service as the balance sees it; ``rates`` belong to the shards."""
 
     service: str
     shards: Shards
+    rates: list[float]
     members: tuple[Member, ...]
-    load_of: LoadOf
+    _owned: dict[tuple[str, int], list[int]] = field(default_factory=dict)
+    _loads: dict[tuple[str, int], float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Index the shards by owner."""
+        for position, shard in enumerate(self.shards):
+            if shard.owner and not shard.is_releasing:
+                process = (shard.owner, shard.born)
+                self._owned.setdefault(process, []).append(position)
+                load = self._loads.get(process, 0)
+                self._loads[process] = load + self.rates[position]
 
     @property
     def capacity(self) -> float:
@@ -61,25 +78,54 @@
         return sum(member.capacity for member in self.members)
 
     @property
-    def load(self) -> float:
-        """Load of all shards."""
-        return sum(self.load_of(shard) for shard in self.shards)
+    def rate(self) -> float:
+        """Requests each second of all shards."""
+        return sum(self.rates)
 
-    def fair_load(self, member: Member) -> float:
-        """Return the load that fits a member's part of the capacity."""
-        return self.load * member.capacity / self.capacity
+    @property
+    def unserved_rate(self) -> float:
+        """Requests each second of shards that nobody serves."""
+        return sum(
+            rate
+            for shard, rate in zip(self.shards, self.rates, strict=True)
+            if shard.is_releasing or not shard.owner
+        )
 
     def load_on(self, member: Member) -> float:
-        """Return the load of a member's shards."""
-        return sum(self.load_of(shard) for shard in self.owned_by(member))
+        """Return the requests each second of a member's shards."""
+        upstream = member.upstream
+        return self._loads.get((upstream.upstream, upstream.born), 0)
+
+    def utilisation(self, member: Member) -> float:
+        """Return the part of a member's capacity that is used."""
+        return self.load_on(member) / member.capacity
+
+    def owned_by(self, member: Member) -> list[int]:
+        """Return the positions of a member's shards that stay with it."""
+        upstream = member.upstream
+        return self._owned.get((upstream.upstream, upstream.born), [])
+
+    def find_member(self, upstream: Upstream) -> Member | None:
+        """Return the member that is this process."""
+        return next(
+            (one for one in self.members if one.upstream == upstream),
+            None,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Shards that one member gives up for another."""
 
-    def owned_by(self, member: Member) -> list[Shard]:
-        """Return the shards of a member that stay with it."""
-        return [
-            shard
-            for shard in self.shards
-            if shard.is_owned_by(member.upstream) and not shard.is_releasing
-        ]
+    firsts: tuple[int, ...]
+    taker: Member
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """A shard that is too busy to be moved as a whole."""
+
+    shard: Shard
 
 
 def count_shards(state: FleetState, service: str) -> int:
@@ -91,63 +137,108 @@
 def choose_free(
     view: ServiceView,
     taker: Member,
+    reserved: Iterable[int],
+    promised: Iterable[int],
     waited_intervals: float,
-) -> list[Shard]:
-    """Return the free shards that an upstream takes as it checks in.
+) -> list[int]:
+    """Return the first keys of the shards that an upstream takes.
 
-    :param waited_intervals: intervals of check-ins that shards have been free
-        for. Each lets an upstream take more than its fair share, so that no
-        shard waits for an upstream that does not check in.
+    :param reserved: first keys that other upstreams are about to take.
+    :param promised: first keys that were released for this one.
+    :param waited_intervals: intervals of check-ins that shards have been free.
     """
-    free = [shard for shard in view.shards if not shard.owner]
+    free = _rank_free(view, frozenset(reserved), frozenset(promised))
     fullness = _FULL + _FULLNESS_PER_INTERVAL * max(0, waited_intervals - 1)
-    room = view.fair_load(taker) * fullness - view.load_on(taker)
+    fair = view.rate * taker.capacity / view.capacity
+    room = fair * fullness - view.load_on(taker)
     limit = _MAX_OWNED - len(view.owned_by(taker))
-    taken: list[Shard] = []
-    for shard in sorted(free, key=view.load_of, reverse=True):
-        if room <= 0 or len(taken) >= limit:
+    taken: list[int] = []
+    for is_promised, rate, first in free:
+        if len(taken) >= limit:
             break
-        taken.append(shard)
-        room -= view.load_of(shard)
+        if is_promised or room > 0:
+            taken.append(first)
+            room -= rate
     return taken
 
 
-def plan_change(view: ServiceView) -> FleetCommand | None:
-    """Return one step towards an even load, if one is worth it now."""
-    moving = sum(
-        1 for shard in view.shards if shard.is_releasing or not shard.owner
-    )
-    if moving >= _MAX_MOVING or len(view.members) < 2:
+def plan_move(
+    view: ServiceView, giver: Member, now: int
+) -> Move | Split | None:
+    """Return what an upstream that checks in now is to give up, if anything."""
+    mean = view.rate / view.capacity
+    if view.utilisation(giver) < max(_CALM, mean * _HIGH):
         return None
-    return _plan_split(view) or _plan_release(view)
-
+    split = _find_split(view, giver, mean)
+    if split is not None:
+        return split
+    takers = [
+        member
+        for member in view.members
+        if _TAKE_AFTER_MS <= member.next_ms - now <= _TAKE_BEFORE_MS
+        and member is not giver
+        and len(view.owned_by(member)) < _MAX_OWNED
+    ]
+    if not takers:
+        return None
+    taker = min(takers, key=view.utilisation)
+    return _choose_moved(view, giver, taker, mean)
 
-def _plan_release(view: ServiceView) -> ReleaseShards | None:
-    """Release a shard of the upstream that is furthest above its share.
 
-    The least loaded upstream must stay below it after the move, or else the
-    shard would come back.
-    """
-    giver = max(view.members, key=lambda member: _excess(view, member))
-    taker = min(view.members, key=lambda member: _excess(view, member))
-    if _excess(view, giver) < _HIGH:
-        return None
-    surplus = view.load_on(giver) - view.fair_load(giver)
-    gap = view.fair_load(taker) * _FULL - view.load_on(taker)
-    fitting = [
-        shard
-        for shard in view.owned_by(giver)
-        if view.load_of(shard) <= min(gap, surplus * 2)
+def _rank_free(
+    view: ServiceView,
+    reserved: frozenset[int],
+    promised: frozenset[int],
+) -> list[tuple[bool, float, int]]:
+    """Return whether promised, rate and first key of free shards."""
+    free = [
+        (shard.first in promised, rate, shard.first)
+        for shard, rate in zip(view.shards, view.rates, strict=True)
+        if not shard.owner and shard.first not in reserved
     ]
-    if not fitting or len(view.owned_by(giver)) == 1:
-        return None
-    best = max(fitting, key=view.load_of)
-    return ReleaseShards(view.service, (best.first,))
+    return sorted(free, reverse=True)
 
 
-def _plan_split(view: ServiceView) -> SplitShard | None:
-    return None
+def _find_split(view: ServiceView, giver: Member, mean: float) -> Split | None:
+    """Return the busiest shard if it is too busy to be moved as a whole."""
+    owned = view.owned_by(giver)
+    if not owned:
+        return None
+    busiest = max(owned, key=view.rates.__getitem__)
+    shard = view.shards[busiest]
+    share = view.rates[busiest] / giver.capacity
+    is_large = share > max(_SPLIT_ABOVE, mean / 2)
+    return Split(shard) if is_large and shard.last > shard.first else None
 
 
-def _excess(view: ServiceView, member: Member) -> float:
-    return view.load_on(member) / max(view.fair_load(member), 1e-9)
+def _choose_moved(
+    view: ServiceView,
+    giver: Member,
+    taker: Member,
+    mean: float,
+) -> Move | None:
+    """Choose shards that even out two members, the busiest ones first."""
+    given = view.load_on(giver)
+    taken = view.load_on(taker)
+    budget = view.rate * _MAX_MOVING - view.unserved_rate
+    chosen: list[int] = []
+    for position in sorted(
+        view.owned_by(giver),
+        key=view.rates.__getitem__,
+        reverse=True,
+    ):
+        rate = view.rates[position]
+        before = given / giver.capacity
+        after = max(
+            (given - rate) / giver.capacity,
+            (taken + rate) / taker.capacity,
+        )
+        if after > before * _GAIN or rate > budget:
+            continue
+        chosen.append(view.shards[position].first)
+        given -= rate
+        taken += rate
+        budget -= rate
+        if given / giver.capacity <= mean * _FULL:
+            break
+    return Move(tuple(chosen), taker) if chosen else None
--- /dev/null
+++ b/src/ibisjunction/coordination/keys.py
@@ -0,0 +1,229 @@
+"""Decides on the keys of sharded services while leading."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from ibisjunction.coordination.balance import (
+    Member,
+    Move,
+    ServiceView,
+    Split,
+    choose_free,
+    count_shards,
+    plan_move,
+)
+from ibisjunction.coordination.calls import CheckIn, GrantedRange
+from ibisjunction.coordination.liveness import Liveness
+from ibisjunction.coordination.loads import LoadBook
+from ibisjunction.coordination.reservations import Reservations
+from ibisjunction.coordination.timing import FleetTiming
+from ibisjunction.fleet.commands import (
+    AssignShards,
+    DivideKeys,
+    FleetCommand,
+    FreedShard,
+    FreeShards,
+    ReleaseShards,
+    SplitShard,
+)
+from ibisjunction.fleet.model import FleetState, Shard, Upstream
+
+#: An upstream that has missed check-ins for this many intervals gets no keys.
+_SILENT_INTERVALS: Final = 2.5
+#: Time of the first upstream's check-in until the keys are divided, so that
+#: the others have checked in too.
+_GATHER_MS: Final = 1200
+
+
+class KeyPlanner:
+    """The moves of keys that one leader has under way."""
+
+    def __init__(
+        self,
+        timing: FleetTiming,
+        liveness: Liveness,
+        loads: LoadBook,
+    ) -> None:
+        """Start without any move."""
+        self._timing = timing
+        self._liveness = liveness
+        self._loads = loads
+        self._reservations = Reservations()
+        self._gathering: dict[str, int] = {}
+        self._free_since: dict[str, int] = {}
+
+    def note_state(self, state: FleetState, now: int) -> None:
+        """Remember since when shards have had no owner."""
+        for service, shards in state.shards.items():
+            if all(shard.owner for shard in shards):
+                self._free_since.pop(service, None)
+            else:
+                self._free_since.setdefault(service, now)
+
+    def plan_check_in(
+        self,
+        state: FleetState,
+        call: CheckIn,
+        upstream: Upstream,
+        now: int,
+    ) -> Iterator[FleetCommand]:
+        """Yield what changes as an upstream checks in."""
+        if upstream.is_draining:
+            yield from self.plan_release_all(state, upstream)
+        freed = tuple(_find_freed(state, call, upstream))
+        if freed:
+            yield FreeShards(call.service, freed)
+        view = self._view(state, call.service, now)
+        member = view.find_member(upstream)
+        if member is not None and self._has_gathered(call.service, now):
+            yield from self._plan_taking(view, member, now)
+            yield from self._plan_giving(view, member, now)
+
+    def plan_release_all(
+        self,
+        state: FleetState,
+        upstream: Upstream,
+    ) -> Iterator[FleetCommand]:
+        """Yield the release of all keys of an upstream that leaves."""
+        firsts = tuple(
+            shard.first
+            for shard in state.list_owned(upstream)
+            if not shard.is_releasing
+        )
+        if firsts:
+            yield ReleaseShards(upstream.service, firsts)
+
+    def plan_service(
+        self,
+        state: FleetState,
+        service: str,
+        now: int,
+    ) -> Iterator[FleetCommand]:
+        """Yield what time alone makes due for a service."""
+        shards = state.shards.get(service)
+        if shards is None:
+            is_known = bool(state.list_upstreams(service))
+            if is_known and self._has_gathered(service, now):
+                yield DivideKeys(service, count_shards(state, service))
+            return
+        expired = tuple(
+            FreedShard(shard.first, shard.fence)
+            for shard in shards
+            if shard.owner and not self._liveness.is_held(service, shard, now)
+        )
+        if expired:
+            yield FreeShards(service, expired)
+
+    def grant(
+        self,
+        state: FleetState,
+        upstream: Upstream,
+        now: int,
+    ) -> tuple[GrantedRange, ...]:
+        """Return all keys that an upstream is to hold from now on."""
+        grants = []
+        for shard in state.list_owned(upstream):
+            if shard.is_releasing:
+                continue
+            self._liveness.extend_hold(upstream.service, shard, now)
+            grants.append(
+                GrantedRange(
+                    shard.first,
+                    shard.last,
+                    shard.fence,
+                    shard.handover,
+                ),
+            )
+        return tuple(grants)
+
+    def _plan_taking(
+        self,
+        view: ServiceView,
+        taker: Member,
+        now: int,
+    ) -> Iterator[FleetCommand]:
+        upstream = taker.upstream
+        since = self._free_since.get(view.service, now)
+        taken = choose_free(
+            view,
+            taker,
+            self._reservations.of_others(view.service, upstream, now),
+            self._reservations.of(view.service, upstream, now),
+            (now - since) / self._timing.check_in_ms,
+        )
+        if taken:
+            yield AssignShards(
+                view.service,
+                upstream.upstream,
+                upstream.born,
+                tuple(taken),
+            )
+
+    def _plan_giving(
+        self,
+        view: ServiceView,
+        giver: Member,
+        now: int,
+    ) -> Iterator[FleetCommand]:
+        match plan_move(view, giver, now):
+            case Move(firsts=firsts, taker=taker):
+                self._reservations.add(view.service, firsts, taker, now)
+                yield ReleaseShards(view.service, firsts)
+            case Split(shard=shard):
+                middle = self._loads.find_middle(view.service, shard)
+                if middle is not None:
+                    self._liveness.copy_hold(view.service, shard.first, middle)
+                    yield SplitShard(view.service, shard.first, (middle,))
+
+    def _has_gathered(self, service: str, now: int) -> bool:
+        since = self._gathering.setdefault(service, now)
+        return now >= since + _GATHER_MS
+
+    def _view(
+        self,
+        state: FleetState,
+        service: str,
+        now: int,
+    ) -> ServiceView:
+        limit_ms = self._timing.check_in_ms * _SILENT_INTERVALS
+        members = []
+        for upstream in state.list_upstreams(service):
+            silent_ms = self._liveness.silent_ms(upstream, now)
+            if upstream.is_draining or silent_ms > limit_ms:
+                continue
+            capacity = self._loads.capacity_of(upstream)
+            next_ms = now - silent_ms + self._timing.check_in_ms
+            members.append(Member(upstream, capacity, next_ms))
+        shards = state.shards.get(service, ())
+        rates = self._loads.rates_of(service, shards)
+        return ServiceView(service, shards, rates, tuple(members))
+
+
+def _find_freed(
+    state: FleetState,
+    call: CheckIn,
+    upstream: Upstream,
+) -> Iterator[FreedShard]:
+    """Find the shards that a process was told to release and has."""
+    for shard in state.list_owned(upstream):
+        is_held = any(
+            _overlaps(held.first, held.last, shard) for held in call.holds
+        )
+        if shard.is_releasing and not is_held:
+            freed = _find_covering(call, shard)
+            if freed is not None:
+                yield freed
+
+
+def _find_covering(call: CheckIn, shard: Shard) -> FreedShard | None:
+    """Return a shard as freed if a range that was given up covers it."""
+    for freed in call.freed:
+        if (freed.first, freed.last) == (shard.first, shard.last):
+            return FreedShard(shard.first, shard.fence, freed.handover)
+        if freed.first <= shard.first and shard.last <= freed.last:
+            return FreedShard(shard.first, shard.fence)
+    return None
+
+
+def _overlaps(first: int, last: int, shard: Shard) -> bool:
+    return first <= shard.last and shard.first <= last
--- a/src/ibisjunction/coordination/liveness.py
+++ b/src/ibisjunction/coordination/liveness.py
@@ -42,7 +42,9 @@
     def silent_ms(self, upstream: Upstream, now: int) -> int:
         """Return how long ago a process checked in, as far as known."""
         seen = self._seen.get((upstream.upstream, upstream.born))
-        return now - (seen.at_ms if seen else self.started_ms)
+        if seen is None:
+            return now - self.started_ms
+        return now - seen.at_ms
 
     def has_seen(self, upstream: Upstream) -> bool:
         """Return whether this leader heard from a process."""
@@ -58,12 +60,11 @@
         default = self.started_ms + self.hold_limit_ms
         return now < self._held_until.get((service, shard.first), default)
 
-    def copy_hold(self, service: str, first: int, starts: list[int]) -> None:
-        """Let the parts of a divided shard keep its hold."""
+    def copy_hold(self, service: str, first: int, start: int) -> None:
+        """Let the part of a shard that begins at ``start`` keep its hold."""
         until = self._held_until.get((service, first))
-        for start in starts:
-            if until is not None:
-                self._held_until[(service, start)] = until
+        if until is not None:
+            self._held_until[(service, start)] = until
 
     def forget_absent(self, state: FleetState) -> None:
         """Drop what is known of processes that are no longer listed."""
--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -1,19 +1,34 @@
-"""How busy the keys of each service are, from reports of entry VMs."""
+"""How busy keys and upstreams are, from reports of entry VMs."""
 
-from collections import defaultdict
+import itertools
+from collections import defaultdict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.fleet.model import LAST_KEY, Shard
+from ibisjunction.clock import MS_PER_S
+from ibisjunction.fleet.model import Shard, Upstream
 
 #: Reports are added up per bucket of keys; the busy keys of a bucket are not
 #: told apart.
-BUCKET_KEYS: Final = 16
-_BUCKETS: Final = (LAST_KEY + 1) // BUCKET_KEYS
-#: Time in which the weight of an old report halves.
-_HALF_LIFE_MS: Final = 2000
-#: Load in requests of a bucket without any, so that idle keys are spread too.
-_IDLE_LOAD: Final = 0.002
+BUCKET_KEYS: Final = 8
+#: Time in which the weight of an old report halves. Busy keys change within
+#: seconds; a shorter time would take chance for a change.
+_HALF_LIFE_MS: Final = 1500
+#: Requests that were counted with full weight, per request each second.
+_WEIGHT_S: Final = 2.16
+#: Rate of keys without any request, in requests each second and key, so that
+#: idle keys are spread too.
+_IDLE_RATE: Final = 0.00002
+#: A bucket whose decayed requests fall below this is forgotten.
+_FORGOTTEN: Final = 0.01
+#: Latest answers of an upstream from which its service time is estimated.
+_SAMPLES: Final = 24
+#: Part of the answers that are as fast as the service time; the others waited
+#: in the upstream's queue.
+_FAST_SHARE: Final = 0.35
+#: Service time of an upstream that has not answered yet, in milliseconds.
+_FIRST_SERVICE_MS: Final = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,12 +39,21 @@
     requests: dict[int, int]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """Latencies in milliseconds of a process's answers since the report."""
+
+    upstream: str
+    born: int
+    latencies: tuple[int, ...]
+
+
 @dataclass(slots=True)
 class _Load:
     """Decayed requests by bucket, as of ``at_ms``."""
 
-    at_ms: int
-    buckets: list[float] = field(default_factory=lambda: [0] * _BUCKETS)
+    at_ms: int = 0
+    buckets: dict[int, float] = field(default_factory=dict)
 
 
 def bucket_of(key: int) -> int:
@@ -38,47 +62,85 @@
 
 
 class LoadBook:
-    """Decayed requests by service and bucket."""
+    """Decayed requests by service and bucket, and speeds of upstreams."""
 
     def __init__(self) -> None:
         """Start without reports."""
-        self._loads: defaultdict[str, _Load] = defaultdict(lambda: _Load(0))
+        self._loads: defaultdict[str, _Load] = defaultdict(_Load)
+        self._latencies: defaultdict[tuple[str, int], deque[int]] = defaultdict(
+            _make_samples,
+        )
 
     def record(self, report: KeyLoad, now: int) -> None:
-        """Add a report of one VM."""
+        """Add a VM's report on keys."""
         load = self._loads[report.service]
         _decay(load, now)
         for bucket, requests in report.requests.items():
-            if 0 <= bucket < _BUCKETS:
-                load.buckets[bucket] += requests
-
-    def load_of(self, service: str, shard: Shard) -> float:
-        """Return the load of a shard; only ratios have a meaning."""
-        first = bucket_of(shard.first)
-        last = bucket_of(shard.last)
-        buckets = self._loads[service].buckets[first : last + 1]
-        share = (shard.last - shard.first + 1) / (len(buckets) * BUCKET_KEYS)
-        return (sum(buckets) + _IDLE_LOAD * len(buckets)) * share
+            load.buckets[bucket] = load.buckets.get(bucket, 0) + requests
+
+    def record_speed(self, report: UpstreamSpeed) -> None:
+        """Add a VM's report on an upstream."""
+        samples = self._latencies[(report.upstream, report.born)]
+        samples.extend(report.latencies)
+
+    def capacity_of(self, upstream: Upstream) -> float:
+        """Return the requests each second that an upstream can run."""
+        samples = self._latencies.get((upstream.upstream, upstream.born))
+        service_ms = float(_FIRST_SERVICE_MS)
+        if samples:
+            ranked = sorted(samples)
+            service_ms = ranked[int(len(ranked) * _FAST_SHARE)]
+        return upstream.slots * MS_PER_S / max(1, service_ms)
+
+    def rates_of(self, service: str, shards: tuple[Shard, ...]) -> list[float]:
+        """Return the requests each second of shards that cover all keys."""
+        rates = [_idle_rate(shard) for shard in shards]
+        position = 0
+        for bucket, requests in sorted(self._loads[service].buckets.items()):
+            first = bucket * BUCKET_KEYS
+            while position < len(shards) and shards[position].last < first:
+                position += 1
+            if position < len(shards):
+                rates[position] += requests / _WEIGHT_S
+        return rates
 
     def find_middle(self, service: str, shard: Shard) -> int | None:
-        """Return the key that halves the load of a shard, if any does."""
-        first = bucket_of(shard.first)
-        buckets = self._loads[service].buckets[
-            first : bucket_of(shard.last) + 1
-        ]
-        half = sum(buckets) / 2
-        passed = 0.0
-        for offset, requests in enumerate(buckets):
-            passed += requests
-            if passed >= half:
-                for bucket in (first + offset, first + offset + 1):
-                    if shard.first < bucket * BUCKET_KEYS <= shard.last:
-                        return bucket * BUCKET_KEYS
-                return None
-        return None
+        """Return the key that best halves the load of a shard, if any does."""
+        inside = list(self._list_inside(service, shard))
+        half = sum(requests for _, requests in inside) / 2
+        passed = itertools.accumulate(requests for _, requests in inside)
+        gaps = {
+            start + BUCKET_KEYS: abs(before - half)
+            for (start, _), before in zip(inside, passed, strict=True)
+        }
+        if inside:
+            gaps[inside[0][0]] = half
+        fitting = [key for key in gaps if shard.first < key <= shard.last]
+        return min(fitting, key=gaps.__getitem__, default=None)
+
+    def _list_inside(
+        self,
+        service: str,
+        shard: Shard,
+    ) -> Iterator[tuple[int, float]]:
+        for bucket, requests in sorted(self._loads[service].buckets.items()):
+            if shard.first <= bucket * BUCKET_KEYS <= shard.last:
+                yield bucket * BUCKET_KEYS, requests
+
+
+def _make_samples() -> deque[int]:
+    return deque(maxlen=_SAMPLES)
+
+
+def _idle_rate(shard: Shard) -> float:
+    return (shard.last - shard.first + 1) * _IDLE_RATE
 
 
 def _decay(load: _Load, now: int) -> None:
     factor = 0.5 ** ((now - load.at_ms) / _HALF_LIFE_MS)
     load.at_ms = now
-    load.buckets = [requests * factor for requests in load.buckets]
+    load.buckets = {
+        bucket: requests * factor
+        for bucket, requests in load.buckets.items()
+        if requests * factor > _FORGOTTEN
+    }
--- /dev/null
+++ b/src/ibisjunction/coordination/log.py
@@ -0,0 +1,218 @@
+"""One replica of the fleet's log, with its files and its links."""
+
+import functools
+import logging
+import random
+from dataclasses import dataclass
+from typing import Any, Final
+
+from ibisjunction.catalogue.model import UpdateOutcome
+from ibisjunction.control.codec import decode_message, encode_message
+from ibisjunction.control.consensus import Consensus
+from ibisjunction.control.effects import (
+    AppendLog,
+    Arrived,
+    Committed,
+    Effect,
+    InstallState,
+    Proposed,
+    SaveVote,
+    Send,
+    SnapshotTaken,
+)
+from ibisjunction.control.effects import (
+    Event as ReplicaEvent,
+)
+from ibisjunction.control.history import History
+from ibisjunction.control.messages import ReplicaMessage
+from ibisjunction.control.protocol import Entry, Voters
+from ibisjunction.control.roles import ElectionTiming
+from ibisjunction.control.task import OpenedLog
+from ibisjunction.control.writer import SaveSnapshot, StorageTask
+from ibisjunction.coordination.replicas import FleetReplica
+from ibisjunction.events import Event, log_event
+from ibisjunction.fleet.codec import encode_fleet, encode_fleet_command
+from ibisjunction.fleet.commands import FleetCommand, ReplaceVoters
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.peers.codec import CodecError
+from ibisjunction.peers.link import PeerNetwork
+
+_logger = logging.getLogger(__name__)
+
+#: Bounds the entries that a restart has to read.
+_ENTRIES_PER_SNAPSHOT: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """Committed entries and the outcomes of their proposals."""
+
+    first_index: int
+    entries: tuple[Entry, ...]
+    outcomes: dict[str, UpdateOutcome]
+
+
+class FleetLog:
+    """Carries out what the consensus decides.
+
+    Writes go to :attr:`storage`, which reports to ``owner`` and must run.
+    """
+
+    def __init__(
+        self,
+        opened: OpenedLog,
+        election: ElectionTiming,
+        min_copies: int,
+        peers: PeerNetwork,
+        owner: Mailbox[Any],
+        generator: random.Random,
+        now: int,
+    ) -> None:
+        """Start as a follower with what the files hold."""
+        self._consensus = Consensus(
+            opened.node,
+            opened.stored,
+            election,
+            generator,
+            now,
+            min_copies,
+        )
+        self._replica = FleetReplica()
+        self._replica.restore(opened.stored.snapshot)
+        self._peers = peers
+        self._applied: list[Applied] = []
+        self._is_saving = False
+        self.storage = StorageTask(opened.store, owner, opened.run_blocking)
+
+    @property
+    def node(self) -> str:
+        """The name of this replica."""
+        return self._consensus.node
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._consensus.term
+
+    @property
+    def replica(self) -> FleetReplica:
+        """The state as applied here; only to be read."""
+        return self._replica
+
+    @property
+    def history(self) -> History:
+        """The entries; only to be read."""
+        return self._consensus.history
+
+    @property
+    def voters(self) -> Voters:
+        """The voters in force."""
+        return self._consensus.history.voters
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica votes."""
+        return any(voter.node == self.node for voter in self.voters)
+
+    def is_acting(self, now: int) -> bool:
+        """Return whether this replica leads and may act on it."""
+        return self._consensus.is_acting(now)
+
+    def find_leader(self) -> str | None:
+        """Return the VM that leads, as far as this replica knows."""
+        node = self._consensus.find_leader()
+        return None if node is None else vm_of(node)
+
+    def find_silent(self, now: int, limit_ms: int) -> list[str]:
+        """Return the voters that have not answered this leader lately."""
+        return self._consensus.find_silent(now, limit_ms)
+
+    def propose(
+        self,
+        proposal_id: str,
+        command: FleetCommand,
+        now: int,
+    ) -> list[Applied]:
+        """Add a command to the log if this replica leads."""
+        log_event(_logger, Event.COMMAND_PROPOSED, command=command)
+        voters = command.voters if isinstance(command, ReplaceVoters) else None
+        encoded = encode_fleet_command(command)
+        return self.advance(Proposed(proposal_id, encoded, voters), now)
+
+    def accept(self, wrapped: ReplicaMessage, now: int) -> list[Applied]:
+        """Take a message of another replica."""
+        if wrapped.target != self.node:
+            return []
+        try:
+            message = decode_message(wrapped.body)
+        except CodecError as error:
+            log_event(
+                _logger,
+                Event.MESSAGE_REJECTED,
+                logging.WARNING,
+                sender=wrapped.source,
+                detail=error,
+            )
+            return []
+        return self.advance(Arrived(wrapped.source, message), now)
+
+    def advance(self, event: ReplicaEvent, now: int) -> list[Applied]:
+        """Process an event; return what was committed by it."""
+        if isinstance(event, SnapshotTaken):
+            self._is_saving = False
+            index = event.snapshot.index
+            log_event(_logger, Event.SNAPSHOT_SAVED, index=index)
+        for effect in self._consensus.handle(event, now):
+            self._carry_out(effect)
+        applied = self._applied
+        self._applied = []
+        return applied
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(target=target, message=message):
+                body = encode_message(message)
+                wrapped = ReplicaMessage(self.node, target, body)
+                self._peers.send(vm_of(target), wrapped)
+            case SaveVote() | AppendLog():
+                self.storage.mailbox.post(effect)
+            case InstallState(snapshot=snapshot):
+                self._replica.restore(snapshot)
+                self.storage.mailbox.post(effect)
+                index = snapshot.index
+                log_event(_logger, Event.SNAPSHOT_INSTALLED, index=index)
+            case Committed(first_index=first_index, entries=entries):
+                self._apply(first_index, entries)
+            case _:
+                _logger.debug('%s', effect)
+
+    def _apply(self, first_index: int, entries: tuple[Entry, ...]) -> None:
+        outcomes = self._replica.apply_log(first_index, entries)
+        self._applied.append(Applied(first_index, entries, outcomes))
+        for entry in entries:
+            if entry.voters is not None:
+                names = ','.join(voter.node for voter in entry.voters)
+                log_event(_logger, Event.VOTERS_CHANGED, voters=names)
+        index = self._replica.index
+        is_due = index - self.history.snapshot.index >= _ENTRIES_PER_SNAPSHOT
+        if is_due and not self._is_saving:
+            self._save()
+
+    def _save(self) -> None:
+        history = self.history
+        index = self._replica.index
+        self._is_saving = True
+        self.storage.mailbox.post(
+            SaveSnapshot(
+                index,
+                history.term_at(index) or 0,
+                history.voters_at(index),
+                functools.partial(encode_fleet, self._replica.state),
+                history.read(index + 1, history.last_index),
+            ),
+        )
+
+
+def vm_of(node: str) -> str:
+    """Return the VM that a replica runs on."""
+    return node.partition('/')[0]
--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -4,7 +4,7 @@
 from typing import Any, Final, get_args
 
 from ibisjunction.coordination.calls import Call, CallAnswer
-from ibisjunction.coordination.loads import KeyLoad
+from ibisjunction.coordination.loads import KeyLoad, UpstreamSpeed
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.codec import Codec
 
@@ -37,9 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Requests that an entry VM took since its last report."""
+    """What an entry VM measured since its last report."""
 
     loads: tuple[KeyLoad, ...]
+    speeds: tuple[UpstreamSpeed, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,13 @@
     incarnation: int
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsChanged:
+    """Posted inside a process: other VMs are to be asked for the leader."""
+
+    seeds: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class LocalCall:
     """A call that a front end of this VM took."""
--- a/src/ibisjunction/entry/budget.py
+++ b/src/ibisjunction/entry/budget.py
@@ -1,4 +1,4 @@
-"""This VM's part of the retry budget that all entry VMs share."""
+"""The retry budget that all entry VMs share, and the part of one VM."""
 
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -186,41 +186,31 @@
 
     def _is_hopeless(self, ask: Ask, queue: list[Ask], now: int) -> bool:
         """Return whether a request would wait past its target."""
-        if ask.routed.is_sharded:
-            key = ask.routed.request.key or 0
-            view = self.view
-            owner = view and view.find_owner(ask.routed.service, key)
-            if not owner:
-                return False
-            ahead = [
-                other
-                for other in queue
-                if view.find_owner(
-                    other.routed.service, other.routed.request.key or 0
-                )
-                is owner
-            ]
-            servers = [owner]
-        else:
-            ahead = queue
-            servers = (
-                self.view.list_upstreams(ask.routed.service)
-                if self.view
-                else []
-            )
-        rate = sum(
-            self.health_of(one).limit / max(1, self.health_of(one).latency_ms)
-            for one in servers
-        )
-        latency = min(
-            (self.health_of(one).latency_ms for one in servers),
-            default=0,
+        servers = self._find_servers(ask)
+        if not servers:
+            return False
+        ahead = sum(
+            1
+            for other in queue
+            if other.order <= ask.order and self._find_servers(other) == servers
         )
-        before = sum(1 for other in ahead if other.order <= ask.order) + 1
-        expected_ms = before / max(rate, 1e-6) + latency
+        rate = sum(self.health_of(server).rate for server in servers)
+        latency_ms = min(self.health_of(one).latency_ms for one in servers)
+        expected_ms = (ahead + 1) / rate + latency_ms
         limit_ms = min(ask.routed.give_up_ms, ask.routed.target_ms)
         return now + expected_ms > limit_ms
 
+    def _find_servers(self, ask: Ask) -> list[Upstream]:
+        """Return the upstreams that may serve a request."""
+        view = self.view
+        if view is None:
+            return []
+        if not ask.routed.is_sharded:
+            return view.list_upstreams(ask.routed.service)
+        key = ask.routed.request.key or 0
+        owner = view.find_owner(ask.routed.service, key)
+        return [] if owner is None else [owner]
+
 
 def _order_of(ask: Ask) -> tuple[int, int]:
     return ask.order
--- a/src/ibisjunction/entry/health.py
+++ b/src/ibisjunction/entry/health.py
@@ -17,6 +17,8 @@
 _SHRINK_EVERY_MS: Final = 200
 _FIRST_PAUSE_MS: Final = 250
 _MAX_PAUSE_MS: Final = 2000
+#: Bounds the cost of an upstream that fails nearly always.
+_MIN_SUCCESS: Final = 0.05
 #: Failures in a row after which an upstream is left alone for a while.
 _FAILURES: Final = 2
 
@@ -46,10 +48,15 @@
             return self.in_flight == 0
         return self.in_flight < self.limit
 
+    @property
+    def rate(self) -> float:
+        """Requests each millisecond that this VM may expect to send."""
+        return self.limit / max(1, self.latency_ms)
+
     def cost(self) -> float:
         """Return the expected latency of one more request, relative."""
         load = 1 + self.in_flight / max(1, self.slots)
-        return self.latency_ms * load / max(0.05, self.success)
+        return self.latency_ms * load / max(_MIN_SUCCESS, self.success)
 
     def record_answer(self, latency_ms: int, target_ms: int) -> None:
         """Record an answer that an upstream made by running the request."""
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -10,7 +10,11 @@
     LeaderHint,
     StateSnapshot,
 )
-from ibisjunction.coordination.messages import ForgetVm, LoadReport
+from ibisjunction.coordination.messages import (
+    ForgetVm,
+    LoadReport,
+    SeedsChanged,
+)
 from ibisjunction.coordination.replicas import FleetReplica
 from ibisjunction.entry.budget import RetryBudget
 from ibisjunction.entry.requests import RequestDesk
@@ -85,6 +89,8 @@
             case HeartbeatDue():
                 self._send_heartbeat(now)
                 self._report_lease(now)
+            case SeedsChanged(seeds=seeds):
+                self._seeds = seeds
             case Received(message=LeaderHint(vm=vm, term=term)):
                 self._tracker.take_hint(vm, term)
             case Received(sender=sender, message=LeaseRenewal() as renewal):
@@ -131,9 +137,12 @@
             self._peers.send(vm, heartbeat)
         self._beats += 1
         if self._beats % _LOAD_EVERY == 0:
-            loads = self._desk.take_loads()
-            if loads and len(targets) == 1:
-                self._peers.send(targets.pop(), LoadReport(loads))
+            report = LoadReport(
+                self._desk.take_loads(),
+                self._desk.take_speeds(),
+            )
+            if len(targets) == 1:
+                self._peers.send(targets.pop(), report)
 
     def _list_control_vms(self) -> tuple[str, ...]:
         """Return whom to ask for the leader: known voters, then the seeds."""
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -9,7 +9,11 @@
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.catalogue.routes import Splitter
 from ibisjunction.clock import Clock, in_seconds
-from ibisjunction.coordination.loads import KeyLoad, bucket_of
+from ibisjunction.coordination.loads import (
+    KeyLoad,
+    UpstreamSpeed,
+    bucket_of,
+)
 from ibisjunction.entry.attempts import (
     HOP_HEADERS,
     Declined,
@@ -65,8 +69,9 @@
 #: Wait before a request is sent again to the only upstream that may take it.
 _SAME_UPSTREAM_MS: Final = 40
 _DECIDE_EVERY_MS: Final = 20
-#: An answer that takes its time to reach the caller still arrives in time.
-_ANSWER_MARGIN_MS: Final = 15
+#: An answer is given this long before the caller's deadline: the deadline was
+#: counted from when the caller sent the request, and the answer needs as long.
+_ANSWER_MARGIN_MS: Final = 40
 
 
 @dataclass(slots=True)
@@ -91,6 +96,7 @@
         self._numbers = 0
         self._replies: dict[int, asyncio.Future[Grant | Refuse]] = {}
         self._loads: dict[str, dict[int, int]] = {}
+        self._latencies: dict[Process, list[int]] = {}
         self.view: FleetView | None = None
         self.is_draining = False
         #: Called with the limits on callers when they change.
@@ -121,6 +127,20 @@
         self._loads = {}
         return loads
 
+    def take_speeds(self) -> tuple[UpstreamSpeed, ...]:
+        """Return the latencies of upstreams since the last call."""
+        speeds = tuple(
+            UpstreamSpeed(name, born, tuple(latencies))
+            for (name, born), latencies in self._latencies.items()
+        )
+        self._latencies = {}
+        return speeds
+
+    def record_latency(self, upstream: Upstream, latency_ms: int) -> None:
+        """Keep the latency of an answer for the next report."""
+        latencies = self._latencies.setdefault(process_of(upstream), [])
+        latencies.append(latency_ms)
+
     async def run_timer(self) -> None:
         """Decide on requests that wait until cancelled."""
         while True:
@@ -276,6 +296,7 @@
         match judgement:
             case Ran(is_success=True):
                 health.record_answer(now - started_ms, target_ms)
+                self._desk.record_latency(upstream, now - started_ms)
             case Ran():
                 health.record_error()
             case Declined(is_wrong_upstream=True):
--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -38,8 +38,12 @@
 _logger = logging.getLogger(__name__)
 
 #: Bounds until the operators' limits are known.
-_FIRST_LIMITS: Final = Limits(65_536, 67_108_864, 10_000, 60_000)
+_MAX_HEADER_BYTES: Final = 65_536
+_MAX_BODY_BYTES: Final = 67_108_864
+_HEADER_TIMEOUT_MS: Final = 10_000
+_IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
+_DRAIN_STEP_MS: Final = 20
 #: Statuses of refusals; all others are 503.
 _STATUS: Final = MappingProxyType(
     {
@@ -66,8 +70,17 @@
         self._address = address
         self._server = HTTPServer(self)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._open: set[Any] = set()
+        self._busy: set[Any] = set()
         self._limits: Limits | None = None
-        self.apply_limits(_FIRST_LIMITS)
+        self.apply_limits(
+            Limits(
+                _MAX_HEADER_BYTES,
+                _MAX_BODY_BYTES,
+                _HEADER_TIMEOUT_MS,
+                _IDLE_TIMEOUT_MS,
+            ),
+        )
 
     def start(self) -> None:
         """Listen for callers."""
@@ -92,39 +105,58 @@
     async def drain(self, accept_ms: int, finish_ms: int) -> int:
         """Answer what arrives for a while, then finish what is in flight.
 
+        Connections close as soon as no request is being read or answered on
+        them, so that callers open new ones to other VMs.
+
         :return: the number of requests cut off after ``finish_ms``.
         """
         await asyncio.sleep(in_seconds(accept_ms))
         self._server.stop()
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=in_seconds(finish_ms))
-        return len(self._tasks)
+        until_ms = self.clock.now() + finish_ms
+        while self._close_idle() and self.clock.now() < until_ms:
+            await asyncio.sleep(in_seconds(_DRAIN_STEP_MS))
+        return len(self._busy)
 
     async def close(self) -> None:
         """Close all connections."""
         self._server.stop()
         await self._server.close_all_connections()
 
+    def _close_idle(self) -> bool:
+        """Close connections without a request; return whether any is left."""
+        for connection in self._open - self._busy:
+            connection.stream.close()
+        return bool(self._busy)
+
     def start_request(
         self,
         server_conn: object,
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the receiver of one request."""
-        return _Receiver(self, request_conn)
+        self._open.add(server_conn)
+        return _Receiver(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing; each request learns of the close by itself."""
+        """Forget a connection; its request learns of the close by itself."""
+        self._open.discard(server_conn)
+        self._busy.discard(server_conn)
+
+    def begin(self, server_conn: object) -> None:
+        """Note that a request is being read on a connection."""
+        self._busy.add(server_conn)
 
     def spawn(
         self,
         request: CallerRequest,
+        server_conn: object,
         connection: Any,
     ) -> 'asyncio.Task[None]':
         """Start to serve a whole request."""
         task = asyncio.create_task(self._serve(request, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._busy.discard(server_conn))
         return task
 
     async def _serve(self, request: CallerRequest, connection: Any) -> None:
@@ -135,13 +167,13 @@
                 outcome = await self.desk.serve(routed)
             else:
                 outcome = routed
-            self._answer(request, outcome, connection)
+            await self._answer(request, outcome, connection)
         except StreamClosedError:
             outcome = Failed(Why.CALLER_GONE)
         finally:
             _log(request, routed, outcome, self.clock.now())
 
-    def _answer(
+    async def _answer(
         self,
         request: CallerRequest,
         outcome: Outcome,
@@ -152,40 +184,37 @@
             case Passed(status=status, headers=fields, body=body):
                 for name, text in fields:
                     headers.add(name, text)
-            case Refused(why=why, retry_after_ms=retry_ms):
-                status = _STATUS.get(why, HTTPStatus.SERVICE_UNAVAILABLE)
-                body = f'{why.value}\n'.encode()
-                if retry_ms is not None:
-                    headers['Retry-After'] = f'{retry_ms / MS_PER_S:.3f}'
-            case Failed(why=why):
-                is_late = why is Why.TIMED_OUT
-                status = (
-                    HTTPStatus.GATEWAY_TIMEOUT
-                    if is_late
-                    else HTTPStatus.BAD_GATEWAY
-                )
-                body = f'{why.value}\n'.encode()
-        if not isinstance(outcome, Passed):
-            headers[self.names.request_id] = request.request_id
-            headers['Content-Type'] = 'text/plain; charset=utf-8'
+            case Refused() | Failed():
+                status = _status_of(outcome)
+                body = f'{outcome.why.value}\n'.encode()
+                headers[self.names.request_id] = request.request_id
+                headers['Content-Type'] = 'text/plain; charset=utf-8'
+                _add_retry_after(headers, outcome)
         headers['Content-Length'] = str(len(body))
         if self.desk.is_draining:
             headers['Connection'] = 'close'
         sent = b'' if request.method == 'HEAD' else body
-        written = connection.write_headers(
-            ResponseStartLine('HTTP/1.1', int(status), ''),
+        # The connection may be closed as soon as this returns, so the answer
+        # has to have left this process.
+        await connection.write_headers(
+            ResponseStartLine('HTTP/1.1', status, ''),
             headers,
             sent or None,
         )
-        written.add_done_callback(_retrieve)
         connection.finish()
 
 
 class _Receiver(HTTPMessageDelegate):
     """Collects a request and serves it."""
 
-    def __init__(self, server: EntryServer, connection: Any) -> None:
+    def __init__(
+        self,
+        server: EntryServer,
+        server_conn: object,
+        connection: Any,
+    ) -> None:
         self._server = server
+        self._server_conn = server_conn
         self._connection = connection
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
@@ -200,6 +229,7 @@
     ) -> None:
         """Keep the head of the request."""
         if isinstance(start_line, RequestStartLine):
+            self._server.begin(self._server_conn)
             self._start_line = start_line
             self._headers = headers
             self._arrived_ms = self._server.clock.now()
@@ -230,7 +260,11 @@
             deadline_ms=self._find_deadline(),
             key=_read_number(headers.get(names.shard_key)),
         )
-        self._task = self._server.spawn(request, self._connection)
+        self._task = self._server.spawn(
+            request,
+            self._server_conn,
+            self._connection,
+        )
 
     def on_connection_close(self) -> None:
         """Stop serving: the caller has gone."""
@@ -242,6 +276,22 @@
         return None if left_ms is None else self._arrived_ms + left_ms
 
 
+def _status_of(outcome: Refused | Failed) -> int:
+    match outcome:
+        case Refused(why=why):
+            return _STATUS.get(why, HTTPStatus.SERVICE_UNAVAILABLE)
+        case Failed(why=Why.TIMED_OUT):
+            return HTTPStatus.GATEWAY_TIMEOUT
+        case _:
+            return HTTPStatus.BAD_GATEWAY
+
+
+def _add_retry_after(headers: HTTPHeaders, outcome: Refused | Failed) -> None:
+    if isinstance(outcome, Refused) and outcome.retry_after_ms is not None:
+        seconds = outcome.retry_after_ms / MS_PER_S
+        headers['Retry-After'] = f'{seconds:.3f}'
+
+
 def _read_number(text: str | None) -> int | None:
     """Return a whole number of a header, or ``None`` if it holds none."""
     if text is None or not text.strip().isdecimal():
@@ -249,19 +299,13 @@
     return int(text)
 
 
-def _retrieve(future: 'asyncio.Future[None]') -> None:
-    """Mark a failed write as seen: the caller has gone."""
-    if not future.cancelled():
-        future.exception()
-
-
 def _log(
     request: CallerRequest,
     routed: RoutedRequest | Refused,
     outcome: Outcome,
     now: int,
 ) -> None:
-    fields: dict[str, object] = {
+    fields: dict[str, Any] = {
         'request': request.request_id,
         'ms': now - request.arrived_ms,
     }
--- a/src/ibisjunction/entry/view.py
+++ b/src/ibisjunction/entry/view.py
@@ -27,15 +27,8 @@
     ) -> None:
         """Index a state; parts that equal an earlier view's are shared."""
         self.index = index
-        self._state = state
-        is_same = earlier is not None and (
-            earlier._state.catalogue is state.catalogue
-        )
-        self.routes = (
-            earlier.routes
-            if earlier is not None and is_same
-            else RouteTable(state.catalogue)
-        )
+        self.state = state
+        self.routes = _share_routes(state, earlier)
         self._upstreams: dict[str, list[Upstream]] = {}
         for upstream in state.upstreams.values():
             members = self._upstreams.setdefault(upstream.service, [])
@@ -48,16 +41,16 @@
     @property
     def is_empty(self) -> bool:
         """Whether no items are known yet."""
-        return self._state.catalogue.is_empty
+        return self.state.catalogue.is_empty
 
     @property
     def limits(self) -> Limits | None:
         """The limits on callers in force."""
-        return self._state.catalogue.current_limits()
+        return self.state.catalogue.current_limits()
 
     def find_service(self, name: str) -> Service | None:
         """Return a service by its name."""
-        return self._state.catalogue.find_service(name)
+        return self.state.catalogue.find_service(name)
 
     def list_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new requests."""
@@ -69,7 +62,7 @@
 
     def is_current(self, upstream: Upstream) -> bool:
         """Return whether a process is listed and not leaving."""
-        found = self._state.upstreams.get(upstream.upstream)
+        found = self.state.upstreams.get(upstream.upstream)
         if found is None or found.is_draining:
             return False
         return found.born == upstream.born
@@ -82,7 +75,14 @@
         shard = indexed.shards[bisect.bisect_right(indexed.firsts, key) - 1]
         if not shard.owner or shard.is_releasing:
             return None
-        found = self._state.upstreams.get(shard.owner)
+        found = self.state.upstreams.get(shard.owner)
         if found is None or not shard.is_owned_by(found):
             return None
         return found
+
+
+def _share_routes(state: FleetState, earlier: FleetView | None) -> RouteTable:
+    """Return the routes of a state, or those of a view that equal them."""
+    if earlier is not None and earlier.state.catalogue is state.catalogue:
+        return earlier.routes
+    return RouteTable(state.catalogue)
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -20,6 +20,8 @@
     DAEMON_DRAINING = (102, 'daemon is draining')
     DAEMON_STOPPED = (103, 'daemon stopped')
     TASK_FAILED = (104, 'daemon stopped because a task failed')
+    SETTINGS_RELOADED = (105, 'settings reloaded')
+    SETTINGS_REJECTED = (106, 'changed settings rejected')
     LEADER_ELECTED = (201, 'control leader elected')
     LEADER_STOPPED = (202, 'control leader stopped acting')
     VOTERS_CHANGED = (203, 'voters changed')
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -4,6 +4,7 @@
 depend on the arguments only.
 """
 
+import functools
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -158,7 +159,11 @@
             if found is None or found.born != born or found.is_draining:
                 return state
             fence = state.last_fence + 1
-            changed = _map(held, firsts, _make_assign(found, fence))
+            changed = _map(
+                held,
+                firsts,
+                functools.partial(_assign, found, fence),
+            )
             state = replace(state, last_fence=fence)
     return replace(state, shards=state.shards | {command.service: changed})
 
@@ -178,19 +183,16 @@
     return replace(shard, is_releasing=True) if shard.owner else shard
 
 
-def _make_assign(owner: Upstream, fence: int) -> Callable[[Shard], Shard]:
-    def assign(shard: Shard) -> Shard:
-        if shard.owner:
-            return shard
-        return replace(
-            shard,
-            owner=owner.upstream,
-            born=owner.born,
-            fence=fence,
-            is_releasing=False,
-        )
-
-    return assign
+def _assign(owner: Upstream, fence: int, shard: Shard) -> Shard:
+    if shard.owner:
+        return shard
+    return replace(
+        shard,
+        owner=owner.upstream,
+        born=owner.born,
+        fence=fence,
+        is_releasing=False,
+    )
 
 
 def _without_owner(shard: Shard, handover: str) -> Shard:
--- a/src/ibisjunction/nodes/control.py
+++ b/src/ibisjunction/nodes/control.py
@@ -7,6 +7,7 @@
 import shutil
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
+from typing import Final
 
 from ibisjunction.clock import SystemClock
 from ibisjunction.control.frames import StorageError
@@ -28,7 +29,9 @@
 
 _logger = logging.getLogger(__name__)
 
-_FOLDER = 'control'
+_FOLDER: Final = 'control'
+#: Keeps names of proposals apart if the time of day was set back.
+_PREFIX_BITS: Final = 32
 
 
 @contextlib.asynccontextmanager
@@ -48,7 +51,7 @@
         generator = random.Random()
         options = ReplicaOptions(
             str(settings.vm),
-            f'{settings.vm}.{incarnation}.{generator.getrandbits(32):x}',
+            f'{settings.vm}.{incarnation}.{generator.getrandbits(_PREFIX_BITS):x}',
             settings.seed_names,
             settings.election,
             settings.timing,
@@ -56,7 +59,7 @@
         task = FleetTask(options, clock, links, opened, generator)
         await stack.enter_async_context(links.run())
         for name, coroutine in (
-            ('storage', task.storage.run()),
+            ('storage', task.log.storage.run()),
             ('replica', task.run()),
             ('replica timer', task.run_timer()),
         ):
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -70,18 +70,8 @@
     """
     clock = SystemClock()
     incarnation = read_incarnation()
-    generator = random.Random()
     links = make_links(settings, incarnation, clock)
-    lease = VmLease(incarnation, CLOCK_ERROR)
-    parts = EntryParts(
-        clock=clock,
-        names=names,
-        lease=lease,
-        dispatcher=Dispatcher(settings.failure_domain, generator),
-        splitter=Splitter(generator),
-        budget=RetryBudget(settings.budget),
-        pool=Pool(clock),
-    )
+    parts = _make_parts(settings, names, incarnation)
     desk = RequestDesk(parts)
     membership = EntryMembership(
         str(settings.vm),
@@ -89,7 +79,7 @@
         settings.seed_names,
         clock,
         links,
-        lease,
+        parts.lease,
         desk,
         parts.budget,
     )
@@ -108,3 +98,21 @@
         stack.push_async_callback(server.close)
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
         yield EntryNode(settings, desk, server, membership)
+
+
+def _make_parts(
+    settings: NodeSettings,
+    names: HeaderNames,
+    incarnation: int,
+) -> EntryParts:
+    clock = SystemClock()
+    generator = random.Random()
+    return EntryParts(
+        clock=clock,
+        names=names,
+        lease=VmLease(incarnation, CLOCK_ERROR),
+        dispatcher=Dispatcher(settings.failure_domain, generator),
+        splitter=Splitter(generator),
+        budget=RetryBudget(settings.budget),
+        pool=Pool(clock),
+    )
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -75,11 +75,6 @@
     socket: pynng.Push0 | None = None
 
 
-def _resolve_none(vm: str) -> Address | None:
-    """Resolve no name: each address is set before it is needed."""
-    return None
-
-
 class PeerTask:
     """The sockets of one daemon towards its peers."""
 
@@ -91,7 +86,7 @@
         listen: Address,
         codec: Codec,
         authenticator: Authenticator,
-        resolve: Callable[[str], Address | None] = _resolve_none,
+        resolve: Callable[[str], Address | None] | None = None,
     ) -> None:
         """Prepare the task; sockets are opened by :meth:`run`.
 
@@ -239,7 +234,8 @@
     def _find_peer(self, vm: str) -> _Peer:
         peer = self._peers.get(vm)
         if peer is None:
-            peer = _Peer(OutboundLink(), InboundLink(0), self._resolve(vm))
+            address = None if self._resolve is None else self._resolve(vm)
+            peer = _Peer(OutboundLink(), InboundLink(0), address)
             self._peers[vm] = peer
         return peer
 
--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -12,6 +12,8 @@
 
 from tornado.httpserver import HTTPServer
 
+from ibisjunction.mailbox import run_task
+from ibisjunction.platform.reload import watch_seeds
 from ibisjunction.platform.settings import (
     PlatformSettings,
     PlatformSettingsError,
@@ -25,17 +27,19 @@
 async def _run_entry(settings: PlatformSettings) -> bool:
     # Each role imports only what it needs: processor time at the start counts.
     from ibisjunction.nodes.entry import run_entry
+    from ibisjunction.platform.bodies import HEADERS
     from ibisjunction.platform.fronts import make_readiness
-    from ibisjunction.platform.wire import HEADERS
 
     failed = asyncio.Event()
-    stop = _catch_signals(failed)
+    stop, reload = _catch_signals(failed)
     callers = parse_address(settings.callers)
     async with run_entry(settings.node, callers, HEADERS, failed) as node:
         readiness = HTTPServer(make_readiness(node.desk))
         address = parse_address(settings.readiness)
         readiness.listen(address.port, address.host)
-        await stop.wait()
+        watching = watch_seeds(settings, reload, node.membership.mailbox)
+        async with run_task(watching, 'settings', failed):
+            await stop.wait()
         if not failed.is_set():
             await node.drain()
     return failed.is_set()
@@ -46,26 +50,31 @@
     from ibisjunction.platform.fronts import make_control
 
     failed = asyncio.Event()
-    stop = _catch_signals(failed)
+    stop, reload = _catch_signals(failed)
     address = parse_address(settings.control)
     async with run_control(settings.node, failed) as task:
         server = HTTPServer(make_control(task.mailbox, address.port))
         server.listen(address.port, address.host)
-        await stop.wait()
+        watching = watch_seeds(settings, reload, task.mailbox)
+        async with run_task(watching, 'settings', failed):
+            await stop.wait()
         server.stop()
     return failed.is_set()
 
 
-def _catch_signals(failed: asyncio.Event) -> asyncio.Event:
-    """Return an event that a signal to stop, or a failure, sets."""
+def _catch_signals(
+    failed: asyncio.Event,
+) -> tuple[asyncio.Event, asyncio.Event]:
+    """Return an event to stop, also set by a failure, and one to reload."""
     stop = asyncio.Event()
+    reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
     waiting = loop.create_task(failed.wait())
     waiting.add_done_callback(lambda _: stop.set())
-    return stop
+    return stop, reload
 
 
 def main() -> int:
--- /dev/null
+++ b/src/ibisjunction/platform/bodies.py
@@ -0,0 +1,54 @@
+"""How the platform's bodies are read, and the names of its headers."""
+
+from typing import Any, Final, TypeVar
+
+import msgspec
+
+from ibisjunction.clock import MS_PER_S
+from ibisjunction.entry.model import HeaderNames
+
+HEADERS: Final = HeaderNames(
+    request_id='Attempt-Id',
+    deadline='Deadline-Ms',
+    shard_key='Shard-Key',
+    expected_upstream='Expected-Instance',
+    not_run='Not-Executed',
+    receipt='Response-Signature',
+)
+
+_Body = TypeVar('_Body', bound='Body')
+
+
+class WireError(Exception):
+    """A body can't be read in full; the text names the field."""
+
+
+class Body(msgspec.Struct, rename='pascal', frozen=True):
+    """A table of a body; unknown fields are ignored."""
+
+
+def decode_body(body: bytes, model: type[_Body]) -> _Body:
+    """Return a JSON body.
+
+    :raises WireError: if it can't be read or a field is missing or wrong.
+    """
+    try:
+        return msgspec.json.decode(body, type=model)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise WireError(str(error)) from error
+
+
+def convert_fields(fields: dict[str, Any], model: type[_Body]) -> _Body:
+    """Return a table that was read before.
+
+    :raises WireError: if a field is missing or wrong.
+    """
+    try:
+        return msgspec.convert(fields, type=model)
+    except msgspec.ValidationError as error:
+        raise WireError(str(error)) from error
+
+
+def convert_seconds(seconds: float) -> int:
+    """Return milliseconds."""
+    return round(seconds * MS_PER_S)
--- a/src/ibisjunction/platform/fronts.py
+++ b/src/ibisjunction/platform/fronts.py
@@ -19,14 +19,13 @@
 from ibisjunction.coordination.messages import LocalCall
 from ibisjunction.entry.requests import RequestDesk
 from ibisjunction.mailbox import Mailbox
-from ibisjunction.platform.wire import (
-    WireError,
+from ibisjunction.platform.bodies import WireError
+from ibisjunction.platform.check_ins import (
     decode_birth,
     decode_check_in,
-    decode_update,
     encode_checked_in,
-    encode_items,
 )
+from ibisjunction.platform.items import decode_update, encode_items
 
 _JSON: Final = 'application/json'
 
--- /dev/null
+++ b/src/ibisjunction/platform/item_bodies.py
@@ -0,0 +1,86 @@
+"""Tables of the bodies that set, remove and list items.
+
+All times are in seconds.
+"""
+
+from typing import Any, Final
+
+from ibisjunction.platform.bodies import Body
+
+#: Timeout of a route that states none.
+_DEFAULT_TIMEOUT_S: Final = 60.0
+
+
+class ColumnsBody(Body, frozen=True):
+    """A list of items: names of fields, and a row of values for each item."""
+
+    columns: tuple[str, ...]
+    rows: tuple[list[Any], ...]
+
+
+class UpsertBody(Body, frozen=True):
+    """Whole items to set."""
+
+    routes: ColumnsBody | None = None
+    services: ColumnsBody | None = None
+    limits: dict[str, Any] | None = None
+
+
+class RemovalBody(Body, frozen=True):
+    """The name of an item and the version that the call is about."""
+
+    name: str
+    version: str
+
+
+class RemoveBody(Body, frozen=True):
+    """Items to remove."""
+
+    routes: tuple[RemovalBody, ...] = ()
+    services: tuple[RemovalBody, ...] = ()
+
+
+class UpdateBody(Body, frozen=True):
+    """One change by an operator."""
+
+    upsert: UpsertBody = UpsertBody()
+    remove: RemoveBody = RemoveBody()
+
+
+class TargetBody(Body, frozen=True):
+    """A part of a route that is split."""
+
+    service: str
+    weight: int
+
+
+class RouteBody(Body, frozen=True):
+    """A route; ``type`` says what may be repeated, ``priority`` is its rank."""
+
+    host: str
+    path_prefix: str
+    type: str
+    priority: int
+    max_attempts: int
+    timeout_s: float = _DEFAULT_TIMEOUT_S
+    target_latency_s: float = _DEFAULT_TIMEOUT_S
+    service: str = ''
+    traffic_split: tuple[TargetBody, ...] = ()
+
+
+class ServiceBody(Body, frozen=True):
+    """A service; ``sharded`` if each key has one owner."""
+
+    health_check_path: str = ''
+    max_connections: int = 0
+    sharded: bool = False
+    warmup_s: float = 0
+
+
+class LimitsBody(Body, frozen=True):
+    """Bounds on callers."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -16,7 +16,7 @@
 from ibisjunction.settings import Address
 from ibisjunction.settings.loader import parse_address
 
-_VARIABLE: Final = 'IBISJUNCTION_SETTINGS'
+_PATH_VARIABLE: Final = 'IBISJUNCTION_SETTINGS'
 _DEFAULT_PATH: Final = '/etc/ibisjunction/local.toml'
 
 
@@ -24,7 +24,7 @@
     """A table of the file; unknown fields are ignored."""
 
 
-class _Self(_Model, frozen=True):
+class _Process(_Model, frozen=True):
     ip: str
     zone: str
     bootstrap: bool = False
@@ -67,8 +67,8 @@
     bounds: _Bounds = _Bounds()
 
 
-class _File(_Model, frozen=True):
-    self_: _Self = msgspec.field(name='Self')
+class _Settings(_Model, frozen=True):
+    process: _Process = msgspec.field(name='Self')
     network: _Network
     platform: _Platform = _Platform()
     terms: _Terms = _Terms()
@@ -86,6 +86,7 @@
     asks, and ``control`` where upstreams and operators call.
     """
 
+    is_control: bool
     node: NodeSettings
     callers: str
     readiness: str
@@ -97,13 +98,14 @@
 
     :raises PlatformSettingsError: if it is missing or not valid.
     """
-    path = Path(os.environ.get(_VARIABLE, _DEFAULT_PATH))
+    path = Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
     try:
-        found = msgspec.toml.decode(path.read_bytes(), type=_File)
+        found = msgspec.toml.decode(path.read_bytes(), type=_Settings)
     except (OSError, msgspec.DecodeError) as error:
         raise PlatformSettingsError(f'{path}: {error}') from error
     bind = found.network.bind_addresses
     return PlatformSettings(
+        is_control,
         _make_node(found, is_control=is_control),
         bind.frontend,
         bind.readiness,
@@ -111,7 +113,7 @@
     )
 
 
-def _make_node(found: _File, *, is_control: bool) -> NodeSettings:
+def _make_node(found: _Settings, *, is_control: bool) -> NodeSettings:
     """Return the product's settings.
 
     Processes of one machine share its ports: control processes take the first
@@ -121,15 +123,15 @@
     first_port = found.network.internal_port_range[0]
     bounds = found.terms.bounds
     own_port = first_port if is_control else first_port + 1
-    data_dir = found.self_.data_dir
+    data_dir = found.process.data_dir
     return NodeSettings(
-        vm=Address(found.self_.ip, own_port),
-        failure_domain=found.self_.zone,
+        vm=Address(found.process.ip, own_port),
+        failure_domain=found.process.zone,
         seeds=tuple(
             Address(parse_address(seed).host, first_port)
             for seed in found.network.seed_nodes
         ),
-        is_first_start=found.self_.bootstrap,
+        is_first_start=found.process.bootstrap,
         data_folder=Path(data_dir) if data_dir else None,
         check_in_ms=_to_ms(found.platform.heartbeat_interval_s),
         drain_ms=_to_ms(bounds.drain_period_s),
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,191 @@
+"""Tests of versioned items and of finding routes."""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from ibisjunction.catalogue.items import Catalogue
+from ibisjunction.catalogue.model import (
+    Accepted,
+    Item,
+    ItemType,
+    ItemUpdate,
+    Rejected,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
+from ibisjunction.catalogue.routes import RouteTable, Splitter
+
+ROUTE = Route(
+    host='a.example',
+    prefix='/x/',
+    kind=RequestKind.SAFE,
+    timeout_ms=1000,
+    target_ms=500,
+    rank=0,
+    max_attempts=2,
+    targets=(Target('reads', 1),),
+)
+
+
+def make_route(name, version, **changes):
+    """Return a route item with a document that names its version."""
+    return Item(
+        ItemType.ROUTE,
+        name,
+        version,
+        f'{name}@{version}',
+        route=replace(ROUTE, **changes),
+    )
+
+
+def make_service(name, version=1):
+    """Return a service item."""
+    return Item(
+        ItemType.SERVICE,
+        name,
+        version,
+        service=Service('/health', 100, is_sharded=False, warmup_ms=0),
+    )
+
+
+def apply_all(*items):
+    """Return the items after one update, and its outcome."""
+    return Catalogue().apply(ItemUpdate(items))
+
+
+class ApplyTest(unittest.TestCase):
+    """Guards against an older version that replaces a newer one."""
+
+    @parameterized.expand(
+        [
+            ('newer', make_route('r', 9), 'r@9', 1),
+            ('older', make_route('r', 2), 'r@5', 0),
+            (
+                'same version, other content',
+                make_route('r', 5, rank=3),
+                'r@5',
+                0,
+            ),
+            (
+                'removed by a newer version',
+                Item(ItemType.ROUTE, 'r', 7),
+                None,
+                1,
+            ),
+            (
+                'removed by an older version',
+                Item(ItemType.ROUTE, 'r', 4),
+                'r@5',
+                0,
+            ),
+        ]
+    )
+    def test_highest_version_counts(self, _name, item, document, changed):
+        before, _ = apply_all(make_service('reads'), make_route('r', 5))
+        after, outcome = before.apply(ItemUpdate((item,)))
+        self.assertEqual(outcome, Accepted(changed))
+        found = [item.document for item in after.list_items(ItemType.ROUTE)]
+        self.assertEqual(found, [document] if document else [])
+
+    def test_removed_item_does_not_return(self):
+        """Guards against an order that is delivered late."""
+        before, _ = apply_all(make_service('reads'), make_route('r', 5))
+        removed, _ = before.apply(
+            ItemUpdate((Item(ItemType.ROUTE, 'r', 8),)),
+        )
+        after, outcome = removed.apply(ItemUpdate((make_route('r', 6),)))
+        self.assertEqual(outcome, Accepted(0))
+        self.assertEqual(after.list_items(ItemType.ROUTE), [])
+
+    @parameterized.expand(
+        [
+            ('unknown service', {'targets': (Target('none', 1),)}),
+            ('no attempts', {'max_attempts': 0}),
+            ('no host', {'host': ''}),
+            ('target above timeout', {'target_ms': 61_000}),
+            ('no weight', {'targets': (Target('reads', 0),)}),
+            ('prefix without slash', {'prefix': '/x'}),
+        ]
+    )
+    def test_invalid_update_changes_nothing(self, _name, changes):
+        """Guards against the valid part of an invalid update in force."""
+        before, _ = apply_all(make_service('reads'), make_route('r', 5))
+        update = ItemUpdate(
+            (make_route('fine', 6), make_route('wrong', 6, **changes)),
+        )
+        after, outcome = before.apply(update)
+        self.assertIsInstance(outcome, Rejected)
+        self.assertIs(after, before)
+
+    def test_repeated_update_is_not_refused_after_its_service_went(self):
+        """Guards against a refusal of what was accepted before."""
+        first = ItemUpdate((make_service('old'), make_service('reads')))
+        order = ItemUpdate(
+            (make_route('r', 5, targets=(Target('old', 1),)),),
+        )
+        state, _ = Catalogue().apply(first)
+        state, _ = state.apply(order)
+        state, _ = state.apply(ItemUpdate((make_route('r', 6),)))
+        state, outcome = state.apply(
+            ItemUpdate((Item(ItemType.SERVICE, 'old', 7),)),
+        )
+        self.assertEqual(outcome, Accepted(1))
+        _, outcome = state.apply(order)
+        self.assertEqual(outcome, Accepted(0))
+
+    def test_service_in_use_is_not_removed(self):
+        """Guards against routes that name no service."""
+        before, _ = apply_all(make_service('reads'), make_route('r', 5))
+        _, outcome = before.apply(
+            ItemUpdate((Item(ItemType.SERVICE, 'reads', 9),)),
+        )
+        self.assertIsInstance(outcome, Rejected)
+
+
+class MatchTest(unittest.TestCase):
+    """Guards against a request that takes the route of another prefix."""
+
+    @parameterized.expand(
+        [
+            ('short', 'a.example', '/x/1', 'short'),
+            ('longest', 'a.example', '/x/y/1', 'long'),
+            ('exactly the prefix', 'a.example', '/x/y/', 'long'),
+            ('no slash after the prefix', 'a.example', '/x/yz', 'short'),
+            ('query', 'a.example', '/x/?q=/x/y/', 'short'),
+            ('port and case', 'A.example:80', '/x/1', 'short'),
+            ('other host', 'b.example', '/x/1', None),
+            ('no prefix', 'a.example', '/z/1', None),
+        ]
+    )
+    def test_match(self, _name, host, path, expected):
+        catalogue, _ = apply_all(
+            make_service('reads'),
+            make_route('short', 1),
+            make_route('long', 1, prefix='/x/y/'),
+        )
+        found = RouteTable(catalogue).match(host, path)
+        self.assertEqual(found.name if found else None, expected)
+
+
+class SplitTest(unittest.TestCase):
+    """Guards against shares that miss their weights."""
+
+    @parameterized.expand([('even', 1, 1), ('uneven', 90, 10), ('off', 1, 0)])
+    def test_shares(self, _name, first, second):
+        targets = (Target('a', first), Target('b', second))
+        catalogue, _ = apply_all(
+            make_service('a'),
+            make_service('b'),
+            make_route('r', 1, targets=targets),
+        )
+        route = RouteTable(catalogue).match('a.example', '/x/1')
+        splitter = Splitter(random.Random(1))
+        counts = Counter(splitter.choose(route) for _ in range(1000))
+        expected = 1000 * first / (first + second)
+        self.assertAlmostEqual(counts['a'], expected, delta=1)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,189 @@
+"""Tests of upstreams and key ranges as replicated state."""
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from ibisjunction.fleet.codec import decode_fleet, encode_fleet
+from ibisjunction.fleet.commands import (
+    AdmitUpstream,
+    AssignShards,
+    DivideKeys,
+    ForgetUpstream,
+    FreedShard,
+    FreeShards,
+    MarkDraining,
+    ReleaseShards,
+    SplitShard,
+)
+from ibisjunction.fleet.model import LAST_KEY, FleetState, Upstream
+from ibisjunction.fleet.rules import apply_fleet_command
+
+FIRST = Upstream('u1', 10, 'reads', '10.0.0.1:80', 'a', 3)
+SECOND = Upstream('u2', 20, 'reads', '10.0.0.2:80', 'b', 3)
+
+
+def run(state, *commands):
+    """Return the state after commands."""
+    for command in commands:
+        state = apply_fleet_command(state, command)[0]
+    return state
+
+
+def make_state():
+    """Return two upstreams; the first owns both halves of the keys."""
+    return run(
+        FleetState(),
+        AdmitUpstream(FIRST),
+        AdmitUpstream(SECOND),
+        DivideKeys('reads', 2),
+        AssignShards('reads', 'u1', 10, (0, 32_768)),
+    )
+
+
+class OwnershipTest(unittest.TestCase):
+    """Guards against a key that passes to an owner without a new fence."""
+
+    @parameterized.expand(
+        [
+            ('owned', (), 'u1'),
+            ('releasing', (ReleaseShards('reads', (0,)),), 'u1'),
+            ('freed', (FreeShards('reads', (FreedShard(0, 1),)),), 'u2'),
+            (
+                'freed under an older fence',
+                (FreeShards('reads', (FreedShard(0, 0),)),),
+                'u1',
+            ),
+            ('owner forgotten', (ForgetUpstream('u1', 10),), 'u2'),
+            ('other life forgotten', (ForgetUpstream('u1', 9),), 'u1'),
+        ]
+    )
+    def test_only_free_shards_are_assigned(self, _name, commands, owner):
+        state = run(
+            make_state(),
+            *commands,
+            AssignShards('reads', 'u2', 20, (0,)),
+        )
+        self.assertEqual(state.shards['reads'][0].owner, owner)
+
+    @parameterized.expand(
+        [
+            ('leaving', MarkDraining('u2', 20)),
+            ('restarted', AdmitUpstream(replace(SECOND, born=30))),
+            ('gone', ForgetUpstream('u2', 20)),
+        ]
+    )
+    def test_no_shard_for_an_absent_process(self, _name, change):
+        """Guards against keys that wait for a process that has left."""
+        state = run(
+            make_state(),
+            FreeShards('reads', (FreedShard(0, 1),)),
+            change,
+            AssignShards('reads', 'u2', 20, (0,)),
+        )
+        self.assertEqual(state.shards['reads'][0].owner, '')
+
+    @parameterized.expand(
+        [
+            ('same name', replace(FIRST, born=11, address='10.0.0.9:80')),
+            (
+                'same address',
+                replace(SECOND, upstream='u9', address=FIRST.address),
+            ),
+        ]
+    )
+    def test_later_process_replaces(self, _name, later):
+        """Guards against shards that stay with a process that has ended."""
+        state = run(make_state(), AdmitUpstream(later))
+        self.assertEqual(
+            [shard.owner for shard in state.shards['reads']],
+            ['', ''],
+        )
+
+    def test_earlier_process_does_not_return(self):
+        """Guards against a check-in that was delayed on its way."""
+        state = run(make_state(), AdmitUpstream(replace(FIRST, born=5)))
+        self.assertEqual(state.upstreams['u1'].born, 10)
+
+    def test_split_keeps_owner_and_fence(self):
+        """Guards against keys that are lost or change hands by a split."""
+        state = run(make_state(), SplitShard('reads', 0, (100, 200)))
+        rows = [
+            (shard.first, shard.last, shard.owner, shard.fence)
+            for shard in state.shards['reads']
+        ]
+        self.assertEqual(
+            rows,
+            [
+                (0, 99, 'u1', 1),
+                (100, 199, 'u1', 1),
+                (200, 32_767, 'u1', 1),
+                (32_768, LAST_KEY, 'u1', 1),
+            ],
+        )
+
+
+class GeneratedTest(unittest.TestCase):
+    """Guards against gaps, repeated fences and a state that can't be read."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(
+            st.one_of(
+                st.builds(
+                    AssignShards,
+                    st.just('reads'),
+                    st.sampled_from(['u1', 'u2']),
+                    st.sampled_from([10, 20]),
+                    st.tuples(st.sampled_from([0, 500, 32_768])),
+                ),
+                st.builds(
+                    SplitShard,
+                    st.just('reads'),
+                    st.sampled_from([0, 500]),
+                    st.tuples(st.sampled_from([500, 900, 40_000])),
+                ),
+                st.builds(
+                    ReleaseShards,
+                    st.just('reads'),
+                    st.tuples(st.sampled_from([0, 500])),
+                ),
+                st.builds(
+                    FreeShards,
+                    st.just('reads'),
+                    st.tuples(
+                        st.builds(
+                            FreedShard,
+                            st.sampled_from([0, 500, 32_768]),
+                            st.integers(0, 5),
+                        ),
+                    ),
+                ),
+                st.builds(
+                    ForgetUpstream,
+                    st.sampled_from(['u1', 'u2']),
+                    st.sampled_from([10, 20]),
+                ),
+                st.just(AdmitUpstream(FIRST)),
+            ),
+            max_size=20,
+        ),
+    )
+    def test_invariants(self, commands):
+        state = make_state()
+        for command in commands:
+            before = {shard.first: shard for shard in state.shards['reads']}
+            state = run(state, command)
+            shards = state.shards['reads']
+            self.assertEqual(shards[0].first, 0)
+            self.assertEqual(shards[-1].last, LAST_KEY)
+            for left, right in zip(shards, shards[1:], strict=False):
+                self.assertEqual(left.last + 1, right.first)
+            for shard in shards:
+                old = before.get(shard.first)
+                if old and shard.owner and old.owner != shard.owner:
+                    self.assertGreater(shard.fence, old.fence)
+        self.assertEqual(decode_fleet(encode_fleet(state)), state)
