Keep answers to check-ins small, report load each heartbeat

Cause: an upstream could own at most 56 shards, and a service had at least 64, so with one upstream some keys were never served (test_coordinator found it). The rate of keys was underestimated for seconds after a start. Change: the token of a hand-over is sent until the upstream reports the keys as held; the first division follows the number of upstreams; rates count the time since the first report; a remote upstream is chosen only if no local one is likely to be in time.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -13,12 +13,11 @@
 
 #: Shards per upstream when the keys of a service are first divided.
 _SHARDS_PER_UPSTREAM: Final = 10
-#: Bounds of the first division. An answer to a check-in is at most 4 KiB, and
-#: one shard takes up to 60 bytes of it.
-_MIN_SHARDS: Final = 64
+#: Bounds the first division, for the size of the state.
 _MAX_SHARDS: Final = 1024
-#: Shards that one upstream may have; bounds the size of an answer.
-_MAX_OWNED: Final = 56
+#: Shards that one upstream may have. An answer to a check-in is at most 4 KiB,
+#: and a shard takes 27 bytes of it, or 43 with the token of a hand-over.
+_MAX_OWNED: Final = 90
 #: Utilisation below which an upstream keeps its shards: requests rarely wait.
 _CALM: Final = 0.3
 #: An upstream gives shards away above this multiple of the mean utilisation.
@@ -26,7 +25,7 @@
 #: A move must lower the higher of the two utilisations to this part.
 _GAIN: Final = 0.9
 #: Part of a service's requests that may be without an owner because of moves.
-_MAX_MOVING: Final = 0.15
+_MAX_MOVING: Final = 0.3
 #: A shard with more than this utilisation of its owner is divided.
 _SPLIT_ABOVE: Final = 0.15
 #: A taker's check-in should arrive in this time after the giver's. A giver
@@ -124,7 +123,7 @@
 def count_shards(state: FleetState, service: str) -> int:
     """Return into how many shards the keys of a service are divided first."""
     wanted = len(state.list_upstreams(service)) * _SHARDS_PER_UPSTREAM
-    return max(_MIN_SHARDS, min(wanted, _MAX_SHARDS))
+    return max(1, min(wanted, _MAX_SHARDS))
 
 
 def choose_free(
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -317,7 +317,7 @@
             self._vm,
             is_renewal=True,
             hold_ms=self._timing.hold_ms,
-            grants=self._keys.grant(self.state, upstream, now),
+            grants=self._keys.grant(self.state, upstream, call, now),
         )
 
     def _plan_duties(self, now: int) -> Iterator[FleetCommand]:
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -117,9 +117,14 @@
         self,
         state: FleetState,
         upstream: Upstream,
+        call: CheckIn,
         now: int,
     ) -> tuple[GrantedRange, ...]:
-        """Return all keys that an upstream is to hold from now on."""
+        """Return all keys that an upstream is to hold from now on.
+
+        The token of a hand-over is left out once the upstream holds the keys,
+        because the answer must stay small.
+        """
         grants = []
         for shard in state.list_owned(upstream):
             if shard.is_releasing:
@@ -130,7 +135,7 @@
                     shard.first,
                     shard.last,
                     shard.fence,
-                    shard.handover,
+                    '' if _holds(call, shard) else shard.handover,
                 ),
             )
         return tuple(grants)
@@ -224,5 +229,15 @@
     return None
 
 
+def _holds(call: CheckIn, shard: Shard) -> bool:
+    """Return whether an upstream says that it holds a whole shard."""
+    return any(
+        held.first <= shard.first
+        and shard.last <= held.last
+        and held.fence == shard.fence
+        for held in call.holds
+    )
+
+
 def _overlaps(first: int, last: int, shard: Shard) -> bool:
     return first <= shard.last and shard.first <= last
--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -1,6 +1,7 @@
 """How busy keys and upstreams are, from reports of entry VMs."""
 
 import itertools
+import math
 from collections import defaultdict, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -15,8 +16,10 @@
 #: Time in which the weight of an old report halves. Busy keys change within
 #: seconds; a shorter time would take chance for a change.
 _HALF_LIFE_MS: Final = 1500
-#: Requests that were counted with full weight, per request each second.
-_WEIGHT_S: Final = 2.16
+#: Sum of the weights of one request each second.
+_FULL_WEIGHT_S: Final = _HALF_LIFE_MS / MS_PER_S / math.log(2)
+#: Time that the first report covers.
+_FIRST_REPORT_MS: Final = 200
 #: Rate of keys without any request, in requests each second and key, so that
 #: idle keys are spread too.
 _IDLE_RATE: Final = 0.00002
@@ -52,6 +55,7 @@
 class _Load:
     """Decayed requests by bucket, as of ``at_ms``."""
 
+    since_ms: int | None = None
     at_ms: int = 0
     buckets: dict[int, float] = field(default_factory=dict)
 
@@ -74,6 +78,8 @@
     def record(self, report: KeyLoad, now: int) -> None:
         """Add a VM's report on keys."""
         load = self._loads[report.service]
+        if load.since_ms is None:
+            load.since_ms = now - _FIRST_REPORT_MS
         _decay(load, now)
         for bucket, requests in report.requests.items():
             load.buckets[bucket] = load.buckets.get(bucket, 0) + requests
@@ -96,12 +102,14 @@
         """Return the requests each second of shards that cover all keys."""
         rates = [_idle_rate(shard) for shard in shards]
         position = 0
-        for bucket, requests in sorted(self._loads[service].buckets.items()):
+        load = self._loads[service]
+        weight_s = _weight_s(load)
+        for bucket, requests in sorted(load.buckets.items()):
             first = bucket * BUCKET_KEYS
             while position < len(shards) and shards[position].last < first:
                 position += 1
             if position < len(shards):
-                rates[position] += requests / _WEIGHT_S
+                rates[position] += requests / weight_s
         return rates
 
     def find_middle(self, service: str, shard: Shard) -> int | None:
@@ -136,8 +144,16 @@
     return (shard.last - shard.first + 1) * _IDLE_RATE
 
 
+def _weight_s(load: _Load) -> float:
+    """Return the weight of one request each second since the first report."""
+    if load.since_ms is None:
+        return _FULL_WEIGHT_S
+    lives = (load.at_ms - load.since_ms) / _HALF_LIFE_MS
+    return _FULL_WEIGHT_S * (1 - math.exp2(-lives))
+
+
 def _decay(load: _Load, now: int) -> None:
-    factor = 0.5 ** ((now - load.at_ms) / _HALF_LIFE_MS)
+    factor = math.exp2((load.at_ms - now) / _HALF_LIFE_MS)
     load.at_ms = now
     load.buckets = {
         bucket: requests * factor
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -18,9 +18,9 @@
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.model import Upstream
 
-#: Upstreams of another failure domain are chosen only if they are faster by
-#: this factor, because traffic between failure domains is charged.
-_REMOTE_FACTOR: Final = 1.15
+#: Part of the time left until the target that a request may lose by staying
+#: in its failure domain.
+_REMOTE_SHARE: Final = 0.4
 #: A request whose key has no owner waits this long at most. A move takes up to
 #: two check-ins of upstreams.
 _OWNER_WAIT_MS: Final = 1500
@@ -151,11 +151,7 @@
         """Return the decisions that became possible."""
         decided: list[tuple[Ask, Grant | Refuse]] = []
         kept = []
-        ranked = sorted(
-            (self._rank(ask, now), ask.number, position)
-            for position, ask in enumerate(self._waiting)
-        )
-        for ask in [self._waiting[entry[-1]] for entry in ranked]:
+        for ask in self._sort_waiting(now):
             decision = self._decide(ask, now)
             if isinstance(decision, Wait):
                 kept.append(ask)
@@ -187,7 +183,7 @@
         free = [one for one in servers if self._health_of(one).has_room(now)]
         if not free:
             return Wait()
-        chosen = min(free, key=lambda one: self._cost(ask, one))
+        chosen = min(free, key=lambda one: self._cost(ask, one, now))
         self._health_of(chosen).in_flight += 1
         return Grant(chosen)
 
@@ -216,12 +212,25 @@
             self._health[process] = health
         return health
 
-    def _cost(self, ask: Ask, upstream: Upstream) -> float:
+    def _cost(self, ask: Ask, upstream: Upstream, now: int) -> float:
+        """Return how dear an upstream is, as a latency.
+
+        Traffic between failure domains is charged, so a remote one is chosen
+        only if no local one is likely to be in time.
+        """
         cost = self._health_of(upstream).cost()
         if upstream.failure_domain != ask.failure_domain:
-            cost *= _REMOTE_FACTOR
+            cost += max(0, ask.target_ms - now) * _REMOTE_SHARE
         return cost * (1 + self._generator.random() / 8)
 
+    def _sort_waiting(self, now: int) -> list[Ask]:
+        """Return the requests that wait in the order of their turns."""
+        ranked = [
+            (self._rank(ask, now), position)
+            for position, ask in enumerate(self._waiting)
+        ]
+        return [self._waiting[position] for _, position in sorted(ranked)]
+
     def _rank(self, ask: Ask, now: int) -> tuple[bool, int, int]:
         """Return the position of a request among those that wait."""
         expected_ms = self._service_ms(ask)
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -29,8 +29,6 @@
 _logger = logging.getLogger(__name__)
 
 _HEARTBEAT_MS: Final = 200
-#: Heartbeats between two reports of the load of keys.
-_LOAD_EVERY: Final = 3
 
 
 class EntryMembership:
@@ -58,7 +56,6 @@
         self._tickets = parts.tickets
         self._replica = FleetReplica()
         self._tracker = LeaderTracker(_HEARTBEAT_MS)
-        self._beats = 0
         self._was_held = False
         self._is_leaving = False
         self._vms: tuple[str, ...] = ()
@@ -144,14 +141,12 @@
         targets = self._tracker.choose_targets(self._list_control_vms(), now)
         for vm in targets:
             self._peers.send(vm, heartbeat)
-        self._beats += 1
-        if self._beats % _LOAD_EVERY == 0:
-            report = LoadReport(
-                self._desk.take_loads(),
-                self._desk.take_speeds(),
-            )
-            if len(targets) == 1:
-                self._peers.send(targets.pop(), report)
+        report = LoadReport(
+            self._desk.take_loads(),
+            self._desk.take_speeds(),
+        )
+        if len(targets) == 1 and (report.loads or report.speeds):
+            self._peers.send(targets.pop(), report)
 
     def _list_control_vms(self) -> tuple[str, ...]:
         """Return whom to ask for the leader: known voters, then the seeds."""
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,315 @@
+"""Tests of what a leader decides on check-ins, departures and orders."""
+
+import unittest
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
+from ibisjunction.coordination.calls import (
+    ChangeItems,
+    CheckedIn,
+    CheckIn,
+    Confirmed,
+    Depart,
+    FreedRange,
+    HeldRange,
+    Invalid,
+    ReadItems,
+    Unavailable,
+)
+from ibisjunction.coordination.coordinator import Coordinator, Propose, Reply
+from ibisjunction.coordination.timing import FleetTiming
+from ibisjunction.fleet.commands import AssignShards, UpdateItems
+from ibisjunction.fleet.model import LAST_KEY, FleetState
+from ibisjunction.fleet.rules import apply_fleet_command
+from ibisjunction.membership.messages import Heartbeat
+
+TIMING = FleetTiming(
+    hold_ms=5000,
+    lease_ms=5000,
+    drain_ms=2000,
+    check_in_ms=1000,
+    clock_error=0.02,
+    tolerated_losses=2,
+)
+SETTLED_MS = 10_000
+SERVICE = Service('/health', 100, is_sharded=True, warmup_ms=0)
+ITEMS = ItemUpdate((Item(ItemType.SERVICE, 'reads', 1, '{}', service=SERVICE),))
+
+
+def make_check_in(sequence, name='u1', **changes):
+    """Return a check-in of an upstream whose address follows its name."""
+    check_in = CheckIn(
+        upstream=name,
+        born=10,
+        service='reads',
+        address=f'{name}:80',
+        failure_domain='a',
+        slots=3,
+        is_draining=False,
+        sequence=sequence,
+    )
+    return replace(check_in, **changes)
+
+
+class Leader:
+    """A coordinator whose proposals are committed at once."""
+
+    def __init__(self):
+        self.now = 0
+        self.index = 0
+        state, _ = apply_fleet_command(FleetState(), UpdateItems(ITEMS))
+        self.coordinator = self.make_coordinator(state)
+        self.answers = {}
+        self.proposed = []
+        self._calls = 0
+
+    def make_coordinator(self, state):
+        """Return the coordinator of a new term."""
+        return Coordinator('vm', 'p', TIMING, state, self.now)
+
+    def elect(self):
+        """Start a new term with the same state."""
+        self.coordinator = self.make_coordinator(self.coordinator.state)
+
+    def call(self, call):
+        """Take a call and return its answer, if there is one yet."""
+        self._calls += 1
+        name = f'c{self._calls}'
+        self.run(self.coordinator.take_call(name, call, self.now))
+        return self.answers.get(name)
+
+    def run(self, effects):
+        """Carry out effects; commit what is proposed."""
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            match effect:
+                case Reply(call_id=call_id, answer=answer):
+                    self.answers[call_id] = answer
+                case Propose(proposal_id=name, command=command):
+                    self.proposed.append(command)
+                    self.index += 1
+                    state, outcome = apply_fleet_command(
+                        self.coordinator.state,
+                        command,
+                    )
+                    pending += self.coordinator.apply(
+                        state,
+                        self.index,
+                        {name: outcome},
+                        self.now,
+                    )
+
+    def wait(self, duration_ms):
+        """Let time pass in steps of 100 ms."""
+        for _ in range(duration_ms // 100):
+            self.now += 100
+            self.run(self.coordinator.look_at_clock(self.now))
+
+    def beat(self, vm='e1', applied=None):
+        """Take the heartbeat of an entry VM."""
+        applied = self.index if applied is None else applied
+        heartbeat = Heartbeat(vm, 1, self.now, applied, 0)
+        self.coordinator.leases.accept(heartbeat, self.now, 1, self.index)
+        self.run(self.coordinator.answer_ready(self.now))
+
+
+def make_owner(names=('u1',)):
+    """Return a leader whose upstreams have taken all keys."""
+    leader = Leader()
+    leader.wait(SETTLED_MS)
+    for sequence in range(1, 6):
+        for name in names:
+            leader.call(make_check_in(sequence, name))
+        leader.wait(1000)
+    return leader
+
+
+class CheckInTest(unittest.TestCase):
+    """Guards against keys for an upstream that is not the one it was."""
+
+    def test_grants_cover_all_keys(self):
+        leader = make_owner()
+        answer = leader.call(make_check_in(9))
+        self.assertTrue(answer.is_renewal)
+        self.assertEqual(answer.grants[0].first, 0)
+        self.assertEqual(answer.grants[-1].last, LAST_KEY)
+
+    @parameterized.expand(
+        [
+            ('late', make_check_in(2), CheckedIn('vm', is_renewal=False)),
+            ('earlier process', make_check_in(9, born=9), Invalid),
+            (
+                'earlier process of the address',
+                make_check_in(9, 'u0', born=9, address='u1:80'),
+                Invalid,
+            ),
+            ('unknown service', make_check_in(9, service='x'), Invalid),
+        ]
+    )
+    def test_refused(self, _name, check_in, expected):
+        leader = make_owner()
+        answer = leader.call(check_in)
+        if isinstance(expected, type):
+            self.assertIsInstance(answer, expected)
+        else:
+            self.assertEqual(answer, expected)
+
+    def test_later_process_gets_keys_with_a_higher_fence(self):
+        """Guards against grants that an upstream refuses after a restart."""
+        leader = make_owner()
+        before = leader.call(make_check_in(9))
+        leader.call(make_check_in(1, born=11))
+        leader.wait(1000)
+        after = leader.call(make_check_in(2, born=11))
+        self.assertGreater(after.grants[0].fence, before.grants[0].fence)
+
+
+class HoldTest(unittest.TestCase):
+    """Guards against two upstreams that hold the same keys."""
+
+    @parameterized.expand(
+        [
+            ('while its hold may last', 5000, False),
+            ('after its hold, with a slow clock', 5200, True),
+        ]
+    )
+    def test_silent_owner(self, _name, silent_ms, is_taken):
+        leader = make_owner(('u1', 'u2'))
+        before = len(leader.proposed)
+        owned = leader.coordinator.state.list_owned(
+            leader.coordinator.state.upstreams['u1'],
+        )
+        leader.call(make_check_in(20, 'u1'))
+        granted_ms = leader.now
+        sequence = 20
+        while leader.now < granted_ms + silent_ms:
+            sequence += 1
+            leader.call(make_check_in(sequence, 'u2'))
+            leader.wait(100)
+        leader.call(make_check_in(sequence + 1, 'u2'))
+        taken = {
+            first
+            for command in leader.proposed[before:]
+            if isinstance(command, AssignShards)
+            for first in command.firsts
+        }
+        firsts = {shard.first for shard in owned}
+        self.assertEqual(bool(taken & firsts), is_taken)
+
+    def test_new_leader_waits_out_holds(self):
+        """Guards against a leader that does not know its predecessor's."""
+        leader = make_owner(('u1', 'u2'))
+        leader.elect()
+        for sequence in range(50, 55):
+            leader.call(make_check_in(sequence, 'u2'))
+            leader.wait(900)
+        owned = leader.coordinator.state.list_owned(
+            leader.coordinator.state.upstreams['u1'],
+        )
+        self.assertTrue(owned)
+
+    def test_freed_keys_pass_with_their_token(self):
+        """Guards against an owner that starts cold after a planned move."""
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        shard = state.list_owned(state.upstreams['u1'])[0]
+        leader.call(make_check_in(30, is_draining=True))
+        freed = FreedRange(shard.first, shard.last, 'token')
+        leader.call(make_check_in(31, is_draining=True, freed=(freed,)))
+        leader.wait(100)
+        answer = leader.call(make_check_in(30, 'u2'))
+        tokens = {grant.first: grant.handover for grant in answer.grants}
+        self.assertEqual(tokens.get(shard.first), 'token')
+
+    def test_keys_in_work_are_not_free(self):
+        """Guards against a second owner while the first still works."""
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        shard = state.list_owned(state.upstreams['u1'])[0]
+        leader.call(make_check_in(30, is_draining=True))
+        freed = FreedRange(shard.first, shard.last, 'token')
+        held = HeldRange(shard.first, shard.last, shard.fence)
+        leader.call(
+            make_check_in(31, is_draining=True, freed=(freed,), holds=(held,)),
+        )
+        state = leader.coordinator.state
+        owners = {one.first: one.owner for one in state.shards['reads']}
+        self.assertEqual(owners[shard.first], 'u1')
+
+
+class SpreadTest(unittest.TestCase):
+    """Guards against a confirmation while a VM may act on an older state."""
+
+    @parameterized.expand(
+        [
+            ('check-in', make_check_in(9, is_draining=True), CheckedIn),
+            ('departure', Depart('u1', 10), Confirmed),
+            ('order', ChangeItems(ITEMS), Confirmed),
+        ]
+    )
+    def test_waits_for_each_vm(self, _name, call, expected):
+        leader = make_owner()
+        if isinstance(call, ChangeItems):
+            item = replace(ITEMS.items[0], version=2)
+            call = ChangeItems(ItemUpdate((item,)))
+        leader.beat('e1')
+        leader.beat('e2')
+        old = leader.index
+        self.assertIsNone(leader.call(call))
+        leader.beat('e1')
+        self.assertEqual(len(leader.coordinator._waiting), 1)  # noqa: SLF001
+        leader.beat('e2', applied=old)
+        self.assertEqual(len(leader.coordinator._waiting), 1)  # noqa: SLF001
+        leader.beat('e2')
+        self.assertIsInstance(list(leader.answers.values())[-1], expected)
+
+    def test_lost_vm_delays_until_its_lease_is_nearly_over(self):
+        """Guards against an endless wait for a VM that is lost."""
+        leader = make_owner()
+        leader.beat('e1')
+        committed_ms = leader.now
+        self.assertIsNone(leader.call(Depart('u1', 10)))
+        while leader.coordinator._waiting:  # noqa: SLF001
+            leader.wait(100)
+        waited_ms = leader.now - committed_ms
+        self.assertGreaterEqual(
+            waited_ms + TIMING.drain_ms,
+            TIMING.lease_ms,
+        )
+        self.assertLess(waited_ms, 4000)
+
+    def test_new_leader_waits_for_unknown_vms(self):
+        """Guards against leases that an earlier leader renewed."""
+        leader = make_owner()
+        leader.elect()
+        self.assertIsNone(leader.call(Depart('u1', 10)))
+
+    def test_leader_that_stops_confirms_nothing(self):
+        leader = make_owner()
+        leader.beat('e1')
+        leader.call(Depart('u1', 10))
+        leader.run(leader.coordinator.step_down())
+        self.assertIsInstance(
+            list(leader.answers.values())[-1],
+            Unavailable,
+        )
+
+
+class OrderTest(unittest.TestCase):
+    """Guards against answers that do not say what became of an order."""
+
+    def test_invalid_order(self):
+        leader = make_owner()
+        item = Item(ItemType.SERVICE, 'reads', 9)
+        route = Item(ItemType.ROUTE, 'r', 1)
+        answer = leader.call(ChangeItems(ItemUpdate((item, route))))
+        self.assertEqual(answer, Confirmed())
+
+    def test_nothing_published_yet(self):
+        leader = Leader()
+        leader.coordinator = leader.make_coordinator(FleetState())
+        self.assertIsInstance(leader.call(ReadItems()), Unavailable)
+        self.assertIsInstance(leader.call(make_check_in(1)), Unavailable)
