Keep a voter that has just joined

Cause: a replica that had become a voter still counted as one that wants to join, so the leader removed and added it again without end. Change: only replicas that do not vote are joiners, and a later process on a VM replaces an earlier one.

--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -107,7 +107,7 @@
         self._leadership: _Leadership | None = None
         self._forwarding = Forwarding(options.prefix)
         self._hinted: str | None = None
-        self._joiners: dict[Joiner, int] = {}
+        self._joiners: dict[str, tuple[Joiner, int]] = {}
         self._join_at = now
         self._voter_changes = 0
         peers.subscribe(
@@ -167,7 +167,8 @@
             case CallAnswered(call_id=call_id, answer=encoded):
                 self._forwarding.answer(call_id, decode_call(encoded))
             case AskToJoin(node=node, vm=vm):
-                self._joiners[Joiner(node, vm)] = now
+                # A later process on the VM replaces the one before.
+                self._joiners[vm] = (Joiner(node, vm), now)
                 self._send_hint(sender)
             case LeaderHint(vm=vm):
                 self._hinted = vm
@@ -243,7 +244,7 @@
     def _change_voters(self, now: int) -> None:
         joiners = [
             joiner
-            for joiner, heard_ms in self._joiners.items()
+            for joiner, heard_ms in self._joiners.values()
             if now < heard_ms + _JOINER_LIMIT_MS
         ]
         changed = plan_voters(
--- a/src/ibisjunction/coordination/voters.py
+++ b/src/ibisjunction/coordination/voters.py
@@ -29,16 +29,22 @@
 
     :param silent: names of voters that have not answered for long.
     """
-    if len(voters) < wanted:
-        known = {voter.vm for voter in voters}
-        for joiner in joiners:
-            if joiner.vm not in known:
-                record = VoterRecord(joiner.node, joiner.vm, joiner.vm)
-                return (*voters, record)
-    names = {joiner.vm for joiner in joiners}
-    replaced = [voter.node for voter in voters if voter.vm in names]
-    if len(voters) >= wanted and set(names) - {voter.vm for voter in voters}:
+    nodes = {voter.node for voter in voters}
+    waiting = [joiner for joiner in joiners if joiner.node not in nodes]
+    newcomers = _find_newcomers(voters, waiting)
+    if len(voters) < wanted and newcomers:
+        added = newcomers[0]
+        return (*voters, VoterRecord(added.node, added.vm, added.vm))
+    returned = {joiner.vm for joiner in waiting}
+    replaced = [voter.node for voter in voters if voter.vm in returned]
+    if len(voters) >= wanted and newcomers:
         replaced += silent
     if not replaced or len(voters) == 1:
         return None
     return tuple(voter for voter in voters if voter.node != replaced[0])
+
+
+def _find_newcomers(voters: Voters, waiting: list[Joiner]) -> list[Joiner]:
+    """Return the joiners on VMs that have no voter."""
+    vms = {voter.vm for voter in voters}
+    return [joiner for joiner in waiting if joiner.vm not in vms]
--- /dev/null
+++ b/tests/test_fleet_voters.py
@@ -0,0 +1,59 @@
+"""Tests of the changes of voters."""
+
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.control.records import VoterRecord
+from ibisjunction.coordination.voters import Joiner, plan_voters
+
+
+def make_voters(*nodes):
+    """Return voters on the VMs that their names begin with."""
+    return tuple(
+        VoterRecord(node, node.partition('/')[0], node.partition('/')[0])
+        for node in nodes
+    )
+
+
+class PlanVotersTest(unittest.TestCase):
+    """Guards against a lost quorum and against votes of a lost disk."""
+
+    @parameterized.expand(
+        [
+            ('founders grow', 'a b c', 'd', '', 'a b c d'),
+            ('enough', 'a b c d e', '', '', None),
+            ('spare waits', 'a b c d e', 'f', '', None),
+            ('spare replaces silent', 'a b c d e', 'f', 'b', 'a c d e'),
+            ('silent without spare', 'a b c d e', '', 'b', None),
+            ('lost disk is removed', 'a b c d e', 'b/1', '', 'a c d e'),
+            ('lost disk is added', 'a c d e', 'b/1', '', 'a c d e b/1'),
+            (
+                'two lost disks, one at a time',
+                'a b c d e',
+                'b/1 c/1',
+                '',
+                'a c d e',
+            ),
+            ('second lost disk waits', 'a c d e', 'b/1 c/1', '', 'a c d e b/1'),
+            (
+                'a voter that has just joined stays',
+                'a c d e b/1',
+                'b/1',
+                '',
+                None,
+            ),
+            ('only voter stays', 'a', 'a/1', '', None),
+        ]
+    )
+    def test_plan(self, _name, voters, joiners, silent, expected):
+        planned = plan_voters(
+            make_voters(*voters.split()),
+            [Joiner(node, node.partition('/')[0]) for node in joiners.split()],
+            silent.split(),
+            5,
+        )
+        if expected is None:
+            self.assertIsNone(planned)
+        else:
+            self.assertEqual(planned, make_voters(*expected.split()))
