Log requests and beliefs as JSON lines, serve metrics

Cause: log lines existed as text and were neither bounded nor complete; entry and control VMs served no metrics.

--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -33,6 +33,7 @@
     decode_call,
     encode_call,
 )
+from ibisjunction.coordination.metrics import LogMetrics
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.coordination.voters import Joiner, plan_voters
 from ibisjunction.events import Event, log_event
@@ -40,6 +41,7 @@
 from ibisjunction.fleet.commands import ReplaceVoters
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.metrics import ReadMetrics
 from ibisjunction.peers.link import PeerNetwork, Received
 
 _logger = logging.getLogger(__name__)
@@ -104,6 +106,7 @@
             generator,
             now,
         )
+        self._metrics = LogMetrics(self.log)
         self._leadership: _Leadership | None = None
         self._forwarding = Forwarding(options.prefix)
         self._hinted: str | None = None
@@ -161,6 +164,8 @@
                 self._follow_up(self.log.advance(message, now), now)
             case SeedsChanged(seeds=seeds):
                 self._seeds = seeds
+            case ReadMetrics(reply=reply):
+                reply.post(self._metrics.render())
 
     def _receive(self, sender: str, message: Any, now: int) -> None:
         match message:
--- a/src/ibisjunction/entry/attempts.py
+++ b/src/ibisjunction/entry/attempts.py
@@ -76,27 +76,20 @@
             return Unsent()
         case NoAnswer():
             return Lost()
-        case Answer(status=status, headers=headers):
-            if names.not_run in headers:
-                return Declined(status == HTTPStatus.MISDIRECTED_REQUEST)
-            if status == HTTPStatus.MISDIRECTED_REQUEST:
-                return Declined(is_wrong_upstream=True)
-            is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
-            if is_success and names.receipt not in headers:
-                return Lost()
-            return Ran(result, is_success)
-
-
-@dataclass(frozen=True, slots=True)
-class SendAgain:
-    """Send the request once more."""
-
-
-@dataclass(frozen=True, slots=True)
-class Finish:
-    """Tell the caller this outcome."""
-
-    outcome: Outcome
+        case Answer():
+            return _judge_answer(result, names)
+
+
+def _judge_answer(answer: Answer, names: HeaderNames) -> Judgement:
+    status = answer.status
+    headers = answer.headers
+    if names.not_run in headers or status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Declined(status == HTTPStatus.MISDIRECTED_REQUEST)
+    is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
+    is_foreign = names.receipt not in headers or 'Content-Encoding' in headers
+    if is_success and is_foreign:
+        return Lost()
+    return Ran(answer, is_success)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -25,6 +25,9 @@
 #: two check-ins of upstreams.
 _OWNER_WAIT_MS: Final = 1500
 _RETRY_AFTER_MS: Final = 300
+#: Part of the usual service time that must be left for a request to be sent;
+#: one that is cut off halfway takes a slot in vain.
+_SERVICE_SHARE: Final = 0.8
 #: Part of the time left that a request may be expected to wait when it comes.
 #: The expectation is rough, and a refused request comes back later.
 _HOPEFUL_SHARE: Final = 0.9
@@ -178,7 +181,7 @@
         if not servers:
             return Refuse(Why.NO_UPSTREAM)
         fastest = min(self._health_of(one).service_ms for one in servers)
-        if now + fastest / 2 >= ask.give_up_ms:
+        if now + fastest * _SERVICE_SHARE >= ask.give_up_ms:
             return Refuse(Why.TIMED_OUT)
         free = [one for one in servers if self._health_of(one).has_room(now)]
         if not free:
--- a/src/ibisjunction/entry/pool.py
+++ b/src/ibisjunction/entry/pool.py
@@ -16,7 +16,7 @@
 #: could cross the upstream's close.
 _KEEP_SHARE: Final = 0.7
 #: The same for a request that can't be repeated.
-_KEEP_ONCE_MS: Final = 2500
+_KEEP_ONCE_MS: Final = 5000
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -1,7 +1,6 @@
 """The life of one request on an entry VM."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -55,8 +54,9 @@
     Why,
 )
 from ibisjunction.entry.pool import Pool
+from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
-from ibisjunction.events import Event, log_event
+from ibisjunction.events import Event
 from ibisjunction.fleet.model import LAST_KEY, Upstream
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leases import VmLease
@@ -64,8 +64,6 @@
 from ibisjunction.settings.loader import parse_address
 from ibisjunction.verdict import Verdict
 
-_logger = logging.getLogger(__name__)
-
 _NOT_READY_RETRY_MS: Final = 500
 #: A request is not sent with less time left than this.
 _MIN_LEFT_MS: Final = 20
@@ -168,10 +166,10 @@
             limit_ms = min(limit_ms, request.deadline_ms)
         return RoutedRequest(request, found, service, is_sharded, limit_ms)
 
-    async def serve(self, routed: RoutedRequest) -> Outcome:
+    async def serve(self, routed: RoutedRequest, trail: Trail) -> Outcome:
         """Bring a request to its final outcome, in its time."""
         left_ms = routed.give_up_ms - self._parts.clock.now()
-        life = _RequestLife(self, self._parts, routed)
+        life = _RequestLife(self, self._parts, routed, trail)
         try:
             async with asyncio.timeout(
                 in_seconds(max(0, left_ms - _ANSWER_MARGIN_MS)),
@@ -209,7 +207,9 @@
         desk: RequestDesk,
         parts: EntryParts,
         routed: RoutedRequest,
+        trail: Trail,
     ) -> None:
+        self._trail = trail
         self._desk = desk
         self._parts = parts
         self._routed = routed
@@ -250,6 +250,12 @@
         if isinstance(decision, Refuse):
             return decision
         started_ms = self._parts.clock.now()
+        self._trail.add(
+            Event.REQUEST_GRANTED,
+            started_ms,
+            upstream=decision.upstream.upstream,
+            index=self._desk.view.index if self._desk.view else 0,
+        )
         judgement = await self._send(decision.upstream)
         latency_ms = self._parts.clock.now() - started_ms
         self._report = Report(_health_of(judgement), latency_ms)
@@ -283,7 +289,9 @@
             return False
         if isinstance(judgement, Unsent):
             return self._declines < _MAX_UNSENT
-        return self._parts.budget.take(self._routed.service, now)
+        has_budget = self._parts.budget.take(self._routed.service, now)
+        self._trail.add(Event.REQUEST_REPEATED, now, has_budget=has_budget)
+        return has_budget
 
     async def _send(self, upstream: Upstream) -> Judgement:
         address = parse_address(upstream.address)
@@ -294,11 +302,9 @@
             self._avoided |= {process_of(upstream)}
         if isinstance(judgement, Unsent | Lost):
             self._parts.pool.close_idle(address)
-        log_event(
-            _logger,
+        self._trail.add(
             Event.REQUEST_SENT,
-            logging.DEBUG,
-            request=self._routed.request.request_id,
+            self._parts.clock.now(),
             upstream=upstream.upstream,
             result=type(judgement).__name__,
             detail=getattr(result, 'detail', ''),
--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -1,7 +1,6 @@
 """The HTTP front end of an entry VM."""
 
 import asyncio
-import logging
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, Final
@@ -32,11 +31,12 @@
     Why,
 )
 from ibisjunction.entry.requests import RequestDesk
-from ibisjunction.events import Event, log_event
+from ibisjunction.entry.trail import Trail
+from ibisjunction.events import Event
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.metrics import RequestMeasured
 from ibisjunction.settings import Address
 
-_logger = logging.getLogger(__name__)
-
 #: Bounds until the operators' limits are known.
 _MAX_HEADER_BYTES: Final = 65_536
 _MAX_BODY_BYTES: Final = 67_108_864
@@ -62,12 +62,14 @@
         clock: Clock,
         names: HeaderNames,
         address: Address,
+        metrics: Mailbox[Any],
     ) -> None:
         """Prepare the server; :meth:`start` opens its socket."""
         self.desk = desk
         self.clock = clock
         self.names = names
         self._address = address
+        self._metrics = metrics
         self._server = HTTPServer(self)
         self._tasks: set[asyncio.Task[None]] = set()
         self._open: set[Any] = set()
@@ -161,17 +163,62 @@
 
     async def _serve(self, request: CallerRequest, connection: Any) -> None:
         routed = self.desk.route(request)
+        trail = Trail(request.request_id, request.arrived_ms)
         outcome: Outcome = Failed(Why.CALLER_GONE)
         try:
             if isinstance(routed, RoutedRequest):
-                outcome = await self.desk.serve(routed)
+                outcome = await self.desk.serve(routed, trail)
             else:
                 outcome = routed
             await self._answer(request, outcome, connection)
         except StreamClosedError:
             outcome = Failed(Why.CALLER_GONE)
         finally:
-            _log(request, routed, outcome, self.clock.now())
+            self._report(trail, routed, outcome)
+
+    def _report(
+        self,
+        trail: Trail,
+        routed: RoutedRequest | Refused,
+        outcome: Outcome,
+    ) -> None:
+        """Log and measure a request that has ended."""
+        now = self.clock.now()
+        fields = _describe(routed)
+        match outcome:
+            case Passed(status=status):
+                trail.add(
+                    Event.REQUEST_ANSWERED,
+                    now,
+                    status=status,
+                    **fields,
+                )
+            case Refused(why=why, retry_after_ms=retry_ms):
+                trail.add(
+                    Event.REQUEST_REFUSED,
+                    now,
+                    why=why.name,
+                    retry_after_ms=retry_ms or 0,
+                    **fields,
+                )
+            case Failed(why=why, verdict=verdict):
+                trail.add(
+                    Event.REQUEST_FAILED,
+                    now,
+                    why=why.name,
+                    verdict=verdict.value,
+                    **fields,
+                )
+        trail.write(is_served=isinstance(outcome, Passed))
+        self._metrics.post(
+            RequestMeasured(
+                service=fields.get('service', ''),
+                rank=str(fields.get('rank', '')),
+                upstream='',
+                outcome=_name_outcome(outcome),
+                duration_ms=now - trail.arrived_ms,
+            ),
+        )
 
     async def _answer(
         self,
@@ -299,36 +346,21 @@
     return int(text)
 
 
-def _log(
-    request: CallerRequest,
-    routed: RoutedRequest | Refused,
-    outcome: Outcome,
-    now: int,
-) -> None:
-    fields: dict[str, Any] = {
-        'request': request.request_id,
-        'ms': now - request.arrived_ms,
+def _name_outcome(outcome: Outcome) -> str:
+    """Return the label of an outcome in the metrics."""
+    if isinstance(outcome, Passed):
+        return 'answered'
+    return outcome.why.name.lower()
+
+
+def _describe(routed: RoutedRequest | Refused) -> dict[str, Any]:
+    """Return what the log says about the route of a request."""
+    if isinstance(routed, Refused):
+        return {}
+    return {
+        'service': routed.service,
+        'route': routed.route.name,
+        'version': routed.route.version,
+        'rank': routed.route.route.rank,
+        'key': routed.request.key if routed.is_sharded else '',
     }
-    if isinstance(routed, RoutedRequest):
-        fields['service'] = routed.service
-        fields['route'] = routed.route.name
-        fields['version'] = routed.route.version
-    match outcome:
-        case Passed(status=status):
-            log_event(
-                _logger,
-                Event.REQUEST_ANSWERED,
-                logging.DEBUG,
-                status=status,
-                **fields,
-            )
-        case Refused(why=why):
-            log_event(_logger, Event.REQUEST_REFUSED, why=why.name, **fields)
-        case Failed(why=why, verdict=verdict):
-            log_event(
-                _logger,
-                Event.REQUEST_FAILED,
-                why=why.name,
-                verdict=verdict.value,
-                **fields,
-            )
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -6,6 +6,11 @@
 
 import enum
 import logging
+from typing import Final
+
+#: Attributes of log records that hold the event and its fields.
+EVENT_ATTRIBUTE: Final = 'ibis_event'
+FIELDS_ATTRIBUTE: Final = 'ibis_fields'
 
 
 class Event(enum.Enum):
@@ -56,6 +61,8 @@
     LEDGER_COMPLETE = (606, 'ledger is complete')
     REQUEST_BLOCKED = (607, 'request blocked after crashes')
     REQUEST_SENT = (608, 'request sent to an upstream')
+    REQUEST_GRANTED = (609, 'request may be sent')
+    REQUEST_REPEATED = (610, 'request is sent again')
     UPSTREAM_ANNOUNCED = (701, 'upstream announced')
     UPSTREAM_DRAINING = (702, 'upstream is draining')
     UPSTREAM_REMOVED = (703, 'upstream removed')
@@ -86,4 +93,5 @@
         return
     details = [f'{name}={value}' for name, value in fields.items()]
     line = ' '.join((f'E{event.number}', event.summary, *details))
-    logger.log(level, '%s', line)
+    extra = {EVENT_ATTRIBUTE: event, FIELDS_ATTRIBUTE: fields}
+    logger.log(level, '%s', line, extra=extra)
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -21,6 +21,7 @@
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.membership.leases import VmLease
+from ibisjunction.metrics import MetricsTask
 from ibisjunction.nodes.links import make_links, read_incarnation
 from ibisjunction.nodes.settings import CLOCK_ERROR, NodeSettings
 from ibisjunction.settings import Address
@@ -42,6 +43,7 @@
     desk: RequestDesk
     server: EntryServer
     membership: EntryMembership
+    metrics: Mailbox[Any]
 
     async def drain(self) -> None:
         """Shut down gracefully: no request in flight is cut off."""
@@ -73,6 +75,7 @@
     clock = SystemClock()
     incarnation = read_incarnation()
     links = make_links(settings, incarnation, clock)
+    metrics = MetricsTask()
     tickets = TicketTask(
         str(settings.vm),
         clock,
@@ -90,22 +93,23 @@
         desk,
         parts,
     )
-    server = EntryServer(desk, clock, names, callers)
+    server = EntryServer(desk, clock, names, callers, metrics.mailbox)
     desk.on_limits = server.apply_limits
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(parts.pool.close)
         await stack.enter_async_context(links.run())
-        for name, coroutine in (
-            ('membership', membership.run()),
-            ('membership timer', membership.run_timer()),
-            ('tickets', tickets.run()),
-            ('tickets timer', tickets.run_timer()),
+        for task in (
+            run_task(membership.run(), 'membership', failed),
+            run_task(membership.run_timer(), 'membership timer', failed),
+            run_task(tickets.run(), 'tickets', failed),
+            run_task(tickets.run_timer(), 'tickets timer', failed),
+            run_task(metrics.run(), 'metrics', failed),
         ):
-            await stack.enter_async_context(run_task(coroutine, name, failed))
+            await stack.enter_async_context(task)
         server.start()
         stack.push_async_callback(server.close)
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
-        yield EntryNode(settings, desk, server, membership)
+        yield EntryNode(settings, desk, server, membership, metrics.mailbox)
 
 
 def _make_parts(
--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -5,13 +5,13 @@
 
 import asyncio
 import gc
-import logging
 import signal
 import sys
 from typing import Final
 
 from tornado.httpserver import HTTPServer
 
+from ibisjunction.logs import log_to_stdout
 from ibisjunction.mailbox import run_task
 from ibisjunction.platform.reload import watch_seeds
 from ibisjunction.platform.settings import (
@@ -21,14 +21,16 @@
 )
 from ibisjunction.settings.loader import parse_address
 
-_LOG_FORMAT: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
+#: The ports that ``deploy/system.toml`` names.
+ENTRY_METRICS_PORT: Final = 9464
+CONTROL_METRICS_PORT: Final = 9465
 
 
 async def _run_entry(settings: PlatformSettings) -> bool:
     # Each role imports only what it needs: processor time at the start counts.
     from ibisjunction.nodes.entry import run_entry
     from ibisjunction.platform.bodies import HEADERS
-    from ibisjunction.platform.fronts import make_readiness
+    from ibisjunction.platform.fronts import make_metrics, make_readiness
 
     failed = asyncio.Event()
     stop, reload = _catch_signals(failed)
@@ -37,6 +39,8 @@
         readiness = HTTPServer(make_readiness(node.desk))
         address = parse_address(settings.readiness)
         readiness.listen(address.port, address.host)
+        metrics = HTTPServer(make_metrics(node.metrics))
+        metrics.listen(ENTRY_METRICS_PORT, address.host)
         watching = watch_seeds(settings, reload, node.membership.mailbox)
         async with run_task(watching, 'settings', failed):
             await stop.wait()
@@ -47,7 +51,7 @@
 
 async def _run_control(settings: PlatformSettings) -> bool:
     from ibisjunction.nodes.control import run_control
-    from ibisjunction.platform.fronts import make_control
+    from ibisjunction.platform.fronts import make_control, make_metrics
 
     failed = asyncio.Event()
     stop, reload = _catch_signals(failed)
@@ -55,6 +59,8 @@
     async with run_control(settings.node, failed) as task:
         server = HTTPServer(make_control(task.mailbox, address.port))
         server.listen(address.port, address.host)
+        metrics = HTTPServer(make_metrics(task.mailbox))
+        metrics.listen(CONTROL_METRICS_PORT, address.host)
         watching = watch_seeds(settings, reload, task.mailbox)
         async with run_task(watching, 'settings', failed):
             await stop.wait()
@@ -79,11 +85,7 @@
 
 def main() -> int:
     """Run the role that the first argument names; return the exit code."""
-    logging.basicConfig(
-        level=logging.INFO,
-        format=_LOG_FORMAT,
-        stream=sys.stdout,
-    )
+    log_to_stdout()
     roles = {'entry': _run_entry, 'control': _run_control}
     name = sys.argv[1] if len(sys.argv) > 1 else ''
     run_role = roles.get(name)
--- a/src/ibisjunction/platform/fronts.py
+++ b/src/ibisjunction/platform/fronts.py
@@ -19,6 +19,7 @@
 from ibisjunction.coordination.messages import LocalCall
 from ibisjunction.entry.requests import RequestDesk
 from ibisjunction.mailbox import Mailbox
+from ibisjunction.metrics import ReadMetrics
 from ibisjunction.platform.bodies import WireError
 from ibisjunction.platform.check_ins import (
     decode_birth,
@@ -56,6 +57,25 @@
     )
 
 
+def make_metrics(mailbox: Mailbox[Any]) -> Application:
+    """Return the server of the metrics; ``mailbox`` belongs to their owner."""
+    return Application(
+        [('/metrics', _Metrics, {'mailbox': mailbox})],
+        log_function=_log_nothing,
+    )
+
+
+class _Metrics(RequestHandler):
+    def initialize(self, mailbox: Mailbox[Any]) -> None:
+        self._mailbox = mailbox
+
+    async def get(self) -> None:
+        reply: Mailbox[bytes] = Mailbox()
+        self._mailbox.post(ReadMetrics(reply))
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(await reply.get())
+
+
 class _Readiness(RequestHandler):
     def initialize(self, desk: RequestDesk) -> None:
         self._desk = desk
