Try upstreams again that were slow for a while

Cause: a dispatcher took the median of the last 12 latencies for the service time. Change: the estimate is a low quantile of answers that are at most 2 s old.

--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -180,6 +180,8 @@
             return Wait()
         if not servers:
             return Refuse(Why.NO_UPSTREAM)
+        for server in servers:
+            self._health_of(server).forget_old(now)
         fastest = min(self._health_of(one).service_ms for one in servers)
         if now + fastest * _SERVICE_SHARE >= ask.give_up_ms:
             return Refuse(Why.TIMED_OUT)
--- a/src/ibisjunction/entry/health.py
+++ b/src/ibisjunction/entry/health.py
@@ -10,6 +10,11 @@
 _FIRST_SERVICE_MS: Final = 200
 #: Latest answers from which the service time is estimated.
 _SAMPLES: Final = 12
+#: Part of the answers that are as fast as the service time.
+_FAST_SHARE: Final = 0.35
+#: An older answer tells nothing. An upstream that was slow for a while would
+#: otherwise get no request any more, and so never show that it has recovered.
+_SAMPLE_AGE_MS: Final = 2000
 _FIRST_PAUSE_MS: Final = 250
 _MAX_PAUSE_MS: Final = 2000
 #: Failures in a row after which an upstream is left alone for a while.
@@ -55,21 +60,28 @@
     success: float = 1
     failures: int = 0
     paused_until_ms: int = 0
-    _samples: deque[int] = field(
+    _samples: deque[tuple[int, int]] = field(
         default_factory=lambda: deque(maxlen=_SAMPLES),
     )
+    _is_tried: bool = False
 
     @property
     def is_tried(self) -> bool:
-        """Whether its service time is known."""
-        return bool(self._samples)
+        """Whether it has ever answered."""
+        return self._is_tried
 
     @property
     def service_ms(self) -> float:
         """The time in which the upstream runs a usual request."""
         if not self._samples:
             return _FIRST_SERVICE_MS
-        return sorted(self._samples)[len(self._samples) // 2]
+        ranked = sorted(latency_ms for _, latency_ms in self._samples)
+        return ranked[int(len(ranked) * _FAST_SHARE)]
+
+    def forget_old(self, now: int) -> None:
+        """Drop answers that are too old to tell anything."""
+        while self._samples and self._samples[0][0] < now - _SAMPLE_AGE_MS:
+            self._samples.popleft()
 
     @property
     def rate(self) -> float:
@@ -96,7 +108,8 @@
         match report.result:
             case Result.ANSWERED:
                 self.failures = 0
-                self._samples.append(report.latency_ms)
+                self._is_tried = True
+                self._samples.append((now, report.latency_ms))
                 self._record_success(1)
             case Result.ERROR:
                 self._record_success(0)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -154,6 +154,23 @@
         ]
         self.assertEqual(decisions[-1], Refuse(Why.OVERLOADED))
 
+    def test_upstream_that_was_slow_is_tried_again(self):
+        """Guards against keys that are refused for good after a slow spell.
+
+        Seen on incident inc-7041 of cdcg-ibis: after the final fault answers
+        took longer than the route's timeout, and no request followed them.
+        """
+        dispatcher = make_dispatcher()
+        for number in range(20):
+            ask = make_ask(number, key=1, give_up_ms=90_000)
+            grant = dispatcher.ask(ask, 0)
+            report = Report(Result.ANSWERED, 5000)
+            dispatcher.finish(grant.upstream, report, 0)
+        refused = dispatcher.ask(make_ask(30, key=1), 0)
+        self.assertEqual(refused, Refuse(Why.TIMED_OUT))
+        ask = make_ask(31, key=1, asked_ms=2100, give_up_ms=3100)
+        self.assertIsInstance(dispatcher.ask(ask, 2100), Grant)
+
     def test_failing_upstream_is_left_alone(self):
         dispatcher = make_dispatcher()
         for number in (1, 2):
