Explain a request from saved logs

Cause: on-call engineers had the lines of a request in several files, in the order in which they were written.

--- a/src/ibisjunction/cli/command.py
+++ b/src/ibisjunction/cli/command.py
@@ -16,6 +16,7 @@
     RenewTermsCommand,
 )
 from ibisjunction.cli.connection import EXIT_INVALID, CommandError
+from ibisjunction.cli.history import ExplainRequestCommand
 from ibisjunction.cli.inspection import (
     ExplainEventCommand,
     ExplainKeyCommand,
@@ -42,6 +43,7 @@
         | VmsCommand
         | ExplainKeyCommand
         | ExplainEventCommand
+        | ExplainRequestCommand
         | DrainUpstreamCommand
         | RenewTermsCommand
         | AddVoterCommand
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,53 @@
+"""Tests of the history of a request from saved logs."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from ibisjunction.cli.history import (
+    find_history,
+    place_decisions,
+    read_logs,
+)
+
+
+def make_line(time_s, event, **fields):
+    """Return a line as processes write it."""
+    line = {'time': f'{time_s:.3f}', 'level': 'INFO', 'event': event}
+    return json.dumps({**line, 'text': 'x', **fields})
+
+
+class HistoryTest(unittest.TestCase):
+    """Guards against a history in the order of writing, not of deciding."""
+
+    def test_order_across_processes(self):
+        with tempfile.TemporaryDirectory() as folder:
+            entry = Path(folder) / 'entry.log'
+            control = Path(folder) / 'control.log'
+            entry.write_text(
+                '\n'.join(
+                    (
+                        make_line(10, 609, request='r', after_ms=100),
+                        make_line(10, 604, request='r', after_ms=900),
+                        make_line(10, 604, request='other', after_ms=1),
+                        'Traceback: not an event',
+                    ),
+                ),
+            )
+            control.write_text(
+                '\n'.join(
+                    (
+                        make_line(1, 202),
+                        make_line(9.5, 202),
+                        make_line(9.6, 209),
+                    ),
+                ),
+            )
+            lines = place_decisions(list(read_logs([entry, control])))
+        history = find_history(lines, 'r')
+        self.assertEqual(
+            [(line.at_s, line.fields['event']) for line in history],
+            [(9.2, 609), (9.5, 202), (10, 604)],
+        )
+        self.assertEqual(find_history(lines, 'unknown'), [])
