Divide upstreams into groups once for each state

Cause: each ask hashed the names of all upstreams of its service, for each request that waits; found by reading. Change: FleetView holds the groups.

--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -11,8 +11,6 @@
 from dataclasses import dataclass
 from typing import Final
 
-import xxhash
-
 from ibisjunction.entry.health import Report, UpstreamHealth
 from ibisjunction.entry.model import Why
 from ibisjunction.entry.view import FleetView
@@ -32,10 +30,6 @@
 #: The expectation is rough, and a refused request comes back later.
 _HOPEFUL_SHARE: Final = 0.9
 
-#: Upstreams of a service that one dispatcher looks after; each has 3 or 4
-#: slots, so chance evens out within a group.
-_GROUP_UPSTREAMS: Final = 16
-
 Process = tuple[str, int]
 
 
@@ -87,28 +81,6 @@
     return (upstream.upstream, upstream.born)
 
 
-def count_groups(view: FleetView, service: str) -> int:
-    """Return into how many groups the upstreams of a service are divided."""
-    return 1 + len(view.list_upstreams(service)) // _GROUP_UPSTREAMS
-
-
-def list_group(view: FleetView, service: str, number: int) -> list[Upstream]:
-    """Return the upstreams that may serve a request with this number.
-
-    Requests are spread over the groups by their numbers. A group that is empty
-    by chance is replaced by all upstreams.
-    """
-    upstreams = view.list_upstreams(service)
-    groups = count_groups(view, service)
-    group = [
-        upstream
-        for upstream in upstreams
-        if xxhash.xxh3_64_intdigest(upstream.upstream.encode()) % groups
-        == number % groups
-    ]
-    return group or upstreams
-
-
 class Dispatcher:
     """The requests for some upstreams, and what is known of these."""
 
@@ -201,7 +173,7 @@
         if ask.key is not None:
             owner = view.find_owner(ask.service, ask.key)
             return None if owner is None else [owner]
-        upstreams = list_group(view, ask.service, ask.number)
+        upstreams = view.list_group(ask.service, ask.number)
         fresh = [
             upstream
             for upstream in upstreams
--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -19,7 +19,6 @@
     Grant,
     Refuse,
     Wait,
-    count_groups,
 )
 from ibisjunction.entry.health import Report, Result
 from ibisjunction.entry.messages import (
@@ -173,8 +172,7 @@
             owner = view.find_owner(ask.service, ask.key)
             group = owner.upstream if owner else group
         elif view is not None:
-            groups = count_groups(view, ask.service)
-            group = f'{ask.service}/{ask.number % groups}'
+            group = view.name_group(ask.service, ask.number)
         vms = [vm for vm in self._vms if now >= self._distrusted.get(vm, 0)]
         return max(
             vms,
--- a/src/ibisjunction/entry/view.py
+++ b/src/ibisjunction/entry/view.py
@@ -2,11 +2,18 @@
 
 import bisect
 from dataclasses import dataclass
+from typing import Final
+
+import xxhash
 
 from ibisjunction.catalogue.model import Limits, Service
 from ibisjunction.catalogue.routes import RouteTable
 from ibisjunction.fleet.model import FleetState, Shard, Upstream
 
+#: Upstreams of a service that one dispatcher looks after; each has 3 or 4
+#: slots, so chance evens out within a group.
+_GROUP_UPSTREAMS: Final = 16
+
 
 @dataclass(frozen=True, slots=True)
 class _Shards:
@@ -31,8 +38,13 @@
         self.routes = _share_routes(state, earlier)
         self._upstreams: dict[str, list[Upstream]] = {}
         for upstream in state.upstreams.values():
-            members = self._upstreams.setdefault(upstream.service, [])
-            members.append(upstream)
+            if not upstream.is_draining:
+                members = self._upstreams.setdefault(upstream.service, [])
+                members.append(upstream)
+        self._groups = {
+            service: _divide(members)
+            for service, members in self._upstreams.items()
+        }
         self._shards = {
             service: _Shards([shard.first for shard in shards], shards)
             for service, shards in state.shards.items()
@@ -54,11 +66,20 @@
 
     def list_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that may get new requests."""
-        return [
-            upstream
-            for upstream in self._upstreams.get(service, ())
-            if not upstream.is_draining
-        ]
+        return self._upstreams.get(service, [])
+
+    def list_group(self, service: str, number: int) -> list[Upstream]:
+        """Return the upstreams that may serve a request with this number.
+
+        Requests are spread over the groups by their numbers.
+        """
+        groups = self._groups.get(service, [])
+        return groups[number % len(groups)] if groups else []
+
+    def name_group(self, service: str, number: int) -> str:
+        """Return the name of the group of a request with this number."""
+        groups = self._groups.get(service, [])
+        return f'{service}/{number % len(groups)}' if groups else service
 
     def list_all(self) -> list[Upstream]:
         """Return all upstreams, draining ones included."""
@@ -90,6 +111,19 @@
         return found
 
 
+def _divide(upstreams: list[Upstream]) -> list[list[Upstream]]:
+    """Return the groups of upstreams that one dispatcher each looks after.
+
+    A group that is empty by chance is replaced by all upstreams.
+    """
+    count = 1 + len(upstreams) // _GROUP_UPSTREAMS
+    groups: list[list[Upstream]] = [[] for _ in range(count)]
+    for upstream in upstreams:
+        digest = xxhash.xxh3_64_intdigest(upstream.upstream.encode())
+        groups[digest % count].append(upstream)
+    return [group or upstreams for group in groups]
+
+
 def _share_routes(state: FleetState, earlier: FleetView | None) -> RouteTable:
     """Return the routes of a state, or those of a view that equal them."""
     if earlier is not None and earlier.state.catalogue is state.catalogue:
