Read on after an answer to another request

Cause: the reader of the second answer waited for the end of a request that it never sends, so the request timed out (found by test_exchange). Change: the reader is told that nothing is to be sent.

--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -174,6 +174,9 @@
                 is_client=True,
                 params=_PARAMETERS,
             )
+            # A connection waits for the end of its own request after it has
+            # read an answer; this one sends none.
+            connection.finish()
         stream.close()
         return NoAnswer('only answers to other requests')
 
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,101 @@
+"""Tests of one exchange with an upstream over real sockets."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.entry.exchange import (
+    Answer,
+    Message,
+    NoAnswer,
+    NotConnected,
+    UpstreamConnection,
+)
+from ibisjunction.settings import Address
+from tests.scripted import (
+    ScriptedUpstream,
+    answer,
+    answer_and_close,
+    answer_and_reset,
+)
+
+_OK = b'HTTP/1.1 200 OK\r\nId: own\r\n'
+_WHOLE = _OK + b'Content-Length: 2\r\n\r\nok'
+_OTHER = _WHOLE.replace(b'own', b'old').replace(b'ok', b'no')
+_NO_LENGTH = _OK + b'\r\nok'
+_CHUNKED = _OK + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+_MESSAGE = Message('GET', '/', (('Host', 'x'), ('Id', 'own')), b'')
+
+
+async def _perform(script, sends=1):
+    """Return the results of sends over one connection."""
+    upstream = ScriptedUpstream(script)
+    async with upstream.run() as address:
+        connection = UpstreamConnection(address, 1000)
+        await connection.connect()
+        results = [
+            await connection.perform(_MESSAGE, 'Id', 'own')
+            for _ in range(sends)
+        ]
+        is_clean = connection.is_clean
+        connection.close()
+        # Lets the script see the close before the loop ends.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    return results, is_clean
+
+
+class ExchangeTest(unittest.TestCase):
+    """Guards against bytes that reach the caller of another request."""
+
+    @parameterized.expand(
+        [
+            ('length', answer(_WHOLE), b'ok', True),
+            ('chunks', answer(_CHUNKED), b'ok', True),
+            ('no length, closed', answer_and_close(_NO_LENGTH), b'ok', False),
+            ('no length, reset', answer_and_reset(_NO_LENGTH), None, False),
+            (
+                'cut short',
+                answer_and_close(_WHOLE.replace(b': 2', b': 9')),
+                None,
+                False,
+            ),
+            ('chunks cut short', answer_and_close(_CHUNKED[:-5]), None, False),
+            ('no answer', answer_and_close(b''), None, False),
+            ('not HTTP', answer_and_close(b'\x00' * 40 + b'\r\n'), None, False),
+            ('answer to another first', answer(_OTHER + _WHOLE), b'ok', True),
+            ('only another', answer_and_close(_OTHER), None, False),
+            ('bytes after it', answer(_WHOLE + b'more'), b'ok', False),
+            ('a second answer after it', answer(_WHOLE + _OTHER), b'ok', False),
+        ]
+    )
+    def test_answer(self, _name, script, body, is_clean):
+        results, found_clean = asyncio.run(_perform(script))
+        found = results[0].body if isinstance(results[0], Answer) else None
+        self.assertEqual(found, body)
+        if body is None:
+            self.assertIsInstance(results[0], NoAnswer)
+        self.assertEqual(found_clean, is_clean)
+
+    def test_connection_is_used_again(self):
+        """Guards against a new connection for each request."""
+        results, _ = asyncio.run(_perform(answer(_WHOLE, _WHOLE), sends=2))
+        self.assertEqual([result.body for result in results], [b'ok', b'ok'])
+
+    def test_late_answer_to_an_earlier_request(self):
+        """Guards against an answer that arrives where the next is due."""
+        script = answer(_WHOLE, _OTHER + _WHOLE)
+        results, _ = asyncio.run(_perform(script, sends=2))
+        self.assertEqual(results[1].body, b'ok')
+
+    def test_no_listener(self):
+        """Guards against *may have run* for a request that was never sent."""
+
+        async def connect():
+            async with ScriptedUpstream(answer(_WHOLE)).run() as address:
+                port = address.port
+            connection = UpstreamConnection(Address('127.0.0.1', port), 1000)
+            return await connection.connect()
+
+        self.assertIsInstance(asyncio.run(connect()), NotConnected)
--- /dev/null
+++ b/tests/test_platform_bodies.py
@@ -0,0 +1,207 @@
+"""Tests of the platform's bodies."""
+
+import json
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.catalogue.items import Catalogue
+from ibisjunction.catalogue.model import Accepted, ItemType, RequestKind, Target
+from ibisjunction.coordination.calls import (
+    CheckedIn,
+    FreedRange,
+    GrantedRange,
+    HeldRange,
+)
+from ibisjunction.platform.bodies import WireError
+from ibisjunction.platform.check_ins import (
+    decode_birth,
+    decode_check_in,
+    encode_checked_in,
+)
+from ibisjunction.platform.items import decode_update, encode_items
+
+BEAT = {
+    'born': 17,
+    'Address': '10.0.0.9:80',
+    'Info': {'Service': 's', 'Version': 'v1', 'Zone': 'z', 'Capacity': 3},
+    'Status': {'State': 'ready', 'SequenceNumber': 4, 'ColdRemainingS': 0.5},
+    'Holds': [[0, 9, 7]],
+    'Freed': [[10, 19, 'token']],
+}
+COLUMNS = [
+    'Name',
+    'Host',
+    'PathPrefix',
+    'Type',
+    'TimeoutS',
+    'TargetLatencyS',
+    'Priority',
+    'TrafficSplit',
+    'MaxAttempts',
+    'Version',
+    'Service',
+]
+SPLIT = [{'Service': 's', 'Weight': 9}, {'Service': 't', 'Weight': 1}]
+ROWS = [
+    ['r1', 'h', '/a/', 'safe', 2, 0.5, 0, SPLIT, 2, 'r7', None],
+    ['r2', 'h', '/b/', 'unsafe', 1.2, 1.5, 2, None, 2, 'r7', 's'],
+]
+UPDATE = {
+    'Upsert': {
+        'Routes': {'Columns': COLUMNS, 'Rows': ROWS},
+        'Services': {
+            'Columns': [
+                'Name',
+                'HealthCheckPath',
+                'MaxConnections',
+                'Sharded',
+                'Version',
+            ],
+            'Rows': [['s', '/h', 9, True, 'r7'], ['t', '/h', 9, None, 'r7']],
+        },
+        'Limits': {
+            'MaxHeaderBytes': 1,
+            'MaxBodyBytes': 2,
+            'HeaderTimeoutS': 3,
+            'IdleTimeoutS': 15,
+            'Version': 'r7',
+        },
+    },
+    'Remove': {'Routes': [{'Name': 'old', 'Version': 'r9'}]},
+}
+
+
+def change(body, path, text):
+    """Return a copy of a body with one field changed, or left out."""
+    changed = json.loads(json.dumps(body))
+    *parents, name = path.split('.')
+    table = changed
+    for parent in parents:
+        table = table[parent]
+    if text is None:
+        table.pop(name)
+    else:
+        table[name] = text
+    return json.dumps(changed).encode()
+
+
+class CheckInTest(unittest.TestCase):
+    """Guards against an upstream that is used for what it is not."""
+
+    def test_fields(self):
+        body = json.dumps({**BEAT, 'New': 1}).encode()
+        check_in = decode_check_in('i', body)
+        self.assertEqual(
+            (check_in.upstream, check_in.born, check_in.sequence),
+            ('i', 17, 4),
+        )
+        self.assertEqual(check_in.holds, (HeldRange(0, 9, 7),))
+        self.assertEqual(check_in.freed, (FreedRange(10, 19, 'token'),))
+        self.assertFalse(check_in.is_draining)
+
+    @parameterized.expand(
+        [
+            ('no service', 'Info.Service', None),
+            ('slots as text', 'Info.Capacity', '3'),
+            ('no address', 'Address', None),
+            ('unknown state', 'Status.State', 'tired'),
+            ('sequence as text', 'Status.SequenceNumber', '4'),
+            ('short row', 'Holds', [[1, 2]]),
+        ]
+    )
+    def test_refused(self, _name, path, text):
+        with self.assertRaises(WireError):
+            decode_check_in('i', change(BEAT, path, text))
+
+    @parameterized.expand([(b'{',), (b'\xff\xfe',), (b'',), (b'[]',)])
+    def test_unreadable(self, body):
+        with self.assertRaises(WireError):
+            decode_check_in('i', body)
+
+    @parameterized.expand([(b'', 0), (b'{"born":5}', 5), (b'{}', 0)])
+    def test_departure(self, body, born):
+        self.assertEqual(decode_birth(body), born)
+
+    @parameterized.expand(
+        [
+            ('no renewal', CheckedIn('v', is_renewal=False), {}),
+            (
+                'renewal',
+                CheckedIn('v', True, 5000, (GrantedRange(0, 9, 7, 't'),)),
+                {'HoldS': 5.0, 'Holds': [[0, 9, 7, 't']]},
+            ),
+        ]
+    )
+    def test_answer(self, _name, answer, expected):
+        """Guards against an answer that releases keys by leaving them out."""
+        body = json.loads(encode_checked_in(answer, 'a:1'))
+        self.assertEqual(body, {'HeartbeatEndpoint': 'a:1', **expected})
+
+
+class ItemsTest(unittest.TestCase):
+    """Guards against items that differ from what the operator sent."""
+
+    def test_round_trip(self):
+        update = decode_update(json.dumps(UPDATE).encode())
+        catalogue, outcome = Catalogue().apply(update)
+        self.assertEqual(outcome, Accepted(6))
+        items = tuple(
+            item
+            for item_type in ItemType
+            for item in catalogue.list_items(item_type)
+        )
+        read = json.loads(encode_items(items))
+        self.assertEqual(read['Limits'], UPDATE['Upsert']['Limits'])
+        for name in ('Routes', 'Services'):
+            table = UPDATE['Upsert'][name]
+            self.assertEqual(_list_rows(read[name]), _list_rows(table))
+
+    def test_route(self):
+        update = decode_update(json.dumps(UPDATE).encode())
+        route = update.items[0].route
+        self.assertEqual(route.kind, RequestKind.SAFE)
+        self.assertEqual((route.timeout_ms, route.target_ms), (2000, 500))
+        self.assertEqual(route.targets, (Target('s', 9), Target('t', 1)))
+        self.assertTrue(update.items[-2].is_removed)
+
+    @parameterized.expand(
+        [
+            ('kind', 3, 'odd'),
+            ('version', 9, '7'),
+            ('no version', 9, None),
+            ('timeout as text', 4, '2'),
+            ('attempts as text', 8, '2'),
+            ('no host', 1, None),
+        ]
+    )
+    def test_refused(self, _name, column, text):
+        row = list(ROWS[1])
+        row[column] = text
+        body = change(UPDATE, 'Upsert.Routes.Rows', [ROWS[0], row])
+        with self.assertRaises(WireError):
+            decode_update(body)
+
+    def test_cut_short(self):
+        """Guards against the readable part of an order in force."""
+        body = json.dumps(UPDATE).encode()
+        for length in range(0, len(body), 50):
+            with self.assertRaises(WireError):
+                decode_update(body[:length])
+
+    def test_short_row(self):
+        body = change(UPDATE, 'Upsert.Routes.Rows', [ROWS[0][:5]])
+        with self.assertRaises(WireError):
+            decode_update(body)
+
+
+def _list_rows(table):
+    """Return rows as mappings without empty values."""
+    return [
+        {
+            name: found
+            for name, found in zip(table['Columns'], row, strict=True)
+            if found is not None
+        }
+        for row in table['Rows']
+    ]
