Never remove files of a control log that are in use

Cause: found by reading: a start that found the files locked by another process removed them, as it does with damaged ones. Change: that start fails instead. Result: test_control_node.

--- a/src/ibisjunction/control/frames.py
+++ b/src/ibisjunction/control/frames.py
@@ -26,6 +26,14 @@
         super().__init__(f'{path}: {detail}')
 
 
+class FolderInUseError(StorageError):
+    """Another process has the files open."""
+
+    def __init__(self, path: Path) -> None:
+        """Name the folder."""
+        super().__init__(path, 'another process uses it')
+
+
 class CorruptFileError(StorageError):
     """A file holds damaged data that was durable once."""
 
--- a/src/ibisjunction/control/storage.py
+++ b/src/ibisjunction/control/storage.py
@@ -25,6 +25,7 @@
 )
 from ibisjunction.control.frames import (
     CorruptFileError,
+    FolderInUseError,
     StorageError,
     make_frame,
     read_frames,
@@ -207,7 +208,7 @@
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            raise StorageError(folder, 'another process uses it') from error
+            raise FolderInUseError(folder) from error
         log = LogFolder(folder)
         try:
             yield log
--- a/src/ibisjunction/nodes/control.py
+++ b/src/ibisjunction/nodes/control.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from ibisjunction.clock import SystemClock
-from ibisjunction.control.frames import StorageError
+from ibisjunction.control.frames import FolderInUseError, StorageError
 from ibisjunction.control.protocol import Voters
 from ibisjunction.control.records import VoterRecord
 from ibisjunction.control.storage import (
@@ -82,27 +82,27 @@
     has lost what it acknowledged, so its replica gets a new name and votes
     only once the leader has made it a voter. The same holds for a disk whose
     files are damaged.
+
+    :raises FolderInUseError: if another process has the files open.
     """
     folder = settings.data_folder or Path('data')
-    try:
-        identity = find_identity(folder) or _create(settings, folder)
-        opening = open_log(folder)
-        log = opening.__enter__()
-    except StorageError as error:
-        log_event(
-            _logger,
-            Event.STORAGE_REFUSED,
-            logging.CRITICAL,
-            error=error,
-        )
-        shutil.rmtree(folder / _FOLDER, ignore_errors=True)
-        identity = join(folder, str(settings.vm))
-        opening = open_log(folder)
-        log = opening.__enter__()
-    try:
+    with contextlib.ExitStack() as stack:
+        try:
+            identity = find_identity(folder) or _create(settings, folder)
+            log = stack.enter_context(open_log(folder))
+        except FolderInUseError:
+            raise
+        except StorageError as error:
+            log_event(
+                _logger,
+                Event.STORAGE_REFUSED,
+                logging.CRITICAL,
+                error=error,
+            )
+            shutil.rmtree(folder / _FOLDER, ignore_errors=True)
+            identity = join(folder, str(settings.vm))
+            log = stack.enter_context(open_log(folder))
         yield OpenedLog(identity.node, log.load(), log)
-    finally:
-        opening.__exit__(None, None, None)
 
 
 def _create(settings: NodeSettings, folder: Path) -> Identity:
--- /dev/null
+++ b/tests/test_control_node.py
@@ -0,0 +1,90 @@
+"""Tests of the files that a control process starts with."""
+
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from parameterized import parameterized
+
+from ibisjunction.control.frames import FolderInUseError
+from ibisjunction.entry.budget import BudgetTerms
+from ibisjunction.nodes.control import open_replica
+from ibisjunction.nodes.settings import NodeSettings
+from ibisjunction.settings import Address
+
+SEEDS = tuple(Address(f'10.0.0.{number}', 7000) for number in range(3))
+
+
+class OpenReplicaTest(unittest.TestCase):
+    """Guards against a vote of a disk that lost what it acknowledged."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = NodeSettings(
+            vm=SEEDS[0],
+            failure_domain='a',
+            seeds=SEEDS,
+            is_first_start=True,
+            data_folder=Path(folder.name),
+            check_in_ms=1000,
+            drain_ms=2000,
+            hold_max_ms=9000,
+            grace_ms=6000,
+            tolerated_losses=2,
+            budget=BudgetTerms(0.1, 10, 10_000),
+        )
+
+    def open(self, **changes):
+        """Return the name and the voters that a start finds."""
+        with open_replica(replace(self.settings, **changes)) as opened:
+            voters = opened.stored.snapshot.voters
+            return opened.node, [voter.node for voter in voters]
+
+    @parameterized.expand(
+        [
+            ('founder', {}, True),
+            ('not a seed', {'seeds': SEEDS[1:]}, False),
+            ('empty disk later', {'is_first_start': False}, False),
+        ]
+    )
+    def test_empty_disk(self, _name, changes, is_founder):
+        node, voters = self.open(**changes)
+        if is_founder:
+            self.assertEqual(node, str(SEEDS[0]))
+            self.assertEqual(voters, [str(seed) for seed in SEEDS])
+        else:
+            self.assertTrue(node.startswith(f'{SEEDS[0]}/'))
+            self.assertEqual(voters, [])
+
+    def test_second_start_keeps_the_name(self):
+        first = self.open(is_first_start=False)
+        self.assertEqual(self.open(), first)
+
+    def test_damaged_files(self):
+        """Guards against a vote based on a damaged log."""
+        self.open()
+        log = self.settings.data_folder / 'control' / 'log-0'
+        log.write_bytes(b'x' * len(log.read_bytes()) + log.read_bytes())
+        node, voters = self.open()
+        self.assertTrue(node.startswith(f'{SEEDS[0]}/'))
+        self.assertEqual(voters, [])
+
+    def test_files_without_identity_were_never_used(self):
+        """Guards against a start that fails after a loss of power."""
+        folder = self.settings.data_folder / 'control'
+        folder.mkdir()
+        (folder / 'log-0').write_bytes(b'')
+        self.assertEqual(self.open()[0], str(SEEDS[0]))
+
+    def test_files_in_use_are_kept(self):
+        """Guards against a second process that removes the files of one."""
+        with open_replica(self.settings) as opened:
+            with (
+                self.assertRaises(FolderInUseError),
+                open_replica(self.settings),
+            ):
+                self.fail('opened twice')
+            self.assertEqual(opened.node, str(SEEDS[0]))
+        self.assertEqual(self.open()[0], str(SEEDS[0]))
