--- a/src/ibisjunction/coordination/liveness.py
+++ b/src/ibisjunction/coordination/liveness.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ibisjunction.coordination.calls import CheckIn
-from ibisjunction.fleet.model import FleetState, Shard, Upstream
+from ibisjunction.fleet.model import Shard, Upstream
 
 Process = tuple[str, int]
 
@@ -46,10 +46,6 @@
             return now - self.started_ms
         return now - seen.at_ms
 
-    def has_seen(self, upstream: Upstream) -> bool:
-        """Return whether this leader heard from a process."""
-        return (upstream.upstream, upstream.born) in self._seen
-
     def extend_hold(self, service: str, shard: Shard, now: int) -> None:
         """Note that a hold of a shard is being granted."""
         key = (service, shard.first)
@@ -65,15 +61,3 @@
         until = self._held_until.get((service, first))
         if until is not None:
             self._held_until[(service, start)] = until
-
-    def forget_absent(self, state: FleetState) -> None:
-        """Drop what is known of processes that are no longer listed."""
-        known = {
-            (upstream.upstream, upstream.born)
-            for upstream in state.upstreams.values()
-        }
-        self._seen = {
-            process: seen
-            for process, seen in self._seen.items()
-            if process in known
-        }
