--- a/src/ibisjunction/entry/attempts.py
+++ b/src/ibisjunction/entry/attempts.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ibisjunction.entry.exchange import Answer, NoAnswer, NotConnected, Result
+from ibisjunction.entry.health import Result as Health
 from ibisjunction.entry.model import (
     Failed,
     HeaderNames,
@@ -163,3 +164,18 @@
         if name.lower() not in HOP_HEADERS and name.lower() != 'content-length'
     )
     return Passed(answer.status, headers, answer.body)
+
+
+def health_of(judgement: Judgement) -> Health:
+    """Return what a send told about its upstream."""
+    match judgement:
+        case Ran(is_success=True):
+            return Health.ANSWERED
+        case Ran():
+            return Health.ERROR
+        case Declined(is_wrong_upstream=True):
+            return Health.WRONG
+        case Declined():
+            return Health.FULL
+        case Unsent() | Lost():
+            return Health.BROKEN
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -14,14 +14,13 @@
     bucket_of,
 )
 from ibisjunction.entry.attempts import (
-    HOP_HEADERS,
     Declined,
     Judgement,
     Lost,
     Progress,
-    Ran,
     Unsent,
     conclude,
+    health_of,
     judge,
     may_send_again,
     verdict_of,
@@ -35,7 +34,6 @@
     process_of,
 )
 from ibisjunction.entry.exchange import (
-    Message,
     NoAnswer,
     NotConnected,
     Result,
@@ -53,6 +51,7 @@
     RoutedRequest,
     Why,
 )
+from ibisjunction.entry.outgoing import make_message
 from ibisjunction.entry.pool import Pool
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
@@ -258,7 +257,7 @@
         )
         judgement = await self._send(decision.upstream)
         latency_ms = self._parts.clock.now() - started_ms
-        self._report = Report(_health_of(judgement), latency_ms)
+        self._report = Report(health_of(judgement), latency_ms)
         if self._report.result is Health.ANSWERED:
             self._desk.record_latency(decision.upstream, latency_ms)
         return judgement
@@ -359,7 +358,7 @@
         result: Result = NoAnswer('cancelled')
         try:
             result = await connection.perform(
-                _make_message(self._routed, upstream, parts.names, now),
+                make_message(self._routed, upstream, parts.names, now),
                 parts.names.request_id,
                 request.request_id,
             )
@@ -381,55 +380,5 @@
     """Apply no limits: nobody serves callers."""
 
 
-def _health_of(judgement: Judgement) -> Health:
-    """Return what a send told about its upstream."""
-    match judgement:
-        case Ran(is_success=True):
-            return Health.ANSWERED
-        case Ran():
-            return Health.ERROR
-        case Declined(is_wrong_upstream=True):
-            return Health.WRONG
-        case Declined():
-            return Health.FULL
-        case Unsent() | Lost():
-            return Health.BROKEN
-
-
 def _is_key(key: int | None) -> bool:
     return key is not None and 0 <= key <= LAST_KEY
-
-
-def _make_message(
-    routed: RoutedRequest,
-    upstream: Upstream,
-    names: HeaderNames,
-    now: int,
-) -> Message:
-    request = routed.request
-    replaced = {
-        names.deadline.lower(),
-        names.expected_upstream.lower(),
-        'content-length',
-        'expect',
-    }
-    options = ','.join(
-        text for name, text in request.headers if name.lower() == 'connection'
-    )
-    named = {option.strip().lower() for option in options.split(',')}
-    headers = [
-        (name, text)
-        for name, text in request.headers
-        if name.lower() not in replaced | HOP_HEADERS | named
-    ]
-    left_ms = max(1, routed.give_up_ms - now)
-    headers.append((names.deadline, str(left_ms)))
-    headers.append((names.expected_upstream, upstream.upstream))
-    if request.has_body:
-        headers.append(('Content-Length', str(len(request.body))))
-    return Message(
-        request.method,
-        request.target,
-        tuple(headers),
-        request.body,
-    )
