Name all mistakes in the platform's settings

Cause: a process ended at the first mistake of its settings file. Change: the file is checked like the daemon's settings; unknown keys stay allowed.

--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -15,6 +16,7 @@
 from ibisjunction.nodes.settings import NodeSettings
 from ibisjunction.settings import Address
 from ibisjunction.settings.loader import parse_address
+from ibisjunction.validation import find_mistakes
 
 _PATH_VARIABLE: Final = 'IBISJUNCTION_SETTINGS'
 _DEFAULT_PATH: Final = '/etc/ibisjunction/local.toml'
@@ -96,13 +98,18 @@
 def load_platform_settings(*, is_control: bool) -> PlatformSettings:
     """Read the file that the environment names.
 
-    :raises PlatformSettingsError: if it is missing or not valid.
+    :raises PlatformSettingsError: if it is missing or not valid; the text
+        names all mistakes.
     """
     path = Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
     try:
-        found = msgspec.toml.decode(path.read_bytes(), type=_Settings)
-    except (OSError, msgspec.DecodeError) as error:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise PlatformSettingsError(f'{path}: {error}') from error
+    mistakes = list(find_mistakes(raw, _Settings, allows_unknown=True))
+    if mistakes:
+        raise PlatformSettingsError(f'{path}: {"; ".join(mistakes)}')
+    found = msgspec.convert(raw, _Settings)
     bind = found.network.bind_addresses
     return PlatformSettings(
         is_control,
--- a/src/ibisjunction/validation.py
+++ b/src/ibisjunction/validation.py
@@ -12,21 +12,31 @@
 
 
 def find_mistakes(
-    raw: typing.Any, model: typing.Any, path: str = ''
+    raw: typing.Any,
+    model: typing.Any,
+    path: str = '',
+    *,
+    allows_unknown: bool = False,
 ) -> Iterator[str]:
     """Yield one line for each mistake, starting with the key it concerns.
 
     :param raw: what was read from TOML or JSON.
     :param model: a ``msgspec.Struct`` class or any type msgspec can convert.
     :param path: key of ``raw`` within the whole, empty at the top.
+    :param allows_unknown: whether keys that the model lacks are no mistakes.
     """
     struct = _find_struct(model)
     element = _find_element(model)
     if struct is not None and isinstance(raw, Mapping):
-        yield from _check_fields(raw, struct, path)
+        yield from _check_fields(raw, struct, path, allows_unknown)
     elif element is not None and raw and isinstance(raw, list | Mapping):
         for key, inner in _list_elements(raw, path):
-            yield from find_mistakes(inner, element, key)
+            yield from find_mistakes(
+                inner,
+                element,
+                key,
+                allows_unknown=allows_unknown,
+            )
     else:
         yield from _check_value(raw, model, path)
 
@@ -48,17 +58,25 @@
     raw: Mapping[str, typing.Any],
     struct: type[msgspec.Struct],
     path: str,
+    allows_unknown: bool,
 ) -> Iterator[str]:
-    hints = typing.get_type_hints(struct, include_extras=True)
+    types_by_name = typing.get_type_hints(struct, include_extras=True)
+    hints = {}
     for field in msgspec.structs.fields(struct):
-        if field.required and field.name not in raw:
-            yield f'{_join(path, field.name)}: missing'
+        hints[field.encode_name] = types_by_name[field.name]
+        if field.required and field.encode_name not in raw:
+            yield f'{_join(path, field.encode_name)}: missing'
     for name, inner in raw.items():
         hint = hints.get(name)
-        if hint is None:
+        if hint is not None:
+            yield from find_mistakes(
+                inner,
+                hint,
+                _join(path, name),
+                allows_unknown=allows_unknown,
+            )
+        elif not allows_unknown:
             yield f'{_join(path, name)}: unknown key'
-        else:
-            yield from find_mistakes(inner, hint, _join(path, name))
 
 
 def _check_value(
