Do not run a request whose connection was closed meanwhile

At the end of a shutdown's accept time the VM closed a connection whose request it had read from the socket but not parsed; the parser went on and the request was sent. Change: a request is served only if its connection is still open.

--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -306,7 +306,9 @@
     def finish(self) -> None:
         """Serve the request, which has arrived whole."""
         line = self._start_line
-        if line is None:
+        # A request that was read just before this VM closed its connection
+        # must not run: its caller sends it again elsewhere.
+        if line is None or self._connection.stream.closed():
             return
         # Without this, a caller that leaves now goes unnoticed.
         self._connection.set_close_callback(self.on_connection_close)
