Choose the addresses of a local deployment together

The ports of each VM were chosen apart, at random and without regard to VMs that do not listen yet, so two daemons could be told to listen on one port; one of them then ended at its start. Five VMs collide in about 1 of 220 deployments. A deployment with one port given twice on purpose shows the same failure: the VM answers no status and is not among the VMs. Change: all addresses of a deployment are held while they are chosen, and an upstream's control address is none of them.

--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
@@ -21,6 +21,7 @@
 #: one of those could take a port between its choice and its use.
 _FIRST_PORT: Final = 12_000
 _END_PORT: Final = 32_000
+_ADDRESSES_PER_VM: Final = 3
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -79,7 +80,7 @@
 
         Its control endpoint is then listed in ``controls``.
         """
-        self.controls[name] = _find_addresses(1)[0]
+        self.controls[name] = find_addresses(1, self._list_addresses())[0]
         control_port = self.controls[name].rpartition(':')[2]
         self._start(
             name,
@@ -122,6 +123,14 @@
             name: _wait(process) for name, process in self.processes.items()
         }
 
+    def _list_addresses(self) -> frozenset[str]:
+        """Return all addresses that processes use or are about to use."""
+        return frozenset(
+            address
+            for vm in self.vms
+            for address in (vm.http, vm.admin, vm.peer)
+        ).union(self.controls.values())
+
     def _daemon_command(self, vm: str) -> list[str]:
         settings = self.folder / f'{vm}.toml'
         return [sys.executable, '-m', 'ibisjunction.daemon', str(settings)]
@@ -169,10 +178,7 @@
     The first VMs, ``voter_count`` at most, hold replicas of the control log.
     Failure domains are assigned in turn.
     """
-    vms = [
-        VmAddresses(f'vm-{number}', *_find_addresses(3))
-        for number in range(1, vm_count + 1)
-    ]
+    vms = choose_vms(vm_count)
     deployment = Deployment(folder, vms, min(voter_count, vm_count))
     voters = vms[: deployment.voter_count]
     for number, vm in enumerate(vms):
@@ -187,19 +193,43 @@
         deployment.stop_all()
 
 
-def _find_addresses(count: int) -> list[str]:
-    """Return free loopback addresses.
+def choose_vms(count: int) -> list[VmAddresses]:
+    """Return VMs whose addresses all differ."""
+    addresses = iter(find_addresses(count * _ADDRESSES_PER_VM))
+    return [
+        VmAddresses(
+            vm=f'vm-{number}',
+            http=next(addresses),
+            admin=next(addresses),
+            peer=next(addresses),
+        )
+        for number in range(1, count + 1)
+    ]
+
+
+def find_addresses(
+    count: int,
+    taken: Container[str] = (),
+) -> list[str]:
+    """Return free loopback addresses that are not taken.
 
-    All ports are held while they are collected, so they differ.
+    All ports are held while they are collected, so they differ. Addresses of
+    processes that do not listen yet look free and have to be passed as taken.
     """
     with contextlib.ExitStack() as stack:
-        return [_hold_address(stack) for _ in range(count)]
+        return [_hold_address(stack, taken) for _ in range(count)]
 
 
-def _hold_address(stack: contextlib.ExitStack) -> str:
+def _hold_address(
+    stack: contextlib.ExitStack,
+    taken: Container[str],
+) -> str:
     """Bind a free port until the stack is closed."""
     while True:
         port = secrets.choice(range(_FIRST_PORT, _END_PORT))
+        address = f'127.0.0.1:{port}'
+        if address in taken:
+            continue
         holder = socket.socket()
         try:
             holder.bind(('127.0.0.1', port))
@@ -207,7 +237,7 @@
             holder.close()
             continue
         stack.enter_context(holder)
-        return f'127.0.0.1:{port}'
+        return address
 
 
 def _format_settings(
