Scatter the first division of keys

Cause: shards without load were taken in the order of their keys, so each upstream began with one contiguous region. Busy keys are close to one another. Change: shards of about the same rate are taken in an order that does not follow keys.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import xxhash
+
 from ibisjunction.fleet.model import FleetState, Shard, Shards, Upstream
 
 #: Shards per upstream when the keys of a service are first divided.
@@ -38,6 +40,8 @@
 #: have been free, so that none waits for one that does not check in.
 _FULLNESS_PER_INTERVAL: Final = 0.5
 _FULL: Final = 1.05
+#: Digits to which rates of free shards are compared, in requests each second.
+_RATE_DIGITS: Final = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,13 +227,26 @@
     reserved: frozenset[int],
     promised: frozenset[int],
 ) -> list[tuple[bool, float, int]]:
-    """Return whether promised, rate and first key of free shards."""
+    """Return whether promised, rate and first key of free shards.
+
+    Busy keys are close to one another, so shards of about the same rate are
+    taken in an order that does not follow their keys.
+    """
     free = [
         (shard.first in promised, rate, shard.first)
         for shard, rate in zip(view.shards, view.rates, strict=True)
         if not shard.owner and shard.first not in reserved
     ]
-    return sorted(free, reverse=True)
+    return sorted(
+        free,
+        key=lambda one: (one[0], round(one[1], _RATE_DIGITS), _scatter(one[2])),
+        reverse=True,
+    )
+
+
+def _scatter(first: int) -> int:
+    """Return a number that differs widely for neighbouring keys."""
+    return xxhash.xxh3_64_intdigest(first.to_bytes(4))
 
 
 def _choose_moved(
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -86,3 +86,14 @@
         view = make_view(owners, (3, 3, 3, 3))
         taken = choose_free(view, view.members[0], reserved, promised, waited)
         self.assertEqual(len(taken), count)
+
+    def test_neighbouring_shards_go_to_several_upstreams(self):
+        """Guards against a busy region of keys that one upstream takes whole.
+
+        Busy keys are close to one another, and nothing is known of them when
+        the first upstream checks in.
+        """
+        view = make_view('.' * 60, (0.01,) * 60)
+        taken = choose_free(view, view.members[0], (), (), 0)
+        regions = {first // 100 for first in taken}
+        self.assertEqual(regions, set(range(6)))
