Count shards on their way as load of their takers

A shard that is released or free counted for nobody, so several owners gave to the same idle upstream. Change: a reserved shard counts as load of the upstream that it is reserved for.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -40,6 +40,8 @@
 #: have been free, so that none waits for one that does not check in.
 _FULLNESS_PER_INTERVAL: Final = 0.5
 _FULL: Final = 1.05
+#: Name and start of a process of an upstream.
+Process = tuple[str, int]
 #: Digits to which rates of free shards are compared, in requests each second.
 _RATE_DIGITS: Final = 1
 
@@ -59,21 +61,31 @@
 
 @dataclass(slots=True)
 class ServiceView:
-    """One service as the balance sees it; ``rates`` belong to the shards."""
+    """One service as the balance sees it; ``rates`` belong to the shards.
+
+    ``promised`` names the process that is to take a shard once it is free, by
+    the shard's first key.
+    """
 
     service: str
     shards: Shards
     rates: list[float]
     members: tuple[Member, ...]
-    _owned: dict[tuple[str, int], list[int]] = field(default_factory=dict)
-    _loads: dict[tuple[str, int], float] = field(default_factory=dict)
+    promised: dict[int, Process] = field(default_factory=dict)
+    _owned: dict[Process, list[int]] = field(default_factory=dict)
+    _loads: dict[Process, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        """Index the shards by owner."""
+        """Index the shards by owner, or by who is to take them."""
         for position, shard in enumerate(self.shards):
+            process: Process | None = (shard.owner, shard.born)
             if shard.owner and not shard.is_releasing:
-                process = (shard.owner, shard.born)
-                self._owned.setdefault(process, []).append(position)
+                self._owned.setdefault((shard.owner, shard.born), []).append(
+                    position,
+                )
+            else:
+                process = self.promised.get(shard.first)
+            if process is not None:
                 load = self._loads.get(process, 0)
                 self._loads[process] = load + self.rates[position]
 
@@ -97,7 +109,11 @@
         )
 
     def load_on(self, member: Member) -> float:
-        """Return the requests each second of a member's shards."""
+        """Return the requests each second of a member's shards.
+
+        Those that are on their way to it count, or several upstreams would
+        give shards to the same idle one at once.
+        """
         upstream = member.upstream
         return self._loads.get((upstream.upstream, upstream.born), 0)
 
@@ -154,7 +170,9 @@
     for is_promised, rate, first in free:
         if len(taken) >= limit:
             break
-        if is_promised or room > 0:
+        if is_promised:
+            taken.append(first)
+        elif room > 0:
             taken.append(first)
             room -= rate
     return taken
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -200,7 +200,13 @@
             members.append(Member(upstream, capacity, next_ms))
         shards = state.shards.get(service, ())
         rates = self._loads.rates_of(service, shards)
-        return ServiceView(service, shards, rates, tuple(members))
+        return ServiceView(
+            service,
+            shards,
+            rates,
+            tuple(members),
+            self._reservations.list_takers(service, now),
+        )
 
 
 def _find_freed(
--- a/src/ibisjunction/coordination/reservations.py
+++ b/src/ibisjunction/coordination/reservations.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.coordination.balance import Member
+from ibisjunction.coordination.balance import Member, Process
 from ibisjunction.fleet.model import Upstream
 
 #: Time after the expected check-in from which any upstream may take the shard.
@@ -67,6 +67,13 @@
             if not _is_for(reservation, upstream)
         ]
 
+    def list_takers(self, service: str, now: int) -> dict[int, Process]:
+        """Return the process that each reserved shard is kept for."""
+        return {
+            first: (reservation.upstream, reservation.born)
+            for first, reservation in self._list(service, now)
+        }
+
     def _list(self, service: str, now: int) -> list[tuple[int, _Reservation]]:
         return [
             (first, reservation)
