Divide busy shards at once and move to several takers

Cause: a shard was only halved at each check-in of its owner, an owner gave to one taker at each check-in, and the busiest shard went first even if what is beside it could go. A few requests were enough for a move. Change: busy shards are divided each 250 ms into as many parts as needed; an owner gives to several takers; shards that fit into its excess go first; what chance makes of a few requests moves nothing.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -5,6 +5,7 @@
 checks in, if another upstream will check in soon after it has been freed.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -63,6 +64,7 @@
 class ServiceView:
     """One service as the balance sees it; ``rates`` belong to the shards.
 
+    ``weight_s`` is the time in seconds over which the rates were counted.
     ``promised`` names the process that is to take a shard once it is free, by
     the shard's first key.
     """
@@ -71,6 +73,7 @@
     shards: Shards
     rates: list[float]
     members: tuple[Member, ...]
+    weight_s: float = math.inf
     promised: dict[int, Process] = field(default_factory=dict)
     _owned: dict[Process, list[int]] = field(default_factory=dict)
     _loads: dict[Process, float] = field(default_factory=dict)
@@ -114,17 +117,26 @@
         Those that are on their way to it count, or several upstreams would
         give shards to the same idle one at once.
         """
-        upstream = member.upstream
-        return self._loads.get((upstream.upstream, upstream.born), 0)
+        return self._loads.get(process_of(member), 0)
 
     def utilisation(self, member: Member) -> float:
         """Return the part of a member's capacity that is used."""
         return self.load_on(member) / member.capacity
 
+    def is_busy(self, member: Member) -> bool:
+        """Return whether a member has more than its share of the load.
+
+        What chance makes of a few requests is left out.
+        """
+        mean = self.rate / self.capacity
+        load = self.load_on(member)
+        chance = math.sqrt(max(0, load) / self.weight_s) / member.capacity
+        limit = max(_CALM, mean * _HIGH, mean + chance)
+        return self.utilisation(member) >= limit
+
     def owned_by(self, member: Member) -> list[int]:
         """Return the positions of a member's shards that stay with it."""
-        upstream = member.upstream
-        return self._owned.get((upstream.upstream, upstream.born), [])
+        return self._owned.get(process_of(member), [])
 
     def find_member(self, upstream: Upstream) -> Member | None:
         """Return the member that is this process."""
@@ -142,6 +154,11 @@
     taker: Member
 
 
+def process_of(member: Member) -> Process:
+    """Return what names the process of a member."""
+    return (member.upstream.upstream, member.upstream.born)
+
+
 def count_shards(state: FleetState, service: str) -> int:
     """Return into how many shards the keys of a service are divided first."""
     wanted = len(state.list_upstreams(service)) * _SHARDS_PER_UPSTREAM
@@ -180,13 +197,12 @@
 
 def find_large(view: ServiceView, owner: Member) -> list[Shard]:
     """Return an owner's shards that are too busy to be moved as a whole."""
-    mean = view.rate / view.capacity
-    if view.utilisation(owner) < max(_CALM, mean * _HIGH):
+    if not view.is_busy(owner):
         return []
     positions = view.owned_by(owner)
     if len(positions) >= _MAX_OWNED:
         return []
-    limit = max(_SPLIT_ABOVE, mean / 2) * owner.capacity
+    limit = find_split_limit(view, owner)
     return [
         view.shards[position]
         for position in positions
@@ -195,25 +211,102 @@
     ]
 
 
-def plan_move(view: ServiceView, giver: Member, now: int) -> Move | None:
-    """Return what an upstream that checks in now is to give up, if anything."""
+def find_split_limit(view: ServiceView, owner: Member) -> float:
+    """Return the requests each second above which a shard is divided."""
     mean = view.rate / view.capacity
+    return max(_SPLIT_ABOVE, mean / 2) * owner.capacity
+
+
+def plan_moves(view: ServiceView, giver: Member, now: int) -> list[Move]:
+    """Return what an upstream that checks in now is to give up."""
     newcomer = _find_newcomer(view, giver, now)
     if newcomer is not None:
-        return newcomer
-    if view.utilisation(giver) < max(_CALM, mean * _HIGH):
-        return None
-    takers = [
+        return [newcomer]
+    if not view.is_busy(giver):
+        return []
+    plan = _MovePlan(view, giver, _list_takers(view, giver, now))
+    # Shards that fit into the excess go first, the busiest ones first: moves
+    # are few, and a shard that is busy by itself stays where it is if what is
+    # beside it can go.
+    ranked = sorted(
+        view.owned_by(giver),
+        key=view.rates.__getitem__,
+        reverse=True,
+    )
+    for position in ranked:
+        if view.rates[position] <= plan.excess:
+            plan.try_to_move(position)
+    for position in reversed(ranked):
+        plan.try_to_move(position)
+    return plan.list_moves()
+
+
+def _list_takers(view: ServiceView, giver: Member, now: int) -> list[Member]:
+    """Return the members that will check in soon after the giver."""
+    return [
         member
         for member in view.members
         if _TAKE_AFTER_MS <= member.next_ms - now <= _TAKE_BEFORE_MS
         and member is not giver
         and len(view.owned_by(member)) < _MAX_OWNED
     ]
-    if not takers:
-        return None
-    taker = min(takers, key=view.utilisation)
-    return _choose_moved(view, giver, taker, mean)
+
+
+class _MovePlan:
+    """The shards that one member gives up, and who takes each."""
+
+    def __init__(
+        self,
+        view: ServiceView,
+        giver: Member,
+        takers: list[Member],
+    ) -> None:
+        self._view = view
+        self._giver = giver
+        self._takers = takers
+        self._loads = {
+            process_of(member): view.load_on(member)
+            for member in (giver, *takers)
+        }
+        self._budget = view.rate * _MAX_MOVING - view.unserved_rate
+        self._chosen: dict[Process, list[int]] = {}
+        self._moved: set[int] = set()
+
+    @property
+    def excess(self) -> float:
+        """Requests each second that the giver has above its share."""
+        mean = self._view.rate / self._view.capacity
+        fair = mean * _FULL * self._giver.capacity
+        return self._loads[process_of(self._giver)] - fair
+
+    def try_to_move(self, position: int) -> None:
+        """Move a shard if that lowers the higher of two utilisations."""
+        rate = self._view.rates[position]
+        is_useful = self.excess > 0 and position not in self._moved
+        if not is_useful or rate > self._budget or not self._takers:
+            return
+        taker = min(self._takers, key=lambda one: self._after(one, rate))
+        after = max(self._after(taker, rate), self._after(self._giver, -rate))
+        if after > self._after(self._giver, 0) * _GAIN:
+            return
+        self._loads[process_of(taker)] += rate
+        self._loads[process_of(self._giver)] -= rate
+        self._budget -= rate
+        self._moved.add(position)
+        first = self._view.shards[position].first
+        self._chosen.setdefault(process_of(taker), []).append(first)
+
+    def list_moves(self) -> list[Move]:
+        """Return what was chosen, by taker."""
+        return [
+            Move(tuple(self._chosen[process_of(taker)]), taker)
+            for taker in self._takers
+            if process_of(taker) in self._chosen
+        ]
+
+    def _after(self, member: Member, rate: float) -> float:
+        """Return a member's utilisation with so many requests more."""
+        return (self._loads[process_of(member)] + rate) / member.capacity
 
 
 def _find_newcomer(
@@ -265,36 +358,3 @@
 def _scatter(first: int) -> int:
     """Return a number that differs widely for neighbouring keys."""
     return xxhash.xxh3_64_intdigest(first.to_bytes(4))
-
-
-def _choose_moved(
-    view: ServiceView,
-    giver: Member,
-    taker: Member,
-    mean: float,
-) -> Move | None:
-    """Choose shards that even out two members, the busiest ones first."""
-    given = view.load_on(giver)
-    taken = view.load_on(taker)
-    budget = view.rate * _MAX_MOVING - view.unserved_rate
-    chosen: list[int] = []
-    for position in sorted(
-        view.owned_by(giver),
-        key=view.rates.__getitem__,
-        reverse=True,
-    ):
-        rate = view.rates[position]
-        before = given / giver.capacity
-        after = max(
-            (given - rate) / giver.capacity,
-            (taken + rate) / taker.capacity,
-        )
-        if after > before * _GAIN or rate > budget:
-            continue
-        chosen.append(view.shards[position].first)
-        given -= rate
-        taken += rate
-        budget -= rate
-        if given / giver.capacity <= mean * _FULL:
-            break
-    return Move(tuple(chosen), taker) if chosen else None
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -9,7 +9,8 @@
     choose_free,
     count_shards,
     find_large,
-    plan_move,
+    find_split_limit,
+    plan_moves,
 )
 from ibisjunction.coordination.calls import CheckIn, GrantedRange
 from ibisjunction.coordination.liveness import Liveness
@@ -112,6 +113,7 @@
         )
         if expired:
             yield FreeShards(service, expired)
+        yield from self._plan_splits(self._view(state, service, now))
 
     def grant(
         self,
@@ -169,15 +171,23 @@
         giver: Member,
         now: int,
     ) -> Iterator[FleetCommand]:
-        for shard in find_large(view, giver):
-            middle = self._loads.find_middle(view.service, shard)
-            if middle is not None:
-                self._liveness.copy_hold(view.service, shard.first, middle)
-                yield SplitShard(view.service, shard.first, (middle,))
-        move = plan_move(view, giver, now)
-        if move is not None:
+        moves = plan_moves(view, giver, now)
+        for move in moves:
             self._reservations.add(view.service, move.firsts, move.taker, now)
-            yield ReleaseShards(view.service, move.firsts)
+        if moves:
+            firsts = tuple(first for move in moves for first in move.firsts)
+            yield ReleaseShards(view.service, firsts)
+
+    def _plan_splits(self, view: ServiceView) -> Iterator[FleetCommand]:
+        """Yield the division of shards that are too busy to move whole."""
+        for owner in view.members:
+            limit = find_split_limit(view, owner) / 2
+            for shard in find_large(view, owner):
+                starts = self._loads.find_starts(view.service, shard, limit)
+                for start in starts:
+                    self._liveness.copy_hold(view.service, shard.first, start)
+                if starts:
+                    yield SplitShard(view.service, shard.first, starts)
 
     def _has_gathered(self, service: str, now: int) -> bool:
         since = self._gathering.setdefault(service, now)
@@ -205,6 +215,7 @@
             shards,
             rates,
             tuple(members),
+            self._loads.weight_s(service),
             self._reservations.list_takers(service, now),
         )
 
--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -30,6 +30,10 @@
 #: Part of the answers that are as fast as the service time; the others waited
 #: in the upstream's queue.
 _FAST_SHARE: Final = 0.35
+#: Shortest time over which rates count, in seconds; no report is younger.
+_MIN_WEIGHT_S: Final = 0.1
+#: Parts after the first one into which a shard is divided at once.
+_MAX_PARTS: Final = 8
 #: Service time of an upstream that has not answered yet, in milliseconds.
 _FIRST_SERVICE_MS: Final = 200
 
@@ -112,19 +116,37 @@
                 rates[position] += requests / weight_s
         return rates
 
-    def find_middle(self, service: str, shard: Shard) -> int | None:
-        """Return the key that best halves the load of a shard, if any does."""
-        inside = list(self._list_inside(service, shard))
-        half = sum(requests for _, requests in inside) / 2
-        passed = itertools.accumulate(requests for _, requests in inside)
-        gaps = {
-            start + BUCKET_KEYS: abs(before - half)
-            for (start, _), before in zip(inside, passed, strict=True)
-        }
-        if inside:
-            gaps[inside[0][0]] = half
-        fitting = [key for key in gaps if shard.first < key <= shard.last]
-        return min(fitting, key=gaps.__getitem__, default=None)
+    def weight_s(self, service: str) -> float:
+        """Return the seconds over which the rates of a service were counted."""
+        return max(_MIN_WEIGHT_S, _weight_s(self._loads[service]))
+
+    def find_starts(
+        self,
+        service: str,
+        shard: Shard,
+        limit: float,
+    ) -> tuple[int, ...]:
+        """Return where to divide a shard into parts of limited load.
+
+        A bucket that is busier than the limit becomes a part of its own.
+
+        :param limit: requests each second of one part.
+        :return: first keys of the parts after the first one.
+        """
+        wanted = limit * _weight_s(self._loads[service])
+        starts: set[int] = set()
+        part = 0.0
+        for start, requests in self._list_inside(service, shard):
+            if part and part + requests > wanted:
+                starts.add(start)
+                part = 0
+            part += requests
+            if part >= wanted:
+                starts.add(start + BUCKET_KEYS)
+                part = 0
+        fitting = (key for key in sorted(starts) if shard.first < key)
+        inside = itertools.takewhile(lambda key: key <= shard.last, fitting)
+        return tuple(itertools.islice(inside, _MAX_PARTS))
 
     def _list_inside(
         self,
