--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -8,11 +8,8 @@
 from typing import Final
 
 from ibisjunction.clock import MS_PER_S
-from ibisjunction.fleet.model import Shard, Upstream
+from ibisjunction.fleet.model import BUCKET_KEYS, Shard, Upstream
 
-#: Reports are added up per bucket of keys; the busy keys of a bucket are not
-#: told apart.
-BUCKET_KEYS: Final = 8
 #: Time in which the weight of an old report halves. Busy keys change within
 #: seconds; a shorter time would take chance for a change.
 _HALF_LIFE_MS: Final = 1500
--- a/src/ibisjunction/fleet/model.py
+++ b/src/ibisjunction/fleet/model.py
@@ -8,6 +8,9 @@
 
 #: Keys are numbers from 0 to this one.
 LAST_KEY: Final = 65_535
+#: Load is counted per bucket of this many keys; shards begin at whole buckets,
+#: so that the load of a bucket belongs to one shard.
+BUCKET_KEYS: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -23,6 +23,7 @@
     UpdateItems,
 )
 from ibisjunction.fleet.model import (
+    BUCKET_KEYS,
     LAST_KEY,
     FleetState,
     Shard,
@@ -104,10 +105,12 @@
 
 
 def _divide(state: FleetState, service: str, count: int) -> FleetState:
-    if service in state.shards or not 0 < count <= LAST_KEY:
+    buckets = (LAST_KEY + 1) // BUCKET_KEYS
+    if service in state.shards or not 0 < count <= buckets:
         return state
-    keys = LAST_KEY + 1
-    starts = [keys * number // count for number in range(count)]
+    starts = [
+        buckets * number // count * BUCKET_KEYS for number in range(count)
+    ]
     divided = _make_shards(Shard(0, LAST_KEY), starts[1:])
     return replace(state, shards=state.shards | {service: divided})
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,12 @@
     ReleaseShards,
     SplitShard,
 )
-from ibisjunction.fleet.model import LAST_KEY, FleetState, Upstream
+from ibisjunction.fleet.model import (
+    BUCKET_KEYS,
+    LAST_KEY,
+    FleetState,
+    Upstream,
+)
 from ibisjunction.fleet.rules import apply_fleet_command
 
 FIRST = Upstream('u1', 10, 'reads', '10.0.0.1:80', 'a', 3)
@@ -108,6 +113,21 @@
         state = run(make_state(), AdmitUpstream(replace(FIRST, born=5)))
         self.assertEqual(state.upstreams['u1'].born, 10)
 
+    @parameterized.expand([(1,), (3,), (140,), (8192,)])
+    def test_shards_begin_at_whole_buckets(self, count):
+        """Guards against load that counts for the shard beside its keys.
+
+        Seen on cdcg-ibis quiet-1: a bucket crossed the bound of two shards, so
+        the owner of a key with a third of all requests was taken for idle.
+        """
+        state = apply_fleet_command(
+            FleetState(),
+            DivideKeys('reads', count),
+        )[0]
+        firsts = [shard.first for shard in state.shards['reads']]
+        self.assertEqual(len(firsts), count)
+        self.assertEqual({first % BUCKET_KEYS for first in firsts}, {0})
+
     def test_split_keeps_owner_and_fence(self):
         """Guards against keys that are lost or change hands by a split."""
         state = run(make_state(), SplitShard('reads', 0, (100, 200)))
