Let moved shards rest, order waiting requests by a safe service time

With too many requests for an upstream, each that was sent had waited until it was just in time by a low quantile of service times, so most were late. Change: a shard that moved stays for 3 s; the order of turns expects the 0.85 quantile.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -66,7 +66,8 @@
 
     ``weight_s`` is the time in seconds over which the rates were counted.
     ``promised`` names the process that is to take a shard once it is free, by
-    the shard's first key.
+    the shard's first key. ``resting`` are the first keys of shards that moved
+    a short time ago and stay where they are.
     """
 
     service: str
@@ -75,6 +76,7 @@
     members: tuple[Member, ...]
     weight_s: float = math.inf
     promised: dict[int, Process] = field(default_factory=dict)
+    resting: frozenset[int] = frozenset()
     _owned: dict[Process, list[int]] = field(default_factory=dict)
     _loads: dict[Process, float] = field(default_factory=dict)
 
@@ -282,8 +284,7 @@
     def try_to_move(self, position: int) -> None:
         """Move a shard if that lowers the higher of two utilisations."""
         rate = self._view.rates[position]
-        is_useful = self.excess > 0 and position not in self._moved
-        if not is_useful or rate > self._budget or not self._takers:
+        if not self._is_movable(position) or not self._takers:
             return
         taker = min(self._takers, key=lambda one: self._after(one, rate))
         after = max(self._after(taker, rate), self._after(self._giver, -rate))
@@ -304,6 +305,12 @@
             if process_of(taker) in self._chosen
         ]
 
+    def _is_movable(self, position: int) -> bool:
+        is_resting = self._view.shards[position].first in self._view.resting
+        is_left = position not in self._moved and not is_resting
+        fits = self._view.rates[position] <= self._budget
+        return self.excess > 0 and is_left and fits
+
     def _after(self, member: Member, rate: float) -> float:
         """Return a member's utilisation with so many requests more."""
         return (self._loads[process_of(member)] + rate) / member.capacity
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -217,6 +217,7 @@
             tuple(members),
             self._loads.weight_s(service),
             self._reservations.list_takers(service, now),
+            self._reservations.list_recent(service, now),
         )
 
 
--- a/src/ibisjunction/coordination/reservations.py
+++ b/src/ibisjunction/coordination/reservations.py
@@ -8,6 +8,9 @@
 
 #: Time after the expected check-in from which any upstream may take the shard.
 _GRACE_MS: Final = 200
+#: A shard that was moved stays this long. Its requests wait during a move, and
+#: the effect on two upstreams shows in the reports only after a while.
+_REST_MS: Final = 3000
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,11 +22,12 @@
 
 @dataclass(slots=True)
 class Reservations:
-    """By service and first key of the shard."""
+    """By service and first key of the shard; remembers recent moves."""
 
     _reserved: dict[tuple[str, int], _Reservation] = field(
         default_factory=dict,
     )
+    _moved_ms: dict[tuple[str, int], int] = field(default_factory=dict)
 
     def add(
         self,
@@ -38,6 +42,11 @@
             for key, kept in self._reserved.items()
             if now < kept.until_ms
         }
+        self._moved_ms = {
+            key: moved_ms
+            for key, moved_ms in self._moved_ms.items()
+            if now < moved_ms + _REST_MS
+        }
         reservation = _Reservation(
             taker.upstream.upstream,
             taker.upstream.born,
@@ -45,6 +54,7 @@
         )
         for first in firsts:
             self._reserved[(service, first)] = reservation
+            self._moved_ms[(service, first)] = now
 
     def of(self, service: str, upstream: Upstream, now: int) -> list[int]:
         """Return the first keys that are reserved for a process."""
@@ -74,6 +84,14 @@
             for first, reservation in self._list(service, now)
         }
 
+    def list_recent(self, service: str, now: int) -> frozenset[int]:
+        """Return the first keys of shards that were moved a short time ago."""
+        return frozenset(
+            first
+            for (name, first), moved_ms in self._moved_ms.items()
+            if name == service and now < moved_ms + _REST_MS
+        )
+
     def _list(self, service: str, now: int) -> list[tuple[int, _Reservation]]:
         return [
             (first, reservation)
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -211,9 +211,17 @@
         return [self._waiting[position] for _, position in sorted(ranked)]
 
     def _rank(self, ask: Ask, now: int) -> tuple[bool, int, int]:
-        """Return the position of a request among those that wait."""
-        expected_ms = self._service_ms(ask)
-        is_late = now + expected_ms > ask.target_ms
+        """Return the position of a request among those that wait.
+
+        With too many requests, each that is sent has waited until it is just
+        in time. By a usual service time, most of them would then be late.
+        """
+        servers = self._list_servers(ask)
+        safe_ms = min(
+            (self._health_of(one).safe_ms for one in servers),
+            default=0,
+        )
+        is_late = now + safe_ms > ask.target_ms
         return (is_late, ask.rank, ask.target_ms)
 
     def _service_ms(self, ask: Ask) -> float:
--- a/src/ibisjunction/entry/health.py
+++ b/src/ibisjunction/entry/health.py
@@ -12,6 +12,8 @@
 _SAMPLES: Final = 12
 #: Part of the answers that are as fast as the service time.
 _FAST_SHARE: Final = 0.35
+#: Part of the answers that are as fast as a request must expect to be in time.
+_SAFE_SHARE: Final = 0.85
 #: An older answer tells nothing. An upstream that was slow for a while would
 #: otherwise get no request any more, and so never show that it has recovered.
 _SAMPLE_AGE_MS: Final = 2000
@@ -73,10 +75,12 @@
     @property
     def service_ms(self) -> float:
         """The time in which the upstream runs a usual request."""
-        if not self._samples:
-            return _FIRST_SERVICE_MS
-        ranked = sorted(latency_ms for _, latency_ms in self._samples)
-        return ranked[int(len(ranked) * _FAST_SHARE)]
+        return self._quantile(_FAST_SHARE)
+
+    @property
+    def safe_ms(self) -> float:
+        """The time in which the upstream runs nearly every request."""
+        return self._quantile(_SAFE_SHARE)
 
     def forget_old(self, now: int) -> None:
         """Drop answers that are too old to tell anything."""
@@ -124,6 +128,12 @@
             case Result.WRONG | Result.UNUSED:
                 return
 
+    def _quantile(self, share: float) -> float:
+        if not self._samples:
+            return _FIRST_SERVICE_MS
+        ranked = sorted(latency_ms for _, latency_ms in self._samples)
+        return ranked[int(len(ranked) * share)]
+
     def _pause_after_failures(self, now: int) -> None:
         if self.failures >= _FAILURES:
             doubled = _FIRST_PAUSE_MS * 2 ** (self.failures - _FAILURES)
