Use the token of a freed range for each of its parts

Cause: neighbouring shards that are released together are freed as one range with one token, and a token was only used for exactly that range. Change: each part of a freed range passes with the range's token.

--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -238,12 +238,13 @@
 
 
 def _find_covering(call: CheckIn, shard: Shard) -> FreedShard | None:
-    """Return a shard as freed if a range that was given up covers it."""
+    """Return a shard as freed if a range that was given up covers it.
+
+    The token of a range serves for each of its parts.
+    """
     for freed in call.freed:
-        if (freed.first, freed.last) == (shard.first, shard.last):
-            return FreedShard(shard.first, shard.fence, freed.handover)
         if freed.first <= shard.first and shard.last <= freed.last:
-            return FreedShard(shard.first, shard.fence)
+            return FreedShard(shard.first, shard.fence, freed.handover)
     return None
 
 
