--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -29,6 +29,8 @@
 _GAIN: Final = 0.9
 #: Part of a service's requests that may be without an owner because of moves.
 _MAX_MOVING: Final = 0.3
+#: Part that may be without an owner when a shard above that bound moves.
+_FEW_MOVING: Final = 0.05
 #: A shard with more than this utilisation of its owner is divided.
 _SPLIT_ABOVE: Final = 0.15
 #: A taker's check-in should arrive in this time after the giver's. A giver
@@ -271,6 +273,7 @@
             for member in (giver, *takers)
         }
         self._budget = view.rate * _MAX_MOVING - view.unserved_rate
+        self._idle = view.rate * _FEW_MOVING
         self._chosen: dict[Process, list[int]] = {}
         self._moved: set[int] = set()
 
@@ -308,7 +311,10 @@
     def _is_movable(self, position: int) -> bool:
         is_resting = self._view.shards[position].first in self._view.resting
         is_left = position not in self._moved and not is_resting
-        fits = self._view.rates[position] <= self._budget
+        # A single key may have more of the load than the budget. It may move
+        # while nothing else does.
+        is_first = not self._moved and self._view.unserved_rate <= self._idle
+        fits = is_first or self._view.rates[position] <= self._budget
         return self.excess > 0 and is_left and fits
 
     def _after(self, member: Member, rate: float) -> float:
