Forget loads of keys sooner

Cause: a key that was busy for 4 s was moved twice after that, by its decayed load, and a key that became busy was divided 0.9 s later. The long half-life kept chance small; the moves leave out chance by themselves now. Change: the weight of a report halves in 800 ms.

--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -12,7 +12,7 @@
 
 #: Time in which the weight of an old report halves. Busy keys change within
 #: seconds; a shorter time would take chance for a change.
-_HALF_LIFE_MS: Final = 1500
+_HALF_LIFE_MS: Final = 800
 #: Sum of the weights of one request each second.
 _FULL_WEIGHT_S: Final = _HALF_LIFE_MS / MS_PER_S / math.log(2)
 #: Time that the first report covers.
