Keep the place of a request that asks again

A request that waits asks again each 300 ms; it was judged anew as if all that wait came before it, while newcomers with more time left were let in. Change: a request that waits keeps its place. Only requests before it in the order of turns count, on arrival and while it waits late. The log of a request shows its deadline.

--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections import Counter
 from dataclasses import dataclass
 from typing import Final
 
@@ -116,6 +116,12 @@
         self._waiting.append(ask)
         return decision
 
+    def is_waiting(self, vm: str, number: int) -> bool:
+        """Return whether a request waits here."""
+        return any(
+            (one.vm, one.number) == (vm, number) for one in self._waiting
+        )
+
     def withdraw(self, vm: str, number: int) -> None:
         """Forget a request that waits."""
         self._waiting = [
@@ -125,10 +131,16 @@
     def decide_waiting(self, now: int) -> list[tuple[Ask, Grant | Refuse]]:
         """Return the decisions that became possible."""
         decided: list[tuple[Ask, Grant | Refuse]] = []
-        kept = []
-        for ask in self._sort_waiting(now):
+        kept: list[Ask] = []
+        ahead: Counter[str] = Counter()
+        in_turn = sorted(self._waiting, key=lambda one: self._rank(one, now))
+        for ask in in_turn:
+            queue = self._name_queue(ask)
             decision = self._decide(ask, now)
             if isinstance(decision, Wait):
+                decision = self._review(ask, ahead[queue], now)
+            if isinstance(decision, Wait):
+                ahead[queue] += 1
                 kept.append(ask)
             else:
                 decided.append((ask, decision))
@@ -202,14 +214,6 @@
             cost += left_ms * _REMOTE_SHARE
         return cost * (1 + self._generator.random() / 8)
 
-    def _sort_waiting(self, now: int) -> list[Ask]:
-        """Return the requests that wait in the order of their turns."""
-        ranked = [
-            (self._rank(ask, now), position)
-            for position, ask in enumerate(self._waiting)
-        ]
-        return [self._waiting[position] for _, position in sorted(ranked)]
-
     def _rank(self, ask: Ask, now: int) -> tuple[bool, int, int]:
         """Return the position of a request among those that wait.
 
@@ -224,30 +228,45 @@
         is_late = now + safe_ms > ask.target_ms
         return (is_late, ask.rank, ask.target_ms)
 
-    def _service_ms(self, ask: Ask) -> float:
-        servers = self._list_servers(ask)
-        return min(
-            (self._health_of(one).service_ms for one in servers),
-            default=0,
-        )
-
     def _list_servers(self, ask: Ask) -> list[Upstream]:
         view = self.view
         return (view and self._find_servers(ask, view)) or []
 
     def _is_hopeless(self, ask: Ask, now: int) -> bool:
         """Return whether a request would not be served in its time."""
+        queue = self._name_queue(ask)
+        rank = self._rank(ask, now)
+        ahead = sum(
+            1
+            for other in self._waiting
+            if self._name_queue(other) == queue
+            and self._rank(other, now) <= rank
+        )
+        return self._exceeds(ask, ahead, now)
+
+    def _review(self, ask: Ask, ahead: int, now: int) -> Wait | Refuse:
+        """Decide again on a request that waits.
+
+        One that is late is overtaken by those that can still be in time.
+        """
+        is_late, _, _ = self._rank(ask, now)
+        if is_late and self._exceeds(ask, ahead, now):
+            return Refuse(Why.OVERLOADED)
+        return Wait()
+
+    def _exceeds(self, ask: Ask, ahead: int, now: int) -> bool:
+        """Return whether a request needs more time than it has."""
         servers = self._list_servers(ask)
         if not servers:
             return False
-        mine = frozenset(map(process_of, servers))
-        ahead = sum(1 for other in self._waiting if self._shares(other, mine))
-        rate = sum(self._health_of(one).rate for one in servers)
-        expected_ms = (ahead + 1) / rate + self._service_ms(ask)
-        left_ms = ask.give_up_ms - now
-        return expected_ms > left_ms * _HOPEFUL_SHARE
-
-    def _shares(self, ask: Ask, processes: Iterable[Process]) -> bool:
-        """Return whether a request competes for some of these processes."""
-        theirs = frozenset(map(process_of, self._list_servers(ask)))
-        return not theirs.isdisjoint(processes)
+        found = [self._health_of(one) for one in servers]
+        rate = sum(health.rate for health in found)
+        service_ms = min(health.service_ms for health in found)
+        expected_ms = (ahead + 1) / rate + service_ms
+        return expected_ms > (ask.give_up_ms - now) * _HOPEFUL_SHARE
+
+    def _name_queue(self, ask: Ask) -> str:
+        """Return what requests that compete for the same slots share."""
+        if self.view is None:
+            return ask.service
+        return self.view.name_queue(ask.service, ask.number, ask.key)
--- a/src/ibisjunction/entry/model.py
+++ b/src/ibisjunction/entry/model.py
@@ -42,6 +42,13 @@
     deadline_ms: int | None
     key: int | None
 
+    @property
+    def deadline_in_ms(self) -> int | None:
+        """How long the caller said it would wait, from the arrival on."""
+        if self.deadline_ms is None:
+            return None
+        return self.deadline_ms - self.arrived_ms
+
 
 class Why(enum.Enum):
     """Why a request was not answered by an upstream; shown to callers."""
--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -397,4 +397,5 @@
         'version': routed.route.version,
         'rank': routed.route.route.rank,
         'key': routed.request.key if routed.is_sharded else '',
+        'deadline_in_ms': routed.request.deadline_in_ms,
     }
--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -168,11 +168,8 @@
         """
         view = self._dispatcher.view
         group = ask.service
-        if view is not None and ask.key is not None:
-            owner = view.find_owner(ask.service, ask.key)
-            group = owner.upstream if owner else group
-        elif view is not None:
-            group = view.name_group(ask.service, ask.number)
+        if view is not None:
+            group = view.name_queue(ask.service, ask.number, ask.key)
         vms = [vm for vm in self._vms if now >= self._distrusted.get(vm, 0)]
         return max(
             vms,
@@ -185,9 +182,9 @@
         key = (ask.vm, ask.number)
         if key in self._books.tickets:
             return
-        # An ask that is repeated replaces the one before.
-        self._dispatcher.withdraw(*key)
-        decision = self._dispatcher.ask(ask, now)
+        # A request that asks again keeps its place.
+        is_waiting = self._dispatcher.is_waiting(*key)
+        decision = Wait() if is_waiting else self._dispatcher.ask(ask, now)
         if isinstance(decision, Wait):
             if ask.vm != self._vm:
                 self._peers.send(ask.vm, TicketQueued(ask.number))
--- a/src/ibisjunction/entry/view.py
+++ b/src/ibisjunction/entry/view.py
@@ -76,8 +76,14 @@
         groups = self._groups.get(service, [])
         return groups[number % len(groups)] if groups else []
 
-    def name_group(self, service: str, number: int) -> str:
-        """Return the name of the group of a request with this number."""
+    def name_queue(self, service: str, number: int, key: int | None) -> str:
+        """Return the name that requests for the same upstreams share.
+
+        That is the owner of a key, or the group of a request with this number.
+        """
+        if key is not None:
+            owner = self.find_owner(service, key)
+            return owner.upstream if owner else service
         groups = self._groups.get(service, [])
         return f'{service}/{number % len(groups)}' if groups else service
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -154,6 +154,37 @@
         ]
         self.assertEqual(decisions[-1], Refuse(Why.OVERLOADED))
 
+    @parameterized.expand(
+        [
+            ('after less urgent ones', {'rank': 2}, {'rank': 0}, Wait()),
+            ('after as urgent ones', {}, {}, Refuse(Why.OVERLOADED)),
+        ]
+    )
+    def test_only_those_before_it_count(self, _name, others, own, expected):
+        """Guards against urgent requests refused because of a flood."""
+        dispatcher = make_dispatcher()
+        for number in range(20):
+            dispatcher.ask(make_ask(number, **others), 0)
+        last = make_ask(20, target_ms=600, **own)
+        self.assertEqual(dispatcher.ask(last, 0), expected)
+
+    def test_order_expects_more_than_a_usual_service_time(self):
+        """Guards against sends that are just too late, one after another."""
+        dispatcher = make_dispatcher()
+        for number in range(12):
+            grant = dispatcher.ask(make_ask(number, key=1), 0)
+            latency_ms = 300 if number % 2 else 100
+            report = Report(Result.ANSWERED, latency_ms)
+            dispatcher.finish(grant.upstream, report, 0)
+        grant = dispatcher.ask(make_ask(20, key=1), 0)
+        for number, target_ms in ((21, 500), (22, 700)):
+            ask = make_ask(number, key=1, target_ms=target_ms)
+            self.assertEqual(dispatcher.ask(ask, 0), Wait())
+        report = Report(Result.ANSWERED, 100)
+        dispatcher.finish(grant.upstream, report, 250)
+        decided = dispatcher.decide_waiting(250)
+        self.assertEqual([ask.number for ask, _ in decided], [22])
+
     def test_upstream_that_was_slow_is_tried_again(self):
         """Guards against keys that are refused for good after a slow spell.
 
@@ -277,6 +308,20 @@
         self.tick(100)
         self.assertIsInstance(reply.take_waiting()[0], Grant)
 
+    def test_request_that_asks_again_keeps_its_place(self):
+        """Guards against a refusal for the sake of those that came later.
+
+        Seen on cdcg-ibis quiet-1: requests for a busy key were refused after
+        300, 600 and 900 ms, each time they asked again.
+        """
+        replies = [self.ask(vm, 1) for vm in ('e1', 'e2', 'e3')]
+        replies += [self.ask('e1', number) for number in range(2, 7)]
+        waiting = [reply for reply in replies if reply.is_empty]
+        for _ in range(30):
+            self.tick(10)
+        self.assertEqual(len(waiting), 6)
+        self.assertTrue(all(reply.is_empty for reply in waiting))
+
     def test_ticket_that_is_not_returned(self):
         """Guards against a slot that a lost VM keeps for good."""
         for vm in ('e1', 'e2'):
