Keep the holds of the parts of a divided shard

Cause: the hold of a part was copied when the division was proposed. An answer between that and the commit renews the whole shard for longer, so a part of a silent owner could be given away while it was still held. Change: parts take over the hold when the division is committed; divisions keep within the shards that an answer to a check-in has room for; an idle region beside a busy bucket is cut off too.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -20,7 +20,7 @@
 _MAX_SHARDS: Final = 1024
 #: Shards that one upstream may have. An answer to a check-in is at most 4 KiB,
 #: and a shard takes 27 bytes of it, or 43 with the token of a hand-over.
-_MAX_OWNED: Final = 90
+MAX_OWNED: Final = 90
 #: Utilisation below which an upstream keeps its shards: requests rarely wait.
 _CALM: Final = 0.3
 #: An upstream gives shards away above this multiple of the mean utilisation.
@@ -186,7 +186,7 @@
     fullness = _FULL + _FULLNESS_PER_INTERVAL * max(0, waited_intervals - 1)
     fair = view.rate * taker.capacity / view.capacity
     room = fair * fullness - view.load_on(taker)
-    limit = _MAX_OWNED - len(view.owned_by(taker))
+    limit = MAX_OWNED - len(view.owned_by(taker))
     taken: list[int] = []
     for is_promised, rate, first in free:
         if len(taken) >= limit:
@@ -203,13 +203,10 @@
     """Return an owner's shards that are too busy to be moved as a whole."""
     if not view.is_busy(owner):
         return []
-    positions = view.owned_by(owner)
-    if len(positions) >= _MAX_OWNED:
-        return []
     limit = find_split_limit(view, owner)
     return [
         view.shards[position]
-        for position in positions
+        for position in view.owned_by(owner)
         if view.rates[position] > limit
         and view.shards[position].last > view.shards[position].first
     ]
@@ -252,7 +249,7 @@
         for member in view.members
         if _TAKE_AFTER_MS <= member.next_ms - now <= _TAKE_BEFORE_MS
         and member is not giver
-        and len(view.owned_by(member)) < _MAX_OWNED
+        and len(view.owned_by(member)) < MAX_OWNED
     ]
 
 
@@ -361,11 +358,12 @@
         for shard, rate in zip(view.shards, view.rates, strict=True)
         if not shard.owner and shard.first not in reserved
     ]
-    return sorted(
-        free,
-        key=lambda one: (one[0], round(one[1], _RATE_DIGITS), _scatter(one[2])),
-        reverse=True,
-    )
+    return sorted(free, key=_order_free, reverse=True)
+
+
+def _order_free(free: tuple[bool, float, int]) -> tuple[bool, float, int]:
+    is_promised, rate, first = free
+    return (is_promised, round(rate, _RATE_DIGITS), _scatter(first))
 
 
 def _scatter(first: int) -> int:
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -277,7 +277,7 @@
                 self._spreading[name] = Spreading(index, now)
             else:
                 self._spreading.pop(name, None)
-        self._keys.note_state(state, now)
+        self._keys.note_state(self.state, state, now)
 
     def _confirm(self, waiting: _Waiting, now: int) -> CallAnswer:
         match waiting.call:
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from ibisjunction.coordination.balance import (
+    MAX_OWNED,
     Member,
     ServiceView,
     choose_free,
@@ -26,13 +27,15 @@
     ReleaseShards,
     SplitShard,
 )
-from ibisjunction.fleet.model import FleetState, Shard, Upstream
+from ibisjunction.fleet.model import FleetState, Shard, Upstream, find_parts
 
 #: An upstream that has missed check-ins for this many intervals gets no keys.
 _SILENT_INTERVALS: Final = 2.5
 #: Time of the first upstream's check-in until the keys are divided, so that
 #: the others have checked in too.
 _GATHER_MS: Final = 2000
+#: Parts after the first one into which a shard is divided at once.
+_MAX_PARTS: Final = 8
 
 
 class KeyPlanner:
@@ -52,9 +55,21 @@
         self._gathering: dict[str, int] = {}
         self._free_since: dict[str, int] = {}
 
-    def note_state(self, state: FleetState, now: int) -> None:
-        """Remember since when shards have had no owner."""
+    def note_state(
+        self,
+        earlier: FleetState,
+        state: FleetState,
+        now: int,
+    ) -> None:
+        """Remember since when shards have had no owner, and whole holds.
+
+        An owner may hold the parts of a divided shard for as long as the last
+        answer before the division said.
+        """
         for service, shards in state.shards.items():
+            before = earlier.shards.get(service, ())
+            for whole, part in find_parts(before, shards):
+                self._liveness.copy_hold(service, whole.first, part.first)
             if all(shard.owner for shard in shards):
                 self._free_since.pop(service, None)
             else:
@@ -182,10 +197,15 @@
         """Yield the division of shards that are too busy to move whole."""
         for owner in view.members:
             limit = find_split_limit(view, owner) / 2
+            room = MAX_OWNED - len(view.owned_by(owner))
             for shard in find_large(view, owner):
-                starts = self._loads.find_starts(view.service, shard, limit)
-                for start in starts:
-                    self._liveness.copy_hold(view.service, shard.first, start)
+                starts = self._loads.find_starts(
+                    view.service,
+                    shard,
+                    limit,
+                    min(room, _MAX_PARTS),
+                )
+                room -= len(starts)
                 if starts:
                     yield SplitShard(view.service, shard.first, starts)
 
--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -27,10 +27,10 @@
 #: Part of the answers that are as fast as the service time; the others waited
 #: in the upstream's queue.
 _FAST_SHARE: Final = 0.35
+#: Requests that tell nothing about where a busy range begins or ends.
+_FEW: Final = 3
 #: Shortest time over which rates count, in seconds; no report is younger.
 _MIN_WEIGHT_S: Final = 0.1
-#: Parts after the first one into which a shard is divided at once.
-_MAX_PARTS: Final = 8
 #: Service time of an upstream that has not answered yet, in milliseconds.
 _FIRST_SERVICE_MS: Final = 200
 
@@ -122,19 +122,21 @@
         service: str,
         shard: Shard,
         limit: float,
+        most: int,
     ) -> tuple[int, ...]:
         """Return where to divide a shard into parts of limited load.
 
         A bucket that is busier than the limit becomes a part of its own.
 
         :param limit: requests each second of one part.
+        :param most: parts after the first one.
         :return: first keys of the parts after the first one.
         """
-        wanted = limit * _weight_s(self._loads[service])
+        wanted = max(_FEW, limit * _weight_s(self._loads[service]))
         starts: set[int] = set()
-        part = 0.0
+        part: float = 0
         for start, requests in self._list_inside(service, shard):
-            if part and part + requests > wanted:
+            if part + requests > wanted:
                 starts.add(start)
                 part = 0
             part += requests
@@ -143,7 +145,7 @@
                 part = 0
         fitting = (key for key in sorted(starts) if shard.first < key)
         inside = itertools.takewhile(lambda key: key <= shard.last, fitting)
-        return tuple(itertools.islice(inside, _MAX_PARTS))
+        return tuple(itertools.islice(inside, max(0, most)))
 
     def _list_inside(
         self,
--- a/src/ibisjunction/fleet/model.py
+++ b/src/ibisjunction/fleet/model.py
@@ -1,5 +1,6 @@
 """Upstreams and the key ranges that they own."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -55,6 +56,20 @@
 Shards = tuple[Shard, ...]
 
 
+def find_parts(before: Shards, after: Shards) -> Iterator[tuple[Shard, Shard]]:
+    """Yield each shard that a division added, after the one it was part of.
+
+    Both arguments list all keys of one service by their first keys.
+    """
+    wholes = {shard.first: shard for shard in before}
+    whole: Shard | None = None
+    for shard in after:
+        found = wholes.get(shard.first)
+        if found is None and whole is not None:
+            yield whole, shard
+        whole = found or whole
+
+
 @dataclass(frozen=True)
 class FleetState:
     """All state that the replicated log yields; never changed in place.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -18,7 +18,7 @@
 LATER = NOW + 900
 
 
-def make_view(owners, rates, next_times=None):
+def make_view(owners, rates, next_times=None, **fields):
     """Return a view: a shard of 10 keys for each letter of ``owners``.
 
     A dot is a shard without an owner; members are ``a``, ``b`` and ``c``.
@@ -37,7 +37,7 @@
         )
         for position, owner in enumerate(owners)
     )
-    return ServiceView('s', shards, list(map(float, rates)), members)
+    return ServiceView('s', shards, list(map(float, rates)), members, **fields)
 
 
 class MoveTest(unittest.TestCase):
@@ -54,11 +54,7 @@
     )
     def test_move(self, _name, owners, rates, expected):
         view = make_view(owners, rates)
-        found = [
-            (move.taker.upstream.upstream, move.firsts)
-            for move in plan_moves(view, view.members[0], NOW)
-        ]
-        self.assertEqual(found, expected)
+        self.assertEqual(self._find_moves(view), expected)
 
     def test_taker_checks_in_soon(self):
         """Guards against keys that wait for a check-in after they are free."""
@@ -66,6 +62,58 @@
         view = make_view('aaaabc', (2, 2, 2, 2, 1, 1), times)
         self.assertEqual(plan_moves(view, view.members[0], NOW), [])
 
+    @parameterized.expand(
+        [
+            ('none', {}, [('b', (0,))]),
+            ('a taker is promised another', {90: ('b', 1)}, [('c', (0,))]),
+            ('the shard moved just before', {0: None}, [('b', (10,))]),
+        ]
+    )
+    def test_moves_under_way(self, _name, under_way, expected):
+        """Guards against shards that several owners give to an idle one.
+
+        Seen on cdcg-ibis quiet-1: 11 shards went to one upstream at once, and
+        a busy range changed hands six times in six seconds.
+        """
+        view = make_view(
+            'aaaaaaaab.c',
+            (2,) * 8 + (1, 4, 1),
+            {'a': LATER, 'b': SOON, 'c': SOON},
+            promised={first: to for first, to in under_way.items() if to},
+            resting=frozenset(one for one, to in under_way.items() if not to),
+        )
+        self.assertEqual(self._find_moves(view), expected)
+
+    @parameterized.expand(
+        [
+            ('beside others', 'aaabc', (9, 2, 2, 1, 1), [('b', (10, 20))]),
+            ('on a slow owner', 'aaabc', (14, 1, 1, 1, 1), []),
+        ]
+    )
+    def test_busy_shard_stays(self, _name, owners, rates, expected):
+        """Guards against a wait of many requests where others can move."""
+        view = make_view(owners, rates)
+        self.assertEqual(self._find_moves(view), expected)
+
+    def test_several_takers(self):
+        """Guards against an excess that takes several check-ins to give up."""
+        times = {'a': LATER, 'b': SOON, 'c': SOON}
+        view = make_view('aaaaaabc', (1.5,) * 6 + (3, 3), times)
+        takers = {taker for taker, _ in self._find_moves(view)}
+        self.assertEqual(takers, {'b', 'c'})
+
+    @parameterized.expand([(100, [('b', (0,))]), (0.1, [])])
+    def test_chance_moves_nothing(self, weight_s, expected):
+        """Guards against moves because of a few requests."""
+        view = make_view('aaaabc', (2, 2, 2, 2, 1, 1), weight_s=weight_s)
+        self.assertEqual(self._find_moves(view), expected)
+
+    def _find_moves(self, view):
+        return [
+            (move.taker.upstream.upstream, move.firsts)
+            for move in plan_moves(view, view.members[0], NOW)
+        ]
+
     def test_busy_shard_is_divided(self):
         """Guards against a busy range that no upstream can take whole."""
         view = make_view('abc', (8, 1, 1))
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -20,8 +20,8 @@
 )
 from ibisjunction.coordination.coordinator import Coordinator, Propose, Reply
 from ibisjunction.coordination.timing import FleetTiming
-from ibisjunction.fleet.commands import AssignShards, UpdateItems
-from ibisjunction.fleet.model import LAST_KEY, FleetState
+from ibisjunction.fleet.commands import AssignShards, SplitShard, UpdateItems
+from ibisjunction.fleet.model import BUCKET_KEYS, LAST_KEY, FleetState
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.membership.messages import Heartbeat
 
@@ -231,6 +231,40 @@
         tokens = {grant.first: grant.handover for grant in answer.grants}
         self.assertEqual(tokens.get(shard.first), 'token')
 
+    def test_freed_range_passes_its_token_to_each_part(self):
+        """Guards against owners that start cold after a joint release.
+
+        An upstream names one token for neighbouring shards that it frees
+        together, and these may go to several others.
+        """
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        owned = state.list_owned(state.upstreams['u1'])
+        leader.call(make_check_in(30, is_draining=True))
+        freed = FreedRange(0, LAST_KEY, 'token')
+        leader.call(make_check_in(31, is_draining=True, freed=(freed,)))
+        shards = leader.coordinator.state.shards['reads']
+        tokens = {one.first: one.handover for one in shards}
+        self.assertEqual({tokens[one.first] for one in owned}, {'token'})
+
+    def test_parts_of_a_divided_shard_are_held_as_long(self):
+        """Guards against a part that is given away while it is still held.
+
+        The last answer before the division renewed the whole shard.
+        """
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        shard = state.list_owned(state.upstreams['u1'])[0]
+        leader.wait(4000)
+        leader.call(make_check_in(30))
+        middle = shard.first + BUCKET_KEYS
+        split = SplitShard('reads', shard.first, (middle,))
+        leader.run([Propose('split', split)])
+        leader.wait(4000)
+        shards = leader.coordinator.state.shards['reads']
+        owners = {one.first: one.owner for one in shards}
+        self.assertEqual(owners[middle], 'u1')
+
     def test_keys_in_work_are_not_free(self):
         """Guards against a second owner while the first still works."""
         leader = make_owner(('u1', 'u2'))
