--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -20,7 +20,12 @@
 )
 from ibisjunction.coordination.coordinator import Coordinator, Propose, Reply
 from ibisjunction.coordination.timing import FleetTiming
-from ibisjunction.fleet.commands import AssignShards, SplitShard, UpdateItems
+from ibisjunction.fleet.commands import (
+    AssignShards,
+    ReleaseShards,
+    SplitShard,
+    UpdateItems,
+)
 from ibisjunction.fleet.model import BUCKET_KEYS, LAST_KEY, FleetState
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.membership.messages import Heartbeat
@@ -265,6 +270,26 @@
         owners = {one.first: one.owner for one in shards}
         self.assertEqual(owners[middle], 'u1')
 
+    def test_freed_range_of_an_earlier_release_frees_nothing(self):
+        """Guards against a delayed check-in that frees keys which are held.
+
+        A new leader does not know which check-ins are late. One that named a
+        range as freed may arrive after its sender has got the range again.
+        """
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        shard = state.list_owned(state.upstreams['u1'])[0]
+        leader.elect()
+        release = ReleaseShards('reads', (shard.first,))
+        leader.run([Propose('release', release)])
+        freed = FreedRange(shard.first, shard.last, 'token')
+        leader.call(make_check_in(3, freed=(freed,)))
+        owners = {
+            one.first: one.owner
+            for one in leader.coordinator.state.shards['reads']
+        }
+        self.assertEqual(owners[shard.first], 'u1')
+
     def test_keys_in_work_are_not_free(self):
         """Guards against a second owner while the first still works."""
         leader = make_owner(('u1', 'u2'))
