--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -95,6 +95,15 @@
         view = make_view(owners, rates)
         self.assertEqual(self._find_moves(view), expected)
 
+    def test_finely_divided_excess_moves(self):
+        """Guards against an owner whose shards are each too small to move.
+
+        Seen on cdcg-ibis trouble-2: the owner of a busy range was divided for
+        12 s and gave away one shard, while a fifth of all reads was late.
+        """
+        view = make_view('a' * 20 + 'bc', (0.8,) * 20 + (1, 1))
+        self.assertGreater(len(self._find_moves(view)), 0)
+
     def test_several_takers(self):
         """Guards against an excess that takes several check-ins to give up."""
         times = {'a': LATER, 'b': SOON, 'c': SOON}
