Let small shards leave an overloaded upstream

Cause: a move had to lower the giver's utilisation by a tenth. Change: what counts is that the taker stays a tenth below what the giver was before. The giver's own fall is not compared any more; only the excess above its share bounds how much goes.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -25,7 +25,8 @@
 _CALM: Final = 0.3
 #: An upstream gives shards away above this multiple of the mean utilisation.
 _HIGH: Final = 1.2
-#: A move must lower the higher of the two utilisations to this part.
+#: The taker's utilisation after a move is at most this part of the giver's
+#: before it, so that a shard that is busy by itself does not go to and fro.
 _GAIN: Final = 0.9
 #: Part of a service's requests that may be without an owner because of moves.
 _MAX_MOVING: Final = 0.3
@@ -282,13 +283,16 @@
         return self._loads[process_of(self._giver)] - fair
 
     def try_to_move(self, position: int) -> None:
-        """Move a shard if that lowers the higher of two utilisations."""
+        """Move a shard if its taker stays less used than its giver was.
+
+        By how much the giver's utilisation falls does not count: a finely
+        divided range moves in many parts, each of which lowers it a little.
+        """
         rate = self._view.rates[position]
         if not self._is_movable(position) or not self._takers:
             return
         taker = min(self._takers, key=lambda one: self._after(one, rate))
-        after = max(self._after(taker, rate), self._after(self._giver, -rate))
-        if after > self._after(self._giver, 0) * _GAIN:
+        if self._after(taker, rate) > self._after(self._giver, 0) * _GAIN:
             return
         self._loads[process_of(taker)] += rate
         self._loads[process_of(self._giver)] -= rate
