Believe that keys were given up only after a check-in that showed them

Cause: a new leader does not know which check-ins are late. One that names a range as given up can be delayed until the range has been moved away and back; the leader then frees keys that its sender holds. Change: a range counts as given up if its sender said in an earlier check-in that it held it under the present fence. A leader remembers the last such check-in, and commits its sequence with the release, so that a successor can finish moves under way at once. The specification has a third part, in which the first owner has got the key back while a check-in of before is on its way, and one more seeded mistake; a leader may leave a free key free, and check-ins that are late for the present leader are kept for the next one. Two tests let their upstream show what it holds before it frees it, as real ones do; what they check is unchanged.

--- a/specs/check_in_grants.py
+++ b/specs/check_in_grants.py
@@ -1,16 +1,21 @@
 """Grants of one key that travel in the answers to check-ins.
 
 Upstreams 1 and 2 check in with a leader, which owns the decision who holds the
-key. Check-ins and answers may be delayed for any time; an upstream ignores the
-answer to an earlier check-in once it has used a later one. A second leader may
-replace the first at any moment; it knows what was committed and nothing else.
-
-Upstream 1 holds the key at the beginning. The model is explored in two parts,
-each exhaustively: ``election`` has a second leader, ``division`` has a shard
-that is divided once. A message that is never delivered stands for a lost one.
-
-Left out: a check-in that is delayed until its sender has given the key up and
-got it again. See KNOWN-RED.txt.
+key. Check-ins and answers may be delayed for any time. An upstream waits for
+one answer at a time: once it has sent a check-in, it uses no answer to an
+earlier one. A second leader may replace the first at any moment; it knows what
+was committed and nothing else.
+
+Upstream 1 holds the key at the beginning. The model is explored in parts, each
+exhaustively: ``election`` has a second leader, ``division`` a shard that is
+divided once, ``return`` a second leader and a delayed check-in of upstream 1
+that was sent before it got the key for the second time. A message that is
+never delivered stands for a lost one.
+
+A check-in that says that the key was given up may arrive after its sender has
+got the key again. So a leader believes one only if it was sent after another
+check-in in which its sender held the key under the present fence. The release
+carries that evidence to the next leader.
 
 Time passes in ticks. An upstream holds the key for one tick from when it sent
 the check-in, or two if its clock is slow. A division is proposed before it is
@@ -31,9 +36,12 @@
 _MAX_TIME: Final = 3
 #: Check-ins of upstream 1 and 2.
 _MAX_CHECK_INS: Final = (2, 1)
+#: Check-ins of upstream 1 before the beginning of ``return``; the first one is
+#: still on its way.
+_EARLIER: Final = 2
 _MAX_FENCE: Final = 3
 _UPSTREAMS: Final = (1, 2)
-PARTS: Final = ('election', 'division')
+PARTS: Final = ('election', 'division', 'return')
 
 
 class Mistake(enum.Enum):
@@ -46,15 +54,17 @@
     OLD_LEADER_ACTS = 'a leader answers after its successor was elected'
     SILENCE_IS_RELEASE = 'a released key is free before its owner says so'
     FENCE_REUSED = 'a new owner gets the fence of the one before'
+    FREED_BELIEVED = 'a leader believes each check-in that gave the key up'
     PART_TOO_EARLY = 'a part takes over the hold when it is proposed'
 
 
 class CheckIn(NamedTuple):
-    """A check-in on its way."""
+    """A check-in on its way; ``held`` is the fence of a held key, or 0."""
 
     upstream: int
     sequence: int
     sent: int
+    held: int
     is_freed: bool
 
 
@@ -90,7 +100,9 @@
 
     ``whole_until`` and ``part_until`` are what the leader believes of holds;
     the second counts once the shard ``is_divided``. ``proposed_until`` is the
-    belief when the division was proposed, -1 before that.
+    belief when the division was proposed, -1 before that. ``shown`` is the last
+    check-in in which the owner held the key, ``shown_before`` the one that was
+    committed with the release; both are 0 if there is none.
     """
 
     time: int = 0
@@ -102,6 +114,8 @@
     part_until: int = _HOLD + _SLOW_CLOCK
     proposed_until: int = -1
     is_divided: bool = False
+    shown: int = 0
+    shown_before: int = 0
     seen: tuple[int, int] = (0, 0)
     holders: tuple[Holder, Holder] = (_FIRST_HOLDER, Holder())
     check_ins: frozenset[CheckIn] = frozenset()
@@ -148,7 +162,22 @@
 
     def begin(self) -> World:
         """Return the first state; upstream 1 was just answered."""
-        return World(whole_until=self._limit, part_until=self._limit)
+        world = World(whole_until=self._limit, part_until=self._limit)
+        if self._part != 'return':
+            return world
+        holder = _FIRST_HOLDER._replace(
+            fence=2,
+            highest=2,
+            sequence=_EARLIER,
+            used=_EARLIER,
+        )
+        delayed = CheckIn(1, 1, sent=0, held=0, is_freed=True)
+        return world._replace(
+            fence=2,
+            seen=(_EARLIER, 0),
+            holders=(holder, Holder()),
+            check_ins=frozenset((delayed,)),
+        )
 
     def list_steps(self, state):
         """Return the label and the outcome of each possible step."""
@@ -160,7 +189,34 @@
             *self._receive(world),
             *self._use(world),
         ]
-        return [(label, (_without_dead(after),)) for label, after in found]
+        return [(label, (self._without_dead(after),)) for label, after in found]
+
+    def _without_dead(self, world) -> World:
+        """Leave out messages that nobody will use any more.
+
+        A leader that is not elected yet may use a check-in that is late for the
+        present one.
+        """
+        may_elect = world.term == 1 and self._part != 'division'
+        return world._replace(
+            check_ins=frozenset(
+                one
+                for one in world.check_ins
+                if may_elect or one.sequence > world.seen[one.upstream - 1]
+            ),
+            answers=frozenset(
+                one
+                for one in world.answers
+                if one.sequence == world.holders[one.upstream - 1].sequence
+                and one.sequence > world.holders[one.upstream - 1].used
+            ),
+            holders=tuple(
+                one
+                if one.until > world.time
+                else one._replace(until=0, fence=0)
+                for one in world.holders
+            ),
+        )
 
     def _pass_time(self, world) -> Iterator[tuple[str, World]]:
         if world.time < _MAX_TIME:
@@ -169,12 +225,16 @@
     def _send(self, world) -> Iterator[tuple[str, World]]:
         for upstream in _UPSTREAMS:
             holder = world.holders[upstream - 1]
-            if holder.sequence < _MAX_CHECK_INS[upstream - 1]:
+            limit = _MAX_CHECK_INS[upstream - 1]
+            if self._part == 'return' and upstream == 1:
+                limit += _EARLIER
+            if holder.sequence < limit:
                 sequence = holder.sequence + 1
                 check_in = CheckIn(
                     upstream,
                     sequence,
                     world.time,
+                    holder.fence if holder.until > world.time else 0,
                     holder.is_freed,
                 )
                 after = _with_holder(
@@ -187,12 +247,16 @@
 
     def _lead(self, world) -> Iterator[tuple[str, World]]:
         if world.owner and not world.is_releasing:
-            yield 'release', world._replace(is_releasing=True)
+            released = world._replace(
+                is_releasing=True,
+                shown_before=world.shown,
+            )
+            yield 'release', released
         is_over = world.time >= _until(world)
         hurries = self._mistake is Mistake.SILENCE_IS_RELEASE
         if world.owner and (is_over or (world.is_releasing and hurries)):
             yield 'free', _free(world)
-        if world.term == 1 and self._part == 'election':
+        if world.term == 1 and self._part != 'division':
             yield 'elect', self._elect(world)
         if self._part != 'division':
             return
@@ -212,6 +276,7 @@
         return world._replace(
             term=2,
             seen=(0, 0),
+            shown=0,
             whole_until=until,
             part_until=until,
         )
@@ -225,7 +290,8 @@
             seen = list(rest.seen)
             seen[position] = check_in.sequence
             rest = rest._replace(seen=tuple(seen))
-            yield 'answer', self._answer(rest, check_in)
+            yield 'answer', self._answer(rest, check_in, takes=True)
+            yield 'answer only', self._answer(rest, check_in, takes=False)
             is_late = self._mistake is Mistake.OLD_LEADER_ACTS
             if world.term == 2 and is_late and world.owner:
                 yield 'old leader answers', self._answer_late(world, check_in)
@@ -235,11 +301,14 @@
         fence = world.fence if world.owner == check_in.upstream else 0
         return _reply(world, check_in, fence)
 
-    def _answer(self, world, check_in) -> World:
+    def _answer(self, world, check_in, *, takes) -> World:
+        """Answer; the sender takes a free key if it ``takes`` one."""
         upstream = check_in.upstream
-        if world.owner == upstream and world.is_releasing and check_in.is_freed:
+        if world.owner == upstream and check_in.held == world.fence:
+            world = world._replace(shown=check_in.sequence)
+        if world.owner == upstream and self._is_given_up(world, check_in):
             world = _free(world)
-        if not world.owner and world.fence < _MAX_FENCE:
+        if takes and not world.owner and world.fence < _MAX_FENCE:
             grows = self._mistake is not Mistake.FENCE_REUSED
             world = world._replace(
                 owner=upstream,
@@ -255,11 +324,20 @@
             )
         return _reply(world, check_in, world.fence)
 
+    def _is_given_up(self, world, check_in) -> bool:
+        if not world.is_releasing or not check_in.is_freed or check_in.held:
+            return False
+        if self._mistake is Mistake.FREED_BELIEVED:
+            return True
+        shown = world.shown_before or world.shown
+        return 0 < shown < check_in.sequence
+
     def _use(self, world) -> Iterator[tuple[str, World]]:
         for answer in world.answers:
             rest = world._replace(answers=world.answers - {answer})
             holder = rest.holders[answer.upstream - 1]
-            if answer.sequence > holder.used:
+            is_latest = answer.sequence == holder.sequence
+            if is_latest and answer.sequence > holder.used:
                 yield 'use answer', _use_answer(rest, answer, holder)
 
 
@@ -292,30 +370,15 @@
     return after._replace(is_fence_reused=world.is_fence_reused or is_reused)
 
 
-def _without_dead(world) -> World:
-    """Leave out messages that nobody will use any more."""
+def _free(world) -> World:
     return world._replace(
-        check_ins=frozenset(
-            one
-            for one in world.check_ins
-            if one.sequence > world.seen[one.upstream - 1]
-        ),
-        answers=frozenset(
-            one
-            for one in world.answers
-            if one.sequence > world.holders[one.upstream - 1].used
-        ),
-        holders=tuple(
-            one if one.until > world.time else one._replace(until=0, fence=0)
-            for one in world.holders
-        ),
+        owner=0,
+        is_releasing=False,
+        shown=0,
+        shown_before=0,
     )
 
 
-def _free(world) -> World:
-    return world._replace(owner=0, is_releasing=False)
-
-
 def _reply(world, check_in, fence) -> World:
     answer = Answer(
         check_in.upstream,
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -69,7 +69,7 @@
         for service, shards in state.shards.items():
             before = earlier.shards.get(service, ())
             for whole, part in find_parts(before, shards):
-                self._liveness.copy_hold(service, whole.first, part.first)
+                self._liveness.copy_to_part(service, whole.first, part.first)
             if all(shard.owner for shard in shards):
                 self._free_since.pop(service, None)
             else:
@@ -83,9 +83,16 @@
         now: int,
     ) -> Iterator[FleetCommand]:
         """Yield what changes as an upstream checks in."""
+        for shard in state.list_owned(upstream):
+            if _holds(call, shard):
+                self._liveness.record_shown(
+                    call.service,
+                    shard,
+                    call.sequence,
+                )
         if upstream.is_draining:
             yield from self.plan_release_all(state, upstream)
-        freed = tuple(_find_freed(state, call, upstream))
+        freed = tuple(self._find_freed(state, call, upstream))
         if freed:
             yield FreeShards(call.service, freed)
         view = self._view(state, call.service, now)
@@ -100,13 +107,12 @@
         upstream: Upstream,
     ) -> Iterator[FleetCommand]:
         """Yield the release of all keys of an upstream that leaves."""
-        firsts = tuple(
-            shard.first
+        owned = [
+            shard
             for shard in state.list_owned(upstream)
             if not shard.is_releasing
-        )
-        if firsts:
-            yield ReleaseShards(upstream.service, firsts)
+        ]
+        yield from self._release(upstream.service, owned)
 
     def plan_service(
         self,
@@ -189,9 +195,55 @@
         moves = plan_moves(view, giver, now)
         for move in moves:
             self._reservations.add(view.service, move.firsts, move.taker, now)
-        if moves:
-            firsts = tuple(first for move in moves for first in move.firsts)
-            yield ReleaseShards(view.service, firsts)
+        firsts = {first for move in moves for first in move.firsts}
+        moved = [shard for shard in view.shards if shard.first in firsts]
+        yield from self._release(view.service, moved)
+
+    def _release(
+        self,
+        service: str,
+        shards: list[Shard],
+    ) -> Iterator[FleetCommand]:
+        """Yield the release of shards of one owner.
+
+        Those that the owner has not yet said it holds are released apart from
+        the others, because their release names no check-in.
+        """
+        shown = {
+            shard.first: self._liveness.find_shown(service, shard)
+            for shard in shards
+        }
+        known = [first for first in shown if shown[first] is not None]
+        unknown = [first for first in shown if shown[first] is None]
+        if known:
+            latest = max(shown[first] or 0 for first in known)
+            yield ReleaseShards(service, tuple(known), latest)
+        if unknown:
+            yield ReleaseShards(service, tuple(unknown))
+
+    def _find_freed(
+        self,
+        state: FleetState,
+        call: CheckIn,
+        upstream: Upstream,
+    ) -> Iterator[FreedShard]:
+        """Find the shards that a process was told to release and has.
+
+        A check-in may arrive long after it was sent, and a range that it names
+        as freed may have come back to its sender. So only one counts that was
+        sent after another in which the sender held the shard.
+        """
+        for shard in state.list_owned(upstream):
+            shown = self._liveness.find_shown(call.service, shard)
+            if not shard.is_releasing or shown is None:
+                continue
+            is_held = any(
+                _overlaps(held.first, held.last, shard) for held in call.holds
+            )
+            freed = _find_covering(call, shard)
+            is_later = call.sequence > shown
+            if is_later and freed is not None and not is_held:
+                yield freed
 
     def _plan_splits(self, view: ServiceView) -> Iterator[FleetCommand]:
         """Yield the division of shards that are too busy to move whole."""
@@ -241,22 +293,6 @@
         )
 
 
-def _find_freed(
-    state: FleetState,
-    call: CheckIn,
-    upstream: Upstream,
-) -> Iterator[FreedShard]:
-    """Find the shards that a process was told to release and has."""
-    for shard in state.list_owned(upstream):
-        is_held = any(
-            _overlaps(held.first, held.last, shard) for held in call.holds
-        )
-        if shard.is_releasing and not is_held:
-            freed = _find_covering(call, shard)
-            if freed is not None:
-                yield freed
-
-
 def _find_covering(call: CheckIn, shard: Shard) -> FreedShard | None:
     """Return a shard as freed if a range that was given up covers it.
 
--- a/src/ibisjunction/coordination/liveness.py
+++ b/src/ibisjunction/coordination/liveness.py
@@ -3,9 +3,7 @@
 from dataclasses import dataclass, field
 
 from ibisjunction.coordination.calls import CheckIn
-from ibisjunction.fleet.model import Shard, Upstream
-
-Process = tuple[str, int]
+from ibisjunction.fleet.model import Process, Shard, Upstream
 
 
 @dataclass(slots=True)
@@ -28,6 +26,10 @@
     hold_limit_ms: int
     _seen: dict[Process, _Seen] = field(default_factory=dict)
     _held_until: dict[tuple[str, int], int] = field(default_factory=dict)
+    #: Fence and sequence of the last check-in that named a shard as held.
+    _shown: dict[tuple[str, int], tuple[int, int]] = field(
+        default_factory=dict,
+    )
 
     def is_late(self, check_in: CheckIn) -> bool:
         """Return whether a later check-in of the process was seen before."""
@@ -41,7 +43,7 @@
 
     def silent_ms(self, upstream: Upstream, now: int) -> int:
         """Return how long ago a process checked in, as far as known."""
-        seen = self._seen.get((upstream.upstream, upstream.born))
+        seen = self._seen.get(upstream.process)
         if seen is None:
             return now - self.started_ms
         return now - seen.at_ms
@@ -56,8 +58,26 @@
         default = self.started_ms + self.hold_limit_ms
         return now < self._held_until.get((service, shard.first), default)
 
-    def copy_hold(self, service: str, first: int, start: int) -> None:
-        """Let the part of a shard that begins at ``start`` keep its hold."""
+    def record_shown(self, service: str, shard: Shard, sequence: int) -> None:
+        """Note that the owner said in a check-in that it holds a shard."""
+        self._shown[(service, shard.first)] = (shard.fence, sequence)
+
+    def find_shown(self, service: str, shard: Shard) -> int | None:
+        """Return the sequence of a check-in in which the owner held a shard.
+
+        Check-ins before that one say nothing of whether it gave the shard up:
+        they may have been sent before it got the shard.
+        """
+        if shard.shown is not None:
+            return shard.shown
+        fence, sequence = self._shown.get((service, shard.first), (None, None))
+        return sequence if fence == shard.fence else None
+
+    def copy_to_part(self, service: str, first: int, start: int) -> None:
+        """Let a part that begins at ``start`` keep what is known of a shard."""
         until = self._held_until.get((service, first))
         if until is not None:
             self._held_until[(service, start)] = until
+        shown = self._shown.get((service, first))
+        if shown is not None:
+            self._shown[(service, start)] = shown
--- a/src/ibisjunction/fleet/commands.py
+++ b/src/ibisjunction/fleet/commands.py
@@ -60,10 +60,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseShards:
-    """Stops requests for shards, named by their first keys, before a move."""
+    """Stops requests for shards, named by their first keys, before a move.
+
+    ``shown`` is the sequence of a check-in of their owner; in that one or an
+    earlier one it said of each of the shards that it holds it.
+    """
 
     service: str
     firsts: tuple[int, ...]
+    shown: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/fleet/model.py
+++ b/src/ibisjunction/fleet/model.py
@@ -14,6 +14,10 @@
 BUCKET_KEYS: Final = 8
 
 
+#: Name and start of a process of an upstream.
+Process = tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """One process of an upstream.
@@ -30,14 +34,21 @@
     slots: int
     is_draining: bool = False
 
+    @property
+    def process(self) -> Process:
+        """What tells this process from earlier ones of its name."""
+        return (self.upstream, self.born)
+
 
 @dataclass(frozen=True, slots=True)
 class Shard:
     """A range of keys, both ends included, and the process that owns it.
 
     ``fence`` grows with each change of owner. A shard that ``is_releasing``
-    gets no requests. ``handover`` is the token with which its last holder
-    passed it on; an owner that gets none starts cold.
+    gets no requests; ``shown`` is then the sequence of a check-in in which its
+    owner said that it holds the shard, if there was one before the release.
+    ``handover`` is the token with which the last holder passed the shard on;
+    an owner that gets none starts cold.
     """
 
     first: int
@@ -47,10 +58,11 @@
     fence: int = 0
     is_releasing: bool = False
     handover: str = ''
+    shown: int | None = None
 
     def is_owned_by(self, upstream: Upstream) -> bool:
         """Return whether this process owns the shard."""
-        return (self.owner, self.born) == (upstream.upstream, upstream.born)
+        return (self.owner, self.born) == upstream.process
 
 
 Shards = tuple[Shard, ...]
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -145,8 +145,8 @@
 ) -> FleetState:
     held = state.shards.get(command.service, ())
     match command:
-        case ReleaseShards(firsts=firsts):
-            changed = _map(held, firsts, _release)
+        case ReleaseShards(firsts=firsts, shown=shown):
+            changed = _map(held, firsts, functools.partial(_release, shown))
         case FreeShards(freed=freed):
             tokens = {entry.first: entry for entry in freed}
             changed = tuple(
@@ -182,8 +182,10 @@
     )
 
 
-def _release(shard: Shard) -> Shard:
-    return replace(shard, is_releasing=True) if shard.owner else shard
+def _release(shown: int | None, shard: Shard) -> Shard:
+    if not shard.owner or shard.is_releasing:
+        return shard
+    return replace(shard, is_releasing=True, shown=shown)
 
 
 def _assign(owner: Upstream, fence: int, shard: Shard) -> Shard:
@@ -195,6 +197,7 @@
         born=owner.born,
         fence=fence,
         is_releasing=False,
+        shown=None,
     )
 
 
@@ -205,4 +208,5 @@
         born=0,
         is_releasing=False,
         handover=handover,
+        shown=None,
     )
--- a/tests/test_check_in_grants_spec.py
+++ b/tests/test_check_in_grants_spec.py
@@ -29,6 +29,7 @@
             (Mistake.OLD_LEADER_ACTS, 'election', 'one holder'),
             (Mistake.SILENCE_IS_RELEASE, 'election', 'one holder'),
             (Mistake.FENCE_REUSED, 'election', 'fences grow'),
+            (Mistake.FREED_BELIEVED, 'return', 'one holder'),
             (Mistake.PART_TOO_EARLY, 'division', 'one holder'),
         ]
     )
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -128,6 +128,14 @@
         self.run(self.coordinator.answer_ready(self.now))
 
 
+def make_holds(state, name='u1'):
+    """Return what an upstream that holds all that it owns reports."""
+    return tuple(
+        HeldRange(shard.first, shard.last, shard.fence)
+        for shard in state.list_owned(state.upstreams[name])
+    )
+
+
 def make_owner(names=('u1',)):
     """Return a leader whose upstreams have taken all keys."""
     leader = Leader()
@@ -228,7 +236,8 @@
         leader = make_owner(('u1', 'u2'))
         state = leader.coordinator.state
         shard = state.list_owned(state.upstreams['u1'])[0]
-        leader.call(make_check_in(30, is_draining=True))
+        holds = make_holds(state)
+        leader.call(make_check_in(30, is_draining=True, holds=holds))
         freed = FreedRange(shard.first, shard.last, 'token')
         leader.call(make_check_in(31, is_draining=True, freed=(freed,)))
         leader.wait(100)
@@ -245,7 +254,8 @@
         leader = make_owner(('u1', 'u2'))
         state = leader.coordinator.state
         owned = state.list_owned(state.upstreams['u1'])
-        leader.call(make_check_in(30, is_draining=True))
+        holds = make_holds(state)
+        leader.call(make_check_in(30, is_draining=True, holds=holds))
         freed = FreedRange(0, LAST_KEY, 'token')
         leader.call(make_check_in(31, is_draining=True, freed=(freed,)))
         shards = leader.coordinator.state.shards['reads']
@@ -290,6 +300,43 @@
         }
         self.assertEqual(owners[shard.first], 'u1')
 
+    @parameterized.expand(
+        [
+            ('sent before the grant', None, 3, False),
+            ('sent before the release', 30, 29, False),
+            ('of a release that an earlier leader began', 30, 31, True),
+        ]
+    )
+    def test_new_leader_takes_freed_keys(self, _name, shown, sequence, taken):
+        """Guards against keys that wait for a hold to end after an election.
+
+        A check-in counts as late if it was sent before the one in which the
+        owner showed that it held the keys, whichever leader took that one.
+        """
+        leader = make_owner(('u1', 'u2'))
+        state = leader.coordinator.state
+        shard = state.list_owned(state.upstreams['u1'])[0]
+        release = ReleaseShards('reads', (shard.first,), shown)
+        leader.run([Propose('release', release)])
+        leader.elect()
+        freed = FreedRange(shard.first, shard.last, 'token')
+        leader.call(make_check_in(sequence, freed=(freed,)))
+        tokens = {
+            one.first: one.handover
+            for one in leader.coordinator.state.shards['reads']
+        }
+        self.assertEqual(tokens[shard.first] == 'token', taken)
+
+    @parameterized.expand([('held', True, 40), ('not held yet', False, None)])
+    def test_release_names_the_check_in(self, _name, is_held, expected):
+        """Guards against a successor that can't tell late check-ins."""
+        leader = make_owner(('u1', 'u2'))
+        holds = make_holds(leader.coordinator.state) if is_held else ()
+        leader.call(make_check_in(40, is_draining=True, holds=holds))
+        state = leader.coordinator.state
+        owned = state.list_owned(state.upstreams['u1'])
+        self.assertEqual({one.shown for one in owned}, {expected})
+
     def test_keys_in_work_are_not_free(self):
         """Guards against a second owner while the first still works."""
         leader = make_owner(('u1', 'u2'))
