Split the balance and the entry server into smaller modules

Change: coordination/ has moves.py (what an upstream gives up) and service_view.py (one service as the balance sees it) beside balance.py; entry/ has answers.py and reports.py beside server.py. Process belongs to fleet/model.py. Waiting requests are ranked once a pass, and ended moves are forgotten in one place.

--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -4,19 +4,21 @@
 from typing import Final
 
 from ibisjunction.coordination.balance import (
-    MAX_OWNED,
-    Member,
-    ServiceView,
     choose_free,
     count_shards,
     find_large,
     find_split_limit,
-    plan_moves,
 )
 from ibisjunction.coordination.calls import CheckIn, GrantedRange
 from ibisjunction.coordination.liveness import Liveness
 from ibisjunction.coordination.loads import LoadBook
+from ibisjunction.coordination.moves import plan_moves
 from ibisjunction.coordination.reservations import Reservations
+from ibisjunction.coordination.service_view import (
+    MAX_OWNED,
+    Member,
+    ServiceView,
+)
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AssignShards,
--- a/src/ibisjunction/coordination/reservations.py
+++ b/src/ibisjunction/coordination/reservations.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.coordination.balance import Member, Process
-from ibisjunction.fleet.model import Upstream
+from ibisjunction.coordination.service_view import Member
+from ibisjunction.fleet.model import Process, Upstream
 
 #: Time after the expected check-in from which any upstream may take the shard.
 _GRACE_MS: Final = 200
@@ -15,8 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Reservation:
-    upstream: str
-    born: int
+    process: Process
     until_ms: int
 
 
@@ -37,19 +36,9 @@
         now: int,
     ) -> None:
         """Reserve shards until the taker's next check-in."""
-        self._reserved = {
-            key: kept
-            for key, kept in self._reserved.items()
-            if now < kept.until_ms
-        }
-        self._moved_ms = {
-            key: moved_ms
-            for key, moved_ms in self._moved_ms.items()
-            if now < moved_ms + _REST_MS
-        }
+        self._forget_ended(now)
         reservation = _Reservation(
-            taker.upstream.upstream,
-            taker.upstream.born,
+            taker.process,
             taker.next_ms + _GRACE_MS,
         )
         for first in firsts:
@@ -61,7 +50,7 @@
         return [
             first
             for first, reservation in self._list(service, now)
-            if _is_for(reservation, upstream)
+            if reservation.process == upstream.process
         ]
 
     def of_others(
@@ -74,34 +63,39 @@
         return [
             first
             for first, reservation in self._list(service, now)
-            if not _is_for(reservation, upstream)
+            if reservation.process != upstream.process
         ]
 
     def list_takers(self, service: str, now: int) -> dict[int, Process]:
         """Return the process that each reserved shard is kept for."""
         return {
-            first: (reservation.upstream, reservation.born)
+            first: reservation.process
             for first, reservation in self._list(service, now)
         }
 
     def list_recent(self, service: str, now: int) -> frozenset[int]:
         """Return the first keys of shards that were moved a short time ago."""
+        self._forget_ended(now)
         return frozenset(
-            first
-            for (name, first), moved_ms in self._moved_ms.items()
-            if name == service and now < moved_ms + _REST_MS
+            first for name, first in self._moved_ms if name == service
         )
 
     def _list(self, service: str, now: int) -> list[tuple[int, _Reservation]]:
+        self._forget_ended(now)
         return [
             (first, reservation)
             for (name, first), reservation in self._reserved.items()
-            if name == service and now < reservation.until_ms
+            if name == service
         ]
 
-
-def _is_for(reservation: _Reservation, upstream: Upstream) -> bool:
-    return (reservation.upstream, reservation.born) == (
-        upstream.upstream,
-        upstream.born,
-    )
+    def _forget_ended(self, now: int) -> None:
+        self._reserved = {
+            key: kept
+            for key, kept in self._reserved.items()
+            if now < kept.until_ms
+        }
+        self._moved_ms = {
+            key: moved_ms
+            for key, moved_ms in self._moved_ms.items()
+            if now < moved_ms + _REST_MS
+        }
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -6,6 +6,7 @@
 then the late ones. One that can't be served in its time is refused at once.
 """
 
+import operator
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -14,7 +15,7 @@
 from ibisjunction.entry.health import Report, UpstreamHealth
 from ibisjunction.entry.model import Why
 from ibisjunction.entry.view import FleetView
-from ibisjunction.fleet.model import Upstream
+from ibisjunction.fleet.model import Process, Upstream
 
 #: Part of the time left until the target that a request may lose by staying
 #: in its failure domain.
@@ -30,8 +31,6 @@
 #: The expectation is rough, and a refused request comes back later.
 _HOPEFUL_SHARE: Final = 0.9
 
-Process = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -76,11 +75,6 @@
     avoided: frozenset[Process] = frozenset()
 
 
-def process_of(upstream: Upstream) -> Process:
-    """Return what names a process of an upstream."""
-    return (upstream.upstream, upstream.born)
-
-
 class Dispatcher:
     """The requests for some upstreams, and what is known of these."""
 
@@ -99,7 +93,7 @@
     def update_view(self, view: FleetView) -> None:
         """Take a new state of the fleet."""
         self.view = view
-        known = {process_of(one) for one in view.list_all()}
+        known = {one.process for one in view.list_all()}
         self._health = {
             process: health
             for process, health in self._health.items()
@@ -129,16 +123,22 @@
         ]
 
     def decide_waiting(self, now: int) -> list[tuple[Ask, Grant | Refuse]]:
-        """Return the decisions that became possible."""
+        """Return the decisions that became possible.
+
+        Those that can still be in time overtake the late ones, which are
+        refused once too many are before them.
+        """
         decided: list[tuple[Ask, Grant | Refuse]] = []
         kept: list[Ask] = []
         ahead: Counter[str] = Counter()
-        in_turn = sorted(self._waiting, key=lambda one: self._rank(one, now))
-        for ask in in_turn:
+        ranked = [(self._rank(ask, now), ask) for ask in self._waiting]
+        ranked.sort(key=operator.itemgetter(0))
+        for (is_late, *_), ask in ranked:
             queue = self._name_queue(ask)
             decision = self._decide(ask, now)
-            if isinstance(decision, Wait):
-                decision = self._review(ask, ahead[queue], now)
+            is_overtaken = is_late and isinstance(decision, Wait)
+            if is_overtaken and self._exceeds(ask, ahead[queue], now):
+                decision = Refuse(Why.OVERLOADED)
             if isinstance(decision, Wait):
                 ahead[queue] += 1
                 kept.append(ask)
@@ -189,12 +189,12 @@
         fresh = [
             upstream
             for upstream in upstreams
-            if process_of(upstream) not in ask.avoided
+            if upstream.process not in ask.avoided
         ]
         return fresh or upstreams
 
     def _health_of(self, upstream: Upstream) -> UpstreamHealth:
-        process = process_of(upstream)
+        process = upstream.process
         health = self._health.get(process)
         if health is None:
             health = UpstreamHealth(upstream.slots)
@@ -244,16 +244,6 @@
         )
         return self._exceeds(ask, ahead, now)
 
-    def _review(self, ask: Ask, ahead: int, now: int) -> Wait | Refuse:
-        """Decide again on a request that waits.
-
-        One that is late is overtaken by those that can still be in time.
-        """
-        is_late, _, _ = self._rank(ask, now)
-        if is_late and self._exceeds(ask, ahead, now):
-            return Refuse(Why.OVERLOADED)
-        return Wait()
-
     def _exceeds(self, ask: Ask, ahead: int, now: int) -> bool:
         """Return whether a request needs more time than it has."""
         servers = self._list_servers(ask)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -29,9 +29,7 @@
 from ibisjunction.entry.dispatch import (
     Ask,
     Grant,
-    Process,
     Refuse,
-    process_of,
 )
 from ibisjunction.entry.exchange import (
     NoAnswer,
@@ -56,7 +54,7 @@
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event
-from ibisjunction.fleet.model import LAST_KEY, Upstream
+from ibisjunction.fleet.model import LAST_KEY, Process, Upstream
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leases import VmLease
 from ibisjunction.settings import Address
@@ -137,7 +135,7 @@
 
     def record_latency(self, upstream: Upstream, latency_ms: int) -> None:
         """Keep the latency of an answer for the next report."""
-        latencies = self._latencies.setdefault(process_of(upstream), [])
+        latencies = self._latencies.setdefault(upstream.process, [])
         latencies.append(latency_ms)
 
     def route(self, request: CallerRequest) -> RoutedRequest | Refused:
@@ -298,7 +296,7 @@
         judgement = judge(result, self._parts.names)
         if isinstance(judgement, Declined | Unsent | Lost):
             self._declines += 1
-            self._avoided |= {process_of(upstream)}
+            self._avoided |= {upstream.process}
         if isinstance(judgement, Unsent | Lost):
             self._parts.pool.close_idle(address)
         self._trail.add(
--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from http import HTTPStatus
-from types import MappingProxyType
 from typing import Any, Final
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -19,27 +18,26 @@
 from tornado.netutil import bind_sockets
 
 from ibisjunction.catalogue.model import Limits
-from ibisjunction.clock import MS_PER_S, Clock, in_seconds
+from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.entry.answers import make_answer
 from ibisjunction.entry.model import (
     CallerRequest,
     Failed,
     HeaderNames,
     Outcome,
-    Passed,
     Refused,
     RoutedRequest,
     Why,
 )
+from ibisjunction.entry.reports import log_outcome, measure_outcome
 from ibisjunction.entry.requests import RequestDesk
 from ibisjunction.entry.trail import Trail
-from ibisjunction.events import Event
 from ibisjunction.heads import (
     PARSER_ROOM,
     find_head_fault,
     is_contradictory,
 )
 from ibisjunction.mailbox import Mailbox
-from ibisjunction.metrics import RequestMeasured
 from ibisjunction.settings import Address
 
 #: Bounds until the operators' limits are known.
@@ -49,15 +47,6 @@
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
 _DRAIN_STEP_MS: Final = 20
-#: Statuses of refusals; all others are 503.
-_STATUS: Final = MappingProxyType(
-    {
-        Why.NO_ROUTE: HTTPStatus.NOT_FOUND,
-        Why.NO_KEY: HTTPStatus.BAD_REQUEST,
-        Why.BAD_HEAD: HTTPStatus.BAD_REQUEST,
-        Why.HEAD_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    },
-)
 
 
 class EntryServer(HTTPServerConnectionDelegate):
@@ -188,83 +177,36 @@
                 outcome = await self.desk.serve(routed, trail)
             else:
                 outcome = routed
-            await self._answer(request, outcome, connection)
+            await self._send(request, outcome, connection)
         except StreamClosedError:
             outcome = Failed(Why.CALLER_GONE)
         finally:
-            self._report(trail, routed, outcome)
+            now = self.clock.now()
+            log_outcome(trail, routed, outcome, now)
+            duration_ms = now - trail.arrived_ms
+            self._metrics.post(measure_outcome(routed, outcome, duration_ms))
 
-    def _report(
-        self,
-        trail: Trail,
-        routed: RoutedRequest | Refused,
-        outcome: Outcome,
-    ) -> None:
-        """Log and measure a request that has ended."""
-        now = self.clock.now()
-        fields = _describe(routed)
-        match outcome:
-            case Passed(status=status):
-                trail.add(
-                    Event.REQUEST_ANSWERED,
-                    now,
-                    status=status,
-                    **fields,
-                )
-            case Refused(why=why, retry_after_ms=retry_ms):
-                trail.add(
-                    Event.REQUEST_REFUSED,
-                    now,
-                    why=why.name,
-                    retry_after_ms=retry_ms or 0,
-                    **fields,
-                )
-            case Failed(why=why, verdict=verdict):
-                trail.add(
-                    Event.REQUEST_FAILED,
-                    now,
-                    why=why.name,
-                    verdict=verdict.value,
-                    **fields,
-                )
-        trail.write(is_served=isinstance(outcome, Passed))
-        self._metrics.post(
-            RequestMeasured(
-                service=fields.get('service', ''),
-                rank=str(fields.get('rank', '')),
-                upstream='',
-                outcome=_name_outcome(outcome),
-                duration_ms=now - trail.arrived_ms,
-            ),
-        )
-
-    async def _answer(
+    async def _send(
         self,
         request: CallerRequest,
         outcome: Outcome,
         connection: Any,
     ) -> None:
-        headers = HTTPHeaders()
-        match outcome:
-            case Passed(status=status, headers=fields, body=body):
-                for name, text in fields:
-                    headers.add(name, text)
-            case Refused() | Failed():
-                status = _status_of(outcome)
-                body = f'{outcome.why.value}\n'.encode()
-                headers[self.names.request_id] = request.request_id
-                headers['Content-Type'] = 'text/plain; charset=utf-8'
-                _add_retry_after(headers, outcome)
-        headers['Content-Length'] = str(len(body))
-        if self.desk.is_draining:
-            headers['Connection'] = 'close'
-        sent = b'' if request.method == 'HEAD' else body
-        # The connection may be closed as soon as this returns, so the answer
-        # has to have left this process.
+        """Send the answer.
+
+        The connection may be closed as soon as this returns, so the answer has
+        to have left this process.
+        """
+        answer = make_answer(
+            request,
+            outcome,
+            self.names,
+            is_last=self.desk.is_draining,
+        )
         await connection.write_headers(
-            ResponseStartLine('HTTP/1.1', status, ''),
-            headers,
-            sent or None,
+            ResponseStartLine('HTTP/1.1', answer.status, ''),
+            answer.headers,
+            answer.sent or None,
         )
         connection.finish()
 
@@ -357,45 +299,8 @@
         return None if left_ms is None else self._arrived_ms + left_ms
 
 
-def _status_of(outcome: Refused | Failed) -> int:
-    match outcome:
-        case Refused(why=why):
-            return _STATUS.get(why, HTTPStatus.SERVICE_UNAVAILABLE)
-        case Failed(why=Why.TIMED_OUT):
-            return HTTPStatus.GATEWAY_TIMEOUT
-        case _:
-            return HTTPStatus.BAD_GATEWAY
-
-
-def _add_retry_after(headers: HTTPHeaders, outcome: Refused | Failed) -> None:
-    if isinstance(outcome, Refused) and outcome.retry_after_ms is not None:
-        seconds = outcome.retry_after_ms / MS_PER_S
-        headers['Retry-After'] = f'{seconds:.3f}'
-
-
 def _read_number(text: str | None) -> int | None:
     """Return a whole number of a header, or ``None`` if it holds none."""
     if text is None or not text.strip().isdecimal():
         return None
     return int(text)
-
-
-def _name_outcome(outcome: Outcome) -> str:
-    """Return the label of an outcome in the metrics."""
-    if isinstance(outcome, Passed):
-        return 'answered'
-    return outcome.why.name.lower()
-
-
-def _describe(routed: RoutedRequest | Refused) -> dict[str, Any]:
-    """Return what the log says about the route of a request."""
-    if isinstance(routed, Refused):
-        return {}
-    return {
-        'service': routed.service,
-        'route': routed.route.name,
-        'version': routed.route.version,
-        'rank': routed.route.route.rank,
-        'key': routed.request.key if routed.is_sharded else '',
-        'deadline_in_ms': routed.request.deadline_in_ms,
-    }
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -4,13 +4,9 @@
 
 from parameterized import parameterized
 
-from ibisjunction.coordination.balance import (
-    Member,
-    ServiceView,
-    choose_free,
-    find_large,
-    plan_moves,
-)
+from ibisjunction.coordination.balance import choose_free, find_large
+from ibisjunction.coordination.moves import plan_moves
+from ibisjunction.coordination.service_view import Member, ServiceView
 from ibisjunction.fleet.model import Shard, Upstream
 
 NOW = 1000
