Tell what each VM knows of the fleet, and why keys move

Cause: membership, voters, owners and items in force could be read only from logs, and the line of a command did not say what decided it. Change: control and entry VMs serve /state beside /metrics. ibisjunction fleet and owner ask it of several VMs; key-history follows the divisions in saved logs and prints each command about a key with its reason, which the leader writes into E209. Result: tests of the report, of the address and of the history; no decision changes.

--- a/src/ibisjunction/cli/command.py
+++ b/src/ibisjunction/cli/command.py
@@ -16,6 +16,7 @@
     RenewTermsCommand,
 )
 from ibisjunction.cli.connection import EXIT_INVALID, CommandError
+from ibisjunction.cli.fleet import FleetStateCommand, OwnerCommand
 from ibisjunction.cli.history import ExplainRequestCommand
 from ibisjunction.cli.inspection import (
     ExplainEventCommand,
@@ -23,6 +24,7 @@
     StatusCommand,
     VmsCommand,
 )
+from ibisjunction.cli.key_history import KeyHistoryCommand
 from ibisjunction.cli.publication import CheckCommand, PublishCommand
 from ibisjunction.services.model import ServiceFileError
 
@@ -42,6 +44,9 @@
         | StatusCommand
         | VmsCommand
         | ExplainKeyCommand
+        | FleetStateCommand
+        | OwnerCommand
+        | KeyHistoryCommand
         | ExplainEventCommand
         | ExplainRequestCommand
         | DrainUpstreamCommand
--- /dev/null
+++ b/src/ibisjunction/cli/key_history.py
@@ -0,0 +1,117 @@
+"""The command that tells why a key is where it is, from saved logs."""
+
+import re
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Final
+
+import cappa
+import msgspec
+
+from ibisjunction.cli.connection import EXIT_INVALID, CommandError
+from ibisjunction.cli.history import LogLine, read_logs
+from ibisjunction.events import Event
+from ibisjunction.fleet.model import list_starts
+
+_SERVICE: Final = re.compile(r"service='([^']*)'")
+_COUNT: Final = re.compile(r'\bcount=(\d+)')
+_STARTS: Final = re.compile(r'\bstarts=\(([^)]*)\)')
+_FIRSTS: Final = re.compile(r'\bfirsts=\(([^)]*)\)')
+_FIRST: Final = re.compile(r'\bfirst=(\d+)')
+
+
+@cappa.command(name='key-history')
+@dataclass
+class KeyHistoryCommand:
+    """Show what leaders decided about a key, and why, from their logs."""
+
+    service: str
+    key: int
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help='Saved logs of all control processes.'),
+    ]
+    json: Annotated[
+        bool,
+        cappa.Arg(long=True, help='Print lines of JSON.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Print the commands in the order in which they were proposed.
+
+        :raises CommandError: if no log has one.
+        """
+        found = list(find_moves(read_logs(self.files), self.service, self.key))
+        if not found:
+            raise CommandError(
+                f'no command about key {self.key} of service {self.service}',
+                EXIT_INVALID,
+            )
+        for line in found:
+            sys.stdout.write(f'{self._render(line)}\n')
+        return 0
+
+    def _render(self, line: LogLine) -> str:
+        fields = line.fields
+        if self.json:
+            shown: dict[str, Any] = {
+                'at': line.at_s,
+                'source': line.source,
+                'command': fields['command'],
+                'why': fields.get('why', ''),
+            }
+            return msgspec.json.encode(shown).decode()
+        why = fields.get('why') or 'no reason in the log'
+        command = fields['command']
+        return f'{line.at_s:.3f} {line.source} {command}: {why}'
+
+
+def find_moves(
+    lines: Iterable[LogLine],
+    service: str,
+    key: int,
+) -> Iterator[LogLine]:
+    """Yield the lines of commands about the shard that has a key.
+
+    Which shard that is follows from the divisions in the same logs.
+    """
+    starts = {0}
+    for line in sorted(lines, key=lambda one: one.at_s):
+        command = _read_command(line, service)
+        first = max(start for start in starts if start <= key)
+        is_division = command.startswith('DivideKeys')
+        if is_division or first in _read_firsts(command):
+            yield line
+        starts.update(_read_starts(command))
+
+
+def _read_command(line: LogLine, service: str) -> str:
+    """Return the command of a line; empty if it has none for a service."""
+    if line.fields.get('event') != Event.COMMAND_PROPOSED.number:
+        return ''
+    command = str(line.fields.get('command', ''))
+    named = _SERVICE.search(command)
+    return command if named and named[1] == service else ''
+
+
+def _read_firsts(command: str) -> set[int]:
+    """Return the first keys of the shards that a command is about."""
+    listed = _FIRSTS.search(command)
+    if listed is not None:
+        return set(_read_numbers(listed[1]))
+    return set(map(int, _FIRST.findall(command)))
+
+
+def _read_starts(command: str) -> list[int]:
+    """Return the first keys of the shards that a command makes."""
+    count = _COUNT.search(command)
+    if count is not None:
+        return list_starts(int(count[1]))
+    listed = _STARTS.search(command)
+    return _read_numbers(listed[1]) if listed else []
+
+
+def _read_numbers(text: str) -> list[int]:
+    return [int(number) for number in re.findall(r'\d+', text)]
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -30,6 +30,7 @@
     LoadBook,
     UpstreamSpeed,
 )
+from ibisjunction.coordination.planned import Planned
 from ibisjunction.coordination.spread import Spreading, is_spread
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
@@ -58,6 +59,7 @@
 
     proposal_id: str
     command: FleetCommand
+    why: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,8 +131,8 @@
             self._waiting.pop(call_id)
             return [Reply(call_id, fault)]
         effects: list[Effect] = []
-        for command in self._plan(call, now):
-            proposal = self._propose(command)
+        for planned in self._plan(call, now):
+            proposal = self._propose(planned)
             waiting.pending.add(proposal.proposal_id)
             effects.append(proposal)
         return [*effects, *self.answer_ready(now)]
@@ -172,8 +174,8 @@
         if now < self._balance_at or self._internal:
             return effects
         self._balance_at = now + _BALANCE_MS
-        for command in self._plan_duties(now):
-            proposal = self._propose(command)
+        for planned in self._plan_duties(now):
+            proposal = self._propose(planned)
             self._internal.add(proposal.proposal_id)
             effects.append(proposal)
         return effects
@@ -185,11 +187,12 @@
         self._waiting.clear()
         return replies
 
-    def _propose(self, command: FleetCommand) -> Propose:
+    def _propose(self, planned: Planned) -> Propose:
         self._proposals += 1
-        return Propose(f'{self._prefix}.{self._proposals}', command)
+        name = f'{self._prefix}.{self._proposals}'
+        return Propose(name, planned.command, planned.why)
 
-    def _plan(self, call: Call, now: int) -> Iterator[FleetCommand]:
+    def _plan(self, call: Call, now: int) -> Iterator[Planned]:
         match call:
             case CheckIn() if self._liveness.is_late(call):
                 yield from _plan_late(self.state, call)
@@ -200,22 +203,22 @@
                 known = self.state.upstreams.get(name)
                 is_same = known is not None and born in {0, known.born}
                 if known is not None and is_same and not known.is_draining:
-                    yield MarkDraining(name, known.born)
+                    yield Planned(MarkDraining(name, known.born), 'it leaves')
                     yield from self._keys.plan_release_all(self.state, known)
             case ChangeItems(update=update):
-                yield UpdateItems(update)
+                yield Planned(UpdateItems(update), 'sent by an operator')
 
     def _plan_check_in(
         self,
         call: CheckIn,
         now: int,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         known = self.state.upstreams.get(call.upstream)
         if known is not None and known.born != call.born:
             known = None
         upstream = _describe(call, known)
         if known is None or upstream != known:
-            yield AdmitUpstream(upstream)
+            yield Planned(AdmitUpstream(upstream), 'it checks in')
         service = self.state.catalogue.find_service(call.service)
         if service is not None and service.is_sharded:
             yield from self._keys.plan_check_in(
@@ -311,7 +314,7 @@
             grants=self._keys.grant(self.state, upstream, call, now),
         )
 
-    def _plan_duties(self, now: int) -> Iterator[FleetCommand]:
+    def _plan_duties(self, now: int) -> Iterator[Planned]:
         for item in self.state.catalogue.list_items(ItemType.SERVICE):
             if item.service is not None and item.service.is_sharded:
                 yield from self._keys.plan_service(
@@ -321,7 +324,8 @@
                 )
         for upstream in self.state.upstreams.values():
             if self._liveness.silent_ms(upstream, now) > _FORGET_AFTER_MS:
-                yield ForgetUpstream(upstream.upstream, upstream.born)
+                command = ForgetUpstream(upstream.upstream, upstream.born)
+                yield Planned(command, 'silent for long')
 
 
 def _describe(call: CheckIn, known: Upstream | None) -> Upstream:
@@ -365,10 +369,11 @@
     return None
 
 
-def _plan_late(state: FleetState, call: CheckIn) -> Iterator[FleetCommand]:
+def _plan_late(state: FleetState, call: CheckIn) -> Iterator[Planned]:
     """Yield what even a late check-in tells: that its sender leaves."""
     known = state.upstreams.get(call.upstream)
     if known is None or known.born != call.born:
         return
     if call.is_draining and not known.is_draining:
-        yield MarkDraining(call.upstream, call.born)
+        command = MarkDraining(call.upstream, call.born)
+        yield Planned(command, 'it leaves, by a late check-in')
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -13,6 +13,7 @@
 from ibisjunction.coordination.liveness import Liveness
 from ibisjunction.coordination.loads import LoadBook
 from ibisjunction.coordination.moves import plan_moves
+from ibisjunction.coordination.planned import Planned
 from ibisjunction.coordination.reservations import Reservations
 from ibisjunction.coordination.service_view import (
     MAX_OWNED,
@@ -23,7 +24,6 @@
 from ibisjunction.fleet.commands import (
     AssignShards,
     DivideKeys,
-    FleetCommand,
     FreedShard,
     FreeShards,
     ReleaseShards,
@@ -83,7 +83,7 @@
         call: CheckIn,
         upstream: Upstream,
         now: int,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         """Yield what changes as an upstream checks in."""
         for shard in state.list_owned(upstream):
             if _holds(call, shard):
@@ -96,7 +96,10 @@
             yield from self.plan_release_all(state, upstream)
         freed = tuple(self._find_freed(state, call, upstream))
         if freed:
-            yield FreeShards(call.service, freed)
+            yield Planned(
+                FreeShards(call.service, freed),
+                f'{upstream.upstream} gave them up',
+            )
         view = self._view(state, call.service, now)
         member = view.find_member(upstream)
         if member is not None:
@@ -107,27 +110,31 @@
         self,
         state: FleetState,
         upstream: Upstream,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         """Yield the release of all keys of an upstream that leaves."""
         owned = [
             shard
             for shard in state.list_owned(upstream)
             if not shard.is_releasing
         ]
-        yield from self._release(upstream.service, owned)
+        why = f'{upstream.upstream} leaves'
+        yield from self._release(upstream.service, owned, why)
 
     def plan_service(
         self,
         state: FleetState,
         service: str,
         now: int,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         """Yield what time alone makes due for a service."""
         shards = state.shards.get(service)
         if shards is None:
             is_known = bool(state.list_upstreams(service))
             if is_known and self._has_gathered(service, now):
-                yield DivideKeys(service, count_shards(state, service))
+                yield Planned(
+                    DivideKeys(service, count_shards(state, service)),
+                    'its first upstreams have checked in',
+                )
             return
         expired = tuple(
             FreedShard(shard.first, shard.fence)
@@ -135,7 +142,10 @@
             if shard.owner and not self._liveness.is_held(service, shard, now)
         )
         if expired:
-            yield FreeShards(service, expired)
+            yield Planned(
+                FreeShards(service, expired),
+                'their holds are over',
+            )
         yield from self._plan_splits(self._view(state, service, now))
 
     def grant(
@@ -170,7 +180,7 @@
         view: ServiceView,
         taker: Member,
         now: int,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         upstream = taker.upstream
         since = self._free_since.get(view.service, now)
         taken = choose_free(
@@ -181,31 +191,36 @@
             (now - since) / self._timing.check_in_ms,
         )
         if taken:
-            yield AssignShards(
+            command = AssignShards(
                 view.service,
                 upstream.upstream,
                 upstream.born,
                 tuple(taken),
             )
+            why = f'free, and {upstream.upstream} checks in'
+            yield Planned(command, f'{why}; {view.describe(taker)}')
 
     def _plan_giving(
         self,
         view: ServiceView,
         giver: Member,
         now: int,
-    ) -> Iterator[FleetCommand]:
+    ) -> Iterator[Planned]:
         moves = plan_moves(view, giver, now)
         for move in moves:
             self._reservations.add(view.service, move.firsts, move.taker, now)
         firsts = {first for move in moves for first in move.firsts}
         moved = [shard for shard in view.shards if shard.first in firsts]
-        yield from self._release(view.service, moved)
+        takers = ', '.join(view.describe(move.taker) for move in moves)
+        why = f'{view.describe(giver)}; for {takers}'
+        yield from self._release(view.service, moved, why)
 
     def _release(
         self,
         service: str,
         shards: list[Shard],
-    ) -> Iterator[FleetCommand]:
+        why: str,
+    ) -> Iterator[Planned]:
         """Yield the release of shards of one owner.
 
         Those that the owner has not yet said it holds are released apart from
@@ -219,9 +234,10 @@
         unknown = [first for first in shown if shown[first] is None]
         if known:
             latest = max(shown[first] or 0 for first in known)
-            yield ReleaseShards(service, tuple(known), latest)
+            command = ReleaseShards(service, tuple(known), latest)
+            yield Planned(command, why)
         if unknown:
-            yield ReleaseShards(service, tuple(unknown))
+            yield Planned(ReleaseShards(service, tuple(unknown)), why)
 
     def _find_freed(
         self,
@@ -247,7 +263,7 @@
             if is_later and freed is not None and not is_held:
                 yield freed
 
-    def _plan_splits(self, view: ServiceView) -> Iterator[FleetCommand]:
+    def _plan_splits(self, view: ServiceView) -> Iterator[Planned]:
         """Yield the division of shards that are too busy to move whole."""
         for owner in view.members:
             limit = find_split_limit(view, owner) / 2
@@ -261,7 +277,8 @@
                 )
                 room -= len(starts)
                 if starts:
-                    yield SplitShard(view.service, shard.first, starts)
+                    command = SplitShard(view.service, shard.first, starts)
+                    yield Planned(command, f'busy; {view.describe(owner)}')
 
     def _has_gathered(self, service: str, now: int) -> bool:
         since = self._gathering.setdefault(service, now)
--- a/src/ibisjunction/coordination/log.py
+++ b/src/ibisjunction/coordination/log.py
@@ -132,9 +132,13 @@
         proposal_id: str,
         command: FleetCommand,
         now: int,
+        why: str = '',
     ) -> list[Applied]:
-        """Add a command to the log if this replica leads."""
-        log_event(_logger, Event.COMMAND_PROPOSED, command=command)
+        """Add a command to the log if this replica leads.
+
+        :param why: what decided it, for the line about it.
+        """
+        log_event(_logger, Event.COMMAND_PROPOSED, command=command, why=why)
         voters = command.voters if isinstance(command, ReplaceVoters) else None
         encoded = encode_fleet_command(command)
         return self.advance(Proposed(proposal_id, encoded, voters), now)
--- a/src/ibisjunction/coordination/service_view.py
+++ b/src/ibisjunction/coordination/service_view.py
@@ -114,6 +114,14 @@
         """Return the positions of a member's shards that stay with it."""
         return self._owned.get(member.process, [])
 
+    def describe(self, member: Member) -> str:
+        """Return a member's load and the mean of all, for the log."""
+        mean = self.rate / self.capacity
+        return (
+            f'{member.upstream.upstream} at {self.utilisation(member):.2f},'
+            f' mean {mean:.2f}'
+        )
+
     def find_member(self, upstream: Upstream) -> Member | None:
         """Return the member that is this process."""
         return next(
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -39,6 +39,7 @@
 from ibisjunction.events import Event, log_event
 from ibisjunction.fleet.codec import encode_fleet
 from ibisjunction.fleet.commands import ReplaceVoters
+from ibisjunction.fleet.report import ReadState, Standing, encode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat
 from ibisjunction.metrics import ReadMetrics
@@ -166,6 +167,26 @@
                 self._seeds = seeds
             case ReadMetrics(reply=reply):
                 reply.post(self._metrics.render())
+            case ReadState(reply=reply):
+                reply.post(self._report(now))
+
+    def _report(self, now: int) -> bytes:
+        duty = 'voting' if self.log.is_voter else 'joining'
+        vms: tuple[str, ...] = ()
+        if self._leadership is not None:
+            duty = 'leading'
+            vms = self._leadership.coordinator.leases.serving_vms(now)
+        standing = Standing(
+            vm=self._options.vm,
+            role='control',
+            duty=duty,
+            term=self.log.term,
+            index=self.log.replica.index,
+            leader=self.leader or '',
+            voters=tuple(voter.vm for voter in self.log.voters),
+            vms=vms,
+        )
+        return encode_report(standing, self.log.replica.state)
 
     def _receive(self, sender: str, message: Any, now: int) -> None:
         match message:
@@ -263,7 +284,8 @@
             number = self._voter_changes
             proposal_id = f'{self._options.prefix}.voters.{number}'
             command = ReplaceVoters(changed)
-            applied = self.log.propose(proposal_id, command, now)
+            why = 'a voter is silent, or a disk has joined'
+            applied = self.log.propose(proposal_id, command, now, why)
             self._follow_up(applied, now)
 
     def _forward_calls(self, now: int) -> None:
@@ -333,9 +355,9 @@
     ) -> None:
         for effect in effects:
             match effect:
-                case Propose(proposal_id=proposal_id, command=command):
+                case Propose(proposal_id=name, command=command, why=why):
                     now = self._clock.now()
-                    applied = self.log.propose(proposal_id, command, now)
+                    applied = self.log.propose(name, command, now, why)
                     self._follow_up(applied, now)
                 case Reply(call_id=call_id, answer=answer):
                     sender = leadership.origins.pop(call_id, '')
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -20,6 +20,7 @@
 from ibisjunction.entry.requests import EntryParts, RequestDesk
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event, log_event
+from ibisjunction.fleet.report import ReadState, Standing, encode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leader import LeaderTracker
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
@@ -103,6 +104,22 @@
             case Received(message=StateSnapshot() as snapshot):
                 if self._replica.install(snapshot):
                     self._publish()
+            case ReadState(reply=reply):
+                reply.post(self._report(now))
+
+    def _report(self, now: int) -> bytes:
+        state = self._replica.state
+        standing = Standing(
+            vm=self._vm,
+            role='entry',
+            duty='serving' if self._lease.is_held(now) else 'waiting',
+            term=0,
+            index=self._replica.index,
+            leader=self._tracker.find(now) or '',
+            voters=tuple(voter.vm for voter in state.voters),
+            vms=self._vms,
+        )
+        return encode_report(standing, state)
 
     def leave(self) -> None:
         """Tell the leader that this VM sends nothing any more."""
--- a/src/ibisjunction/fleet/model.py
+++ b/src/ibisjunction/fleet/model.py
@@ -68,6 +68,12 @@
 Shards = tuple[Shard, ...]
 
 
+def list_starts(count: int) -> list[int]:
+    """Return the first keys of so many shards, which begin at buckets."""
+    buckets = (LAST_KEY + 1) // BUCKET_KEYS
+    return [buckets * number // count * BUCKET_KEYS for number in range(count)]
+
+
 def find_parts(before: Shards, after: Shards) -> Iterator[tuple[Shard, Shard]]:
     """Yield each shard that a division added, after the one it was part of.
 
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -29,6 +29,7 @@
     Shard,
     Shards,
     Upstream,
+    list_starts,
 )
 
 _UNCHANGED = Accepted(0)
@@ -108,9 +109,7 @@
     buckets = (LAST_KEY + 1) // BUCKET_KEYS
     if service in state.shards or not 0 < count <= buckets:
         return state
-    starts = [
-        buckets * number // count * BUCKET_KEYS for number in range(count)
-    ]
+    starts = list_starts(count)
     divided = _make_shards(Shard(0, LAST_KEY), starts[1:])
     return replace(state, shards=state.shards | {service: divided})
 
--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -39,7 +39,9 @@
         readiness = HTTPServer(make_readiness(node.desk))
         address = parse_address(settings.readiness)
         readiness.listen(address.port, address.host)
-        metrics = HTTPServer(make_metrics(node.metrics))
+        metrics = HTTPServer(
+            make_metrics(node.metrics, node.membership.mailbox)
+        )
         metrics.listen(ENTRY_METRICS_PORT, address.host)
         watching = watch_seeds(settings, reload, node.membership.mailbox)
         async with run_task(watching, 'settings', failed):
@@ -59,7 +61,7 @@
     async with run_control(settings.node, failed) as task:
         server = HTTPServer(make_control(task.mailbox, address.port))
         server.listen(address.port, address.host)
-        metrics = HTTPServer(make_metrics(task.mailbox))
+        metrics = HTTPServer(make_metrics(task.mailbox, task.mailbox))
         metrics.listen(CONTROL_METRICS_PORT, address.host)
         watching = watch_seeds(settings, reload, task.mailbox)
         async with run_task(watching, 'settings', failed):
--- a/src/ibisjunction/platform/fronts.py
+++ b/src/ibisjunction/platform/fronts.py
@@ -18,6 +18,7 @@
 )
 from ibisjunction.coordination.messages import LocalCall
 from ibisjunction.entry.requests import RequestDesk
+from ibisjunction.fleet.report import ReadState
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.metrics import ReadMetrics
 from ibisjunction.platform.bodies import WireError
@@ -57,10 +58,17 @@
     )
 
 
-def make_metrics(mailbox: Mailbox[Any]) -> Application:
-    """Return the server of the metrics; ``mailbox`` belongs to their owner."""
+def make_metrics(metrics: Mailbox[Any], state: Mailbox[Any]) -> Application:
+    """Return the server of metrics and of the state as applied.
+
+    :param metrics: of the task that owns the metrics.
+    :param state: of the task that owns the copy of the state.
+    """
     return Application(
-        [('/metrics', _Metrics, {'mailbox': mailbox})],
+        [
+            ('/metrics', _Metrics, {'mailbox': metrics}),
+            ('/state', _State, {'mailbox': state}),
+        ],
         log_function=_log_nothing,
     )
 
@@ -76,6 +84,17 @@
         self.finish(await reply.get())
 
 
+class _State(RequestHandler):
+    def initialize(self, mailbox: Mailbox[Any]) -> None:
+        self._mailbox = mailbox
+
+    async def get(self) -> None:
+        reply: Mailbox[bytes] = Mailbox()
+        self._mailbox.post(ReadState(reply))
+        self.set_header('Content-Type', _JSON)
+        self.finish(await reply.get())
+
+
 class _Readiness(RequestHandler):
     def initialize(self, desk: RequestDesk) -> None:
         self._desk = desk
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -337,6 +337,20 @@
         owned = state.list_owned(state.upstreams['u1'])
         self.assertEqual({one.shown for one in owned}, {expected})
 
+    def test_release_says_why(self):
+        """Guards against a move that nobody can explain afterwards."""
+        leader = make_owner(('u1', 'u2'))
+        holds = make_holds(leader.coordinator.state)
+        call = make_check_in(40, is_draining=True, holds=holds)
+        effects = leader.coordinator.take_call('x', call, leader.now)
+        reasons = [
+            effect.why
+            for effect in effects
+            if isinstance(effect, Propose)
+            and isinstance(effect.command, ReleaseShards)
+        ]
+        self.assertEqual(reasons, ['u1 leaves'])
+
     def test_keys_in_work_are_not_free(self):
         """Guards against a second owner while the first still works."""
         leader = make_owner(('u1', 'u2'))
--- /dev/null
+++ b/tests/test_fleet_report.py
@@ -0,0 +1,186 @@
+"""Tests of what VMs and commands tell of the fleet."""
+
+import io
+import json
+import unittest
+from contextlib import redirect_stdout
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from parameterized import parameterized
+from tornado.httpserver import HTTPServer
+from tornado.testing import AsyncHTTPTestCase
+
+from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
+from ibisjunction.cli.connection import CommandError
+from ibisjunction.cli.fleet import fetch_reports, find_shard, list_differing
+from ibisjunction.cli.history import LogLine
+from ibisjunction.cli.key_history import KeyHistoryCommand, find_moves
+from ibisjunction.fleet.commands import (
+    AdmitUpstream,
+    AssignShards,
+    DivideKeys,
+    FreedShard,
+    FreeShards,
+    ReleaseShards,
+    SplitShard,
+    UpdateItems,
+)
+from ibisjunction.fleet.model import FleetState, Upstream, list_starts
+from ibisjunction.fleet.report import (
+    ReadState,
+    Standing,
+    decode_report,
+    encode_report,
+)
+from ibisjunction.fleet.rules import apply_fleet_command
+from ibisjunction.platform.fronts import make_metrics
+
+STANDING = Standing(
+    vm='vm',
+    role='control',
+    duty='leading',
+    term=3,
+    index=9,
+    leader='vm',
+    voters=('vm', 'other'),
+    vms=('edge',),
+)
+SERVICE = Service('/health', 100, is_sharded=True, warmup_ms=0)
+UPSTREAM = Upstream('u1', 10, 'reads', 'u1:80', 'a', 3)
+
+COMMANDS = (
+    DivideKeys('reads', 4),
+    AssignShards('reads', 'u1', 10, (0, 16384)),
+    AssignShards('reads', 'u2', 10, (32768, 49152)),
+    SplitShard('reads', 0, (8, 96)),
+    ReleaseShards('reads', (8,), 5),
+    ReleaseShards('other', (8,), 5),
+    FreeShards('reads', (FreedShard(8, 1, 'token 32768'),)),
+    AssignShards('reads', 'u2', 10, (8,)),
+)
+
+
+def make_state(version=1):
+    """Return a state of four shards, the last two owned by ``u1``."""
+    item = Item(ItemType.SERVICE, 'reads', version, '{}', service=SERVICE)
+    state = FleetState()
+    for command in (
+        UpdateItems(ItemUpdate((item,))),
+        AdmitUpstream(UPSTREAM),
+        DivideKeys('reads', 4),
+        AssignShards('reads', 'u1', 10, (32768, 49152)),
+        ReleaseShards('reads', (49152,)),
+    ):
+        state, _ = apply_fleet_command(state, command)
+    return state
+
+
+def make_report(version=1):
+    """Return the decoded report of that state."""
+    return decode_report(encode_report(STANDING, make_state(version)))
+
+
+class ReportTest(unittest.TestCase):
+    """Guards against an operator who is told something that is not so."""
+
+    @parameterized.expand(
+        [
+            (0, ('', 0, False)),
+            (32768, ('u1', 1, False)),
+            (49151, ('u1', 1, False)),
+            (65535, ('u1', 1, True)),
+        ]
+    )
+    def test_owner_of_a_key(self, key, expected):
+        shard = find_shard(make_report(), 'reads', key)
+        found = (shard.owner, shard.fence, shard.is_releasing)
+        self.assertEqual(found, expected)
+
+    @parameterized.expand([('x', 0), ('reads', 65536)])
+    def test_unknown_key(self, service, key):
+        with self.assertRaises(CommandError):
+            find_shard(make_report(), service, key)
+
+    def test_upstream_and_its_shards(self):
+        found = [(one.upstream, one.shards) for one in make_report().upstreams]
+        self.assertEqual(found, [('u1', 2)])
+
+    @parameterized.expand([(1, []), (2, [('service', 'reads', '1', '2')])])
+    def test_items_that_differ(self, version, expected):
+        """Guards against a VM whose older version goes unnoticed."""
+        reports = [make_report(), make_report(version)]
+        self.assertEqual(list_differing(reports), expected)
+
+    def test_vm_that_does_not_answer(self):
+        with self.assertRaises(CommandError):
+            fetch_reports(['127.0.0.1:1'])
+
+
+class _Owner:
+    """Answers requests for the state at once."""
+
+    def post(self, message):
+        assert isinstance(message, ReadState)
+        message.reply.post(encode_report(STANDING, make_state()))
+
+
+class StateAddressTest(AsyncHTTPTestCase):
+    """Guards against a state that can't be read from outside."""
+
+    def get_app(self):
+        return make_metrics(_Owner(), _Owner())
+
+    def get_http_server(self):
+        return HTTPServer(self._app)
+
+    def test_state_is_served(self):
+        response = self.fetch('/state')
+        self.assertEqual(decode_report(response.body), make_report())
+
+
+class KeyHistoryTest(unittest.TestCase):
+    """Guards against a history that leaves out how a key came to its owner."""
+
+    def make_lines(self):
+        """Return the lines of the commands, the last one first."""
+        lines = [
+            LogLine(
+                float(number),
+                'core',
+                {'event': 209, 'command': str(command), 'why': 'because'},
+            )
+            for number, command in enumerate(COMMANDS)
+        ]
+        return reversed(lines)
+
+    @parameterized.expand(
+        [
+            ('in a part', 9, [0, 1, 3, 4, 6, 7]),
+            ('before the part', 7, [0, 1, 3]),
+            ('of another owner', 40000, [0, 2]),
+        ]
+    )
+    def test_moves_of(self, _name, key, expected):
+        found = find_moves(self.make_lines(), 'reads', key)
+        self.assertEqual([int(line.at_s) for line in found], expected)
+
+    def test_starts_follow_the_rules(self):
+        """Guards against a division that the history places elsewhere."""
+        shards = make_state().shards['reads']
+        self.assertEqual([one.first for one in shards], list_starts(4))
+
+    def test_command_prints_the_reason(self):
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / 'core.log'
+            line = {'time': '1', 'event': 209, 'why': 'because'}
+            line['command'] = str(COMMANDS[0])
+            path.write_text(json.dumps(line))
+            shown = io.StringIO()
+            with redirect_stdout(shown):
+                KeyHistoryCommand('reads', 3, [path])()
+        self.assertIn('count=4): because', shown.getvalue())
+
+
+if __name__ == '__main__':
+    unittest.main()
