Check the platform's settings and deploy files from the command line

Cause: a mistake in either file showed only when a process or the whole deployment started, and a seed address without a port ended in a traceback. Change: ibisjunction.platform check-settings and check-deploy name all mistakes. Settings whose addresses can't be read are refused with the file's name.

--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -1,6 +1,7 @@
 """Starts one process on the platform: ``python -m ibisjunction.platform ROLE``.
 
-``ROLE`` is ``entry`` or ``control``.
+``ROLE`` is ``entry`` or ``control``. ``check-settings FILE...`` and
+``check-deploy FILE...`` name all mistakes of such files instead.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 
 from ibisjunction.logs import log_to_stdout
 from ibisjunction.mailbox import run_task
+from ibisjunction.platform.checks import CHECKS, check_files
 from ibisjunction.platform.reload import watch_seeds
 from ibisjunction.platform.settings import (
     PlatformSettings,
@@ -87,12 +89,15 @@
 
 def main() -> int:
     """Run the role that the first argument names; return the exit code."""
-    log_to_stdout()
     roles = {'entry': _run_entry, 'control': _run_control}
     name = sys.argv[1] if len(sys.argv) > 1 else ''
+    if name in CHECKS:
+        return check_files(name, sys.argv[2:])
+    log_to_stdout()
     run_role = roles.get(name)
     if run_role is None:
-        sys.stderr.write(f'usage: ibisjunction.platform {"|".join(roles)}\n')
+        usage = '|'.join((*roles, *(f'{check} FILE...' for check in CHECKS)))
+        sys.stderr.write(f'usage: ibisjunction.platform {usage}\n')
         return 2
     try:
         settings = load_platform_settings(is_control=name == 'control')
--- /dev/null
+++ b/src/ibisjunction/platform/deploy.py
@@ -0,0 +1,73 @@
+"""Checks the platform's deploy file."""
+
+import tomllib
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Final, Literal
+
+import msgspec
+
+from ibisjunction.validation import find_mistakes
+
+_ROLES_PER_MACHINE: Final = 2
+_MACHINES_ON_ALL: Final = 1.0
+
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Share = Annotated[float, msgspec.Meta(gt=0, le=_MACHINES_ON_ALL)]
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _Role(msgspec.Struct, frozen=True):
+    run: _Text
+    on: Literal['edge', 'core']
+    share: _Share | None = None
+    count: _Count | None = None
+    apart: bool = False
+    serves: tuple[Literal['edge', 'control'], ...] = ()
+    metrics: Annotated[str, msgspec.Meta(pattern='^[0-9]+/.*$')] = ''
+
+
+class _Deploy(msgspec.Struct, frozen=True):
+    build: _Text
+    roles: dict[str, _Role]
+
+
+def find_deploy_mistakes(path: Path) -> Iterator[str]:
+    """Yield one line for each mistake of a deploy file."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        yield f'{path}: {error}'
+        return
+    mistakes = list(find_mistakes(raw, _Deploy))
+    if not mistakes:
+        mistakes = list(_find_conflicts(msgspec.convert(raw, _Deploy)))
+    for mistake in mistakes:
+        yield f'{path}: {mistake}'
+
+
+def _find_conflicts(deploy: _Deploy) -> Iterator[str]:
+    """Yield what is wrong with the roles as a whole."""
+    for name, role in deploy.roles.items():
+        if (role.share is None) == (role.count is None):
+            yield f'roles.{name}: set either share or count'
+    served = Counter(
+        (role.on, group)
+        for role in deploy.roles.values()
+        for group in role.serves
+    )
+    for (machines, group), count in served.items():
+        if count > 1:
+            yield f'roles: {count} roles on {machines} serve {group}'
+    for group in ('edge', 'control'):
+        if not any(group in role.serves for role in deploy.roles.values()):
+            yield f'roles: none serves {group}'
+    on_all = Counter(
+        role.on
+        for role in deploy.roles.values()
+        if role.share == _MACHINES_ON_ALL
+    )
+    for machines, count in on_all.items():
+        if count > _ROLES_PER_MACHINE:
+            yield f'roles: {count} roles on each {machines} machine, 2 may run'
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -102,6 +102,19 @@
         names all mistakes.
     """
     path = Path(os.environ.get(_PATH_VARIABLE, _DEFAULT_PATH))
+    return read_platform_settings(path, is_control=is_control)
+
+
+def read_platform_settings(
+    path: Path,
+    *,
+    is_control: bool,
+) -> PlatformSettings:
+    """Read a settings file for one role.
+
+    :raises PlatformSettingsError: if it is missing or not valid; the text
+        names all mistakes.
+    """
     try:
         raw = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
@@ -110,10 +123,14 @@
     if mistakes:
         raise PlatformSettingsError(f'{path}: {"; ".join(mistakes)}')
     found = msgspec.convert(raw, _Settings)
+    try:
+        node = _make_node(found, is_control=is_control)
+    except ValueError as error:
+        raise PlatformSettingsError(f'{path}: {error}') from error
     bind = found.network.bind_addresses
     return PlatformSettings(
         is_control,
-        _make_node(found, is_control=is_control),
+        node,
         bind.frontend,
         bind.readiness,
         bind.control_plane,
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -68,6 +68,11 @@
         self.assertIn('Self.Zone: missing', str(caught.exception))
         self.assertIn('Platform.HeartbeatIntervalS', str(caught.exception))
 
+    def test_seed_without_a_port(self):
+        """Guards against a traceback instead of the file's name."""
+        with self.assertRaises(PlatformSettingsError):
+            load(_GOOD.replace('10.1.0.37:8544', '10.1.0.37'))
+
     def test_not_toml(self):
         with self.assertRaises(PlatformSettingsError):
             load('[Self')
