Renew the lease of a cut-off entry VM through another one

Change: an entry VM that hears no leader for 1 s sends its heartbeats and its loads through another entry VM as well. E305 and E306 say so. What a lease asks for is unchanged: it is counted from when the heartbeat was sent, and holds once the VM has applied what the answer names.

--- a/src/ibisjunction/cli/history.py
+++ b/src/ibisjunction/cli/history.py
@@ -15,7 +15,7 @@
 #: Events that change what processes believe; those shortly before and during
 #: the request are part of its history.
 _BELIEF_EVENTS: Final = frozenset(
-    (101, 102, 103, 104, 201, 202, 203, 206, 207, 208, 301, 302),
+    (101, 102, 103, 104, 201, 202, 203, 206, 207, 208, 301, 302, 305, 306),
 )
 #: Time before the request's arrival from which such events are shown.
 _BEFORE_S: Final = 5.0
--- a/src/ibisjunction/control/audience.py
+++ b/src/ibisjunction/control/audience.py
@@ -72,19 +72,27 @@
         state: Any,
     ) -> None:
         """Send a daemon what it has not applied yet."""
+        missing = self.find_missing(heartbeat, history, committed, state)
+        if missing is not None:
+            self._peers.send(heartbeat.vm, missing)
+
+    def find_missing(
+        self,
+        heartbeat: Heartbeat,
+        history: History,
+        committed: int,
+        state: Any,
+    ) -> CommittedEntries | StateSnapshot | None:
+        """Return what a daemon has not applied yet."""
         applied = heartbeat.applied_index
         if applied >= committed:
-            return
+            return None
         is_near = committed - applied <= _MAX_ENTRIES
         if applied and applied >= history.base_index and is_near:
             entries = history.read(applied + 1, committed)
             commands = [entry.command for entry in entries]
-            self._peers.send(
-                heartbeat.vm,
-                CommittedEntries(applied + 1, commands),
-            )
-        else:
-            self._peers.send(heartbeat.vm, self._encode(committed, state))
+            return CommittedEntries(applied + 1, commands)
+        return self._encode(committed, state)
 
     def answer_fetch(self, vm: str, fetch: FetchReports, now: int) -> None:
         """Send the revision that each live VM reported."""
--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 from typing import Any, Final, get_args
 
+from ibisjunction.control.messages import CommittedEntries, StateSnapshot
 from ibisjunction.coordination.calls import Call, CallAnswer
 from ibisjunction.coordination.loads import KeyLoad, UpstreamSpeed
 from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.peers.codec import Codec
 
 _calls: Final = Codec((*get_args(Call), *get_args(CallAnswer)))
@@ -43,6 +45,27 @@
     speeds: tuple[UpstreamSpeed, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RelayedHeartbeat:
+    """What an entry VM that hears of no leader sends through another one."""
+
+    heartbeat: Heartbeat
+    report: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedAnswer:
+    """The leader's answer to a relayed heartbeat, on its way to ``vm``.
+
+    ``entries`` or ``snapshot`` are what the VM has not applied yet.
+    """
+
+    vm: str
+    renewal: LeaseRenewal
+    entries: CommittedEntries | None = None
+    snapshot: StateSnapshot | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ForgetVm:
     """Sent by an entry VM that has stopped sending requests for good."""
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -10,7 +10,12 @@
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.audience import Audience
 from ibisjunction.control.effects import SnapshotTaken, Tick, Written
-from ibisjunction.control.messages import LeaderHint, ReplicaMessage
+from ibisjunction.control.messages import (
+    CommittedEntries,
+    LeaderHint,
+    ReplicaMessage,
+    StateSnapshot,
+)
 from ibisjunction.control.roles import ElectionTiming
 from ibisjunction.control.task import OpenedLog
 from ibisjunction.control.writer import StorageFailed
@@ -29,6 +34,8 @@
     ForwardedCall,
     LoadReport,
     LocalCall,
+    RelayedAnswer,
+    RelayedHeartbeat,
     SeedsChanged,
     decode_call,
     encode_call,
@@ -124,6 +131,7 @@
             AskToJoin,
             LeaderHint,
             ForgetVm,
+            RelayedHeartbeat,
         )
 
     @property
@@ -198,7 +206,13 @@
                 self._send_hint(sender)
             case LeaderHint(vm=vm):
                 self._hinted = vm
-            case Heartbeat() | ForwardedCall() | LoadReport() | ForgetVm():
+            case (
+                Heartbeat()
+                | RelayedHeartbeat()
+                | ForwardedCall()
+                | LoadReport()
+                | ForgetVm()
+            ):
                 leadership = self._leadership
                 if leadership is None or not self.log.is_acting(now):
                     self._send_hint(sender)
@@ -209,7 +223,11 @@
         self,
         leadership: _Leadership,
         sender: str,
-        message: Heartbeat | ForwardedCall | LoadReport | ForgetVm,
+        message: Heartbeat
+        | RelayedHeartbeat
+        | ForwardedCall
+        | LoadReport
+        | ForgetVm,
         now: int,
     ) -> None:
         """Process a message that is meant for the leader."""
@@ -217,6 +235,11 @@
         match message:
             case Heartbeat():
                 self._answer_heartbeat(leadership, message, now)
+            case RelayedHeartbeat(heartbeat=heartbeat, report=report):
+                answer = _answer_relayed(leadership, self.log, heartbeat, now)
+                self._peers.send(sender, answer)
+                coordinator.record_loads(report.loads, report.speeds, now)
+                self._carry_out(leadership, coordinator.answer_ready(now))
             case ForwardedCall(call_id=call_id, call=encoded):
                 if call_id not in leadership.origins:
                     leadership.origins[call_id] = sender
@@ -363,3 +386,26 @@
                     sender = leadership.origins.pop(call_id, '')
                     reply = CallAnswered(call_id, encode_call(answer))
                     self._peers.send(sender, reply)
+
+
+def _answer_relayed(
+    leadership: _Leadership,
+    log: FleetLog,
+    heartbeat: Heartbeat,
+    now: int,
+) -> RelayedAnswer:
+    """Return the answer to a VM that reaches the leader through another."""
+    replica = log.replica
+    leases = leadership.coordinator.leases
+    missing = leadership.audience.find_missing(
+        heartbeat,
+        log.history,
+        replica.index,
+        replica.state,
+    )
+    return RelayedAnswer(
+        heartbeat.vm,
+        leases.accept(heartbeat, now, log.term, replica.index),
+        entries=missing if isinstance(missing, CommittedEntries) else None,
+        snapshot=missing if isinstance(missing, StateSnapshot) else None,
+    )
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -13,10 +13,13 @@
 from ibisjunction.coordination.messages import (
     ForgetVm,
     LoadReport,
+    RelayedAnswer,
+    RelayedHeartbeat,
     SeedsChanged,
 )
 from ibisjunction.coordination.replicas import FleetReplica
 from ibisjunction.entry.messages import DispatchersKnown
+from ibisjunction.entry.relay import RelayChooser
 from ibisjunction.entry.requests import EntryParts, RequestDesk
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event, log_event
@@ -57,6 +60,8 @@
         self._tickets = parts.tickets
         self._replica = FleetReplica()
         self._tracker = LeaderTracker(_HEARTBEAT_MS)
+        self._relays = RelayChooser(clock.now())
+        self._relay_in_use = ''
         self._was_held = False
         self._is_leaving = False
         self._vms: tuple[str, ...] = ()
@@ -69,6 +74,8 @@
             CommittedEntries,
             StateSnapshot,
             LeaderHint,
+            RelayedHeartbeat,
+            RelayedAnswer,
         )
 
     async def run(self) -> None:
@@ -95,15 +102,16 @@
                 self._tracker.take_hint(vm, term)
             case Received(sender=sender, message=LeaseRenewal() as renewal):
                 self._tracker.hear(sender, renewal.term, now)
-                self._lease.renew(renewal, self._replica.index)
-                self._learn_vms(renewal.vms)
-                self._report_lease(now)
+                self._relays.hear_leader(now)
+                self._take_renewal(renewal, now)
             case Received(message=CommittedEntries() as entries):
-                if self._replica.apply_entries(entries):
-                    self._publish()
+                self._take_entries(entries)
             case Received(message=StateSnapshot() as snapshot):
-                if self._replica.install(snapshot):
-                    self._publish()
+                self._take_snapshot(snapshot)
+            case Received(message=RelayedHeartbeat() as relayed):
+                self._relay(relayed, now)
+            case Received(sender=sender, message=RelayedAnswer() as answer):
+                self._take_relayed(sender, answer, now)
             case ReadState(reply=reply):
                 reply.post(self._report(now))
 
@@ -121,6 +129,40 @@
         )
         return encode_report(standing, state)
 
+    def _take_renewal(self, renewal: LeaseRenewal, now: int) -> None:
+        self._lease.renew(renewal, self._replica.index)
+        self._learn_vms(renewal.vms)
+        self._report_lease(now)
+
+    def _take_entries(self, entries: CommittedEntries | None) -> None:
+        if entries is not None and self._replica.apply_entries(entries):
+            self._publish()
+
+    def _take_snapshot(self, snapshot: StateSnapshot | None) -> None:
+        if snapshot is not None and self._replica.install(snapshot):
+            self._publish()
+
+    def _relay(self, relayed: RelayedHeartbeat, now: int) -> None:
+        """Pass on the heartbeat of a VM that does not reach the leader."""
+        leader = self._tracker.find(now)
+        if leader is not None:
+            self._peers.send(leader, relayed)
+
+    def _take_relayed(
+        self,
+        sender: str,
+        answer: RelayedAnswer,
+        now: int,
+    ) -> None:
+        """Take an answer that is for this VM, or pass it on."""
+        if answer.vm != self._vm:
+            self._peers.send(answer.vm, answer)
+            return
+        self._relays.hear_relay(sender, now)
+        self._take_entries(answer.entries)
+        self._take_snapshot(answer.snapshot)
+        self._take_renewal(answer.renewal, now)
+
     def leave(self) -> None:
         """Tell the leader that this VM sends nothing any more."""
         self._is_leaving = True
@@ -162,9 +204,31 @@
             self._desk.take_loads(),
             self._desk.take_speeds(),
         )
-        if len(targets) == 1 and (report.loads or report.speeds):
+        relay = self._choose_relay(now)
+        if relay:
+            self._peers.send(relay, RelayedHeartbeat(heartbeat, report))
+        elif len(targets) == 1 and (report.loads or report.speeds):
             self._peers.send(targets.pop(), report)
 
+    def _choose_relay(self, now: int) -> str:
+        relay = self._relays.choose(self._list_others(), now)
+        if relay != self._relay_in_use:
+            self._relay_in_use = relay
+            log_event(
+                _logger,
+                Event.RELAY_CHOSEN if relay else Event.LEADER_REACHED,
+                logging.WARNING if relay else logging.INFO,
+                vm=self._vm,
+                relay=relay,
+            )
+        return relay
+
+    def _list_others(self) -> tuple[str, ...]:
+        """Return the other entry VMs, beginning after this one."""
+        after = tuple(vm for vm in self._vms if vm > self._vm)
+        before = tuple(vm for vm in self._vms if vm < self._vm)
+        return after + before
+
     def _list_control_vms(self) -> tuple[str, ...]:
         """Return whom to ask for the leader: known voters, then the seeds."""
         voters = tuple(voter.vm for voter in self._replica.state.voters)
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -39,6 +39,8 @@
     LEASE_HELD = (301, 'VM lease obtained')
     LEASE_LOST = (302, 'VM lease ran out')
     VM_LOST = (304, 'VM lost')
+    RELAY_CHOSEN = (305, 'leader asked through another VM')
+    LEADER_REACHED = (306, 'leader reached again')
     DISPATCHER_ASSIGNED = (401, 'dispatcher assigned')
     SHARDS_ASSIGNED = (402, 'shards assigned')
     MOVE_STARTED = (403, 'move started')
--- a/src/ibisjunction/nodes/links.py
+++ b/src/ibisjunction/nodes/links.py
@@ -16,6 +16,8 @@
     ForgetVm,
     ForwardedCall,
     LoadReport,
+    RelayedAnswer,
+    RelayedHeartbeat,
 )
 from ibisjunction.entry.messages import (
     TicketAsk,
@@ -32,23 +34,25 @@
 from ibisjunction.settings import Address, AuthKey
 from ibisjunction.settings.loader import parse_address
 
-_NodeMessage = (
+_LogMessage = (
     ReplicaMessage
     | CommittedEntries
     | StateSnapshot
     | LeaderHint
     | Heartbeat
     | LeaseRenewal
+    | RelayedHeartbeat
+    | RelayedAnswer
     | AskToJoin
-    | ForwardedCall
-    | CallAnswered
-    | LoadReport
-    | ForgetVm
-    | TicketAsk
-    | TicketGranted
-    | TicketQueued
-    | TicketRefused
-    | TicketDone
+)
+_CallMessage = ForwardedCall | CallAnswered | LoadReport | ForgetVm
+_TicketMessage = (
+    TicketAsk | TicketGranted | TicketQueued | TicketRefused | TicketDone
+)
+_MESSAGES: Final = (
+    *get_args(_LogMessage),
+    *get_args(_CallMessage),
+    *get_args(_TicketMessage),
 )
 #: The machines hand out no secret, so the tag only tells damaged messages and
 #: strangers apart.
@@ -75,7 +79,7 @@
         incarnation,
         clock,
         settings.vm,
-        Codec(get_args(_NodeMessage)),
+        Codec(_MESSAGES),
         Authenticator((_KEY,)),
         _resolve,
     )
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,235 @@
+"""Tests of heartbeats that reach the leader through another entry VM."""
+
+import unittest
+from types import SimpleNamespace
+
+from parameterized import parameterized
+
+from ibisjunction.clock import ManualClock
+from ibisjunction.control.messages import CommittedEntries, StateSnapshot
+from ibisjunction.coordination.loads import KeyLoad
+from ibisjunction.coordination.messages import (
+    LoadReport,
+    RelayedAnswer,
+    RelayedHeartbeat,
+)
+from ibisjunction.entry.membership import EntryMembership
+from ibisjunction.entry.relay import RelayChooser
+from ibisjunction.fleet.codec import encode_fleet_command
+from ibisjunction.fleet.commands import AdmitUpstream
+from ibisjunction.fleet.model import Upstream
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.leases import LeaseTable, VmLease
+from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
+from ibisjunction.membership.task import HeartbeatDue
+from ibisjunction.peers.codec import Codec
+from ibisjunction.peers.link import Received
+
+LEASE_MS = 5000
+HEARTBEAT_MS = 200
+LOAD = KeyLoad('reads', {0: 1})
+REPORT = LoadReport((LOAD,), ())
+RENEWAL = LeaseRenewal(1, 2, LEASE_MS, 1, 4, ('e1', 'e2'))
+UPSTREAM = Upstream('u1', 1, 'reads', 'u1:80', 'a', 3)
+
+
+class Network:
+    """Delivers messages at once, but for those between cut-off VMs."""
+
+    def __init__(self):
+        self.tasks = {}
+        self.cut = set()
+        self._sent = []
+
+    def link(self, vm):
+        """Return the peers of one VM."""
+        return SimpleNamespace(
+            send=lambda other, message: self._sent.append((vm, other, message)),
+            subscribe=lambda *_: None,
+        )
+
+    def deliver(self):
+        """Deliver what was sent, and the answers to it."""
+        while self._sent:
+            sender, vm, message = self._sent.pop(0)
+            is_cut = frozenset((sender, vm)) in self.cut
+            if vm in self.tasks and not is_cut:
+                self.tasks[vm].handle(Received(sender, message))
+
+
+class Leader:
+    """Answers heartbeats, relayed ones too."""
+
+    def __init__(self, peers, clock):
+        self.index = 0
+        self.reports = []
+        self._entries = []
+        self._peers = peers
+        self._clock = clock
+        self._leases = LeaseTable(LEASE_MS, 0.02, clock.now())
+
+    def commit(self, command):
+        """Add a command to the log; nobody is told before it asks."""
+        self.index += 1
+        self._entries.append(encode_fleet_command(command))
+
+    def handle(self, received):
+        match received.message:
+            case Heartbeat() as heartbeat:
+                self._peers.send(heartbeat.vm, self._accept(heartbeat))
+            case RelayedHeartbeat(heartbeat=heartbeat, report=report):
+                self.reports.append(report)
+                applied = heartbeat.applied_index
+                missing = self._entries[applied:]
+                entries = CommittedEntries(applied + 1, missing)
+                answer = RelayedAnswer(
+                    heartbeat.vm,
+                    self._accept(heartbeat),
+                    entries if missing else None,
+                )
+                self._peers.send(received.sender, answer)
+
+    def _accept(self, heartbeat):
+        now = self._clock.now()
+        return self._leases.accept(heartbeat, now, 1, self.index)
+
+
+class CutOffTest(unittest.TestCase):
+    """Guards against entry VMs that stop though others reach the leader.
+
+    Seen on motions-suva scale-2: a cut parted 5 of 10 entry VMs from all
+    control VMs, and they refused more than a thousand requests in 5 s.
+    """
+
+    def setUp(self):
+        self.clock = ManualClock(1000)
+        self.network = Network()
+        self.leases = {}
+        self.leader = Leader(self.network.link('c1'), self.clock)
+        self.network.tasks['c1'] = self.leader
+        for vm in ('e1', 'e2', 'e3'):
+            self.network.tasks[vm] = self.make_entry(vm)
+
+    def make_entry(self, vm):
+        """Return the membership of an entry VM."""
+        self.leases[vm] = VmLease(1, 0.02)
+        desk = SimpleNamespace(
+            view=None,
+            update_view=lambda view: None,
+            take_loads=lambda: (LOAD,),
+            take_speeds=tuple,
+        )
+        parts = SimpleNamespace(
+            lease=self.leases[vm],
+            budget=SimpleNamespace(vms=1),
+            tickets=Mailbox(),
+        )
+        return EntryMembership(
+            vm,
+            1,
+            ('c1',),
+            self.clock,
+            self.network.link(vm),
+            desk,
+            parts,
+        )
+
+    def run_for(self, duration_ms):
+        """Let time pass, with a heartbeat of each VM every 200 ms."""
+        for _ in range(duration_ms // HEARTBEAT_MS):
+            for vm in self.leases:
+                self.network.tasks[vm].handle(HeartbeatDue())
+            self.network.deliver()
+            self.clock.advance(HEARTBEAT_MS)
+
+    def cut(self, *pairs):
+        """Part pairs of VMs, named like ``e1-c1``."""
+        self.network.cut = {frozenset(pair.split('-')) for pair in pairs}
+
+    @parameterized.expand(
+        [
+            ('none', (), True),
+            ('the leader', ('e1-c1',), True),
+            ('the leader, and another VM too', ('e1-c1', 'e2-c1'), True),
+            ('all', ('e1-c1', 'e1-e2', 'e1-e3'), False),
+            ('all from the leader', ('e1-c1', 'e2-c1', 'e3-c1'), False),
+        ]
+    )
+    def test_lease_of_a_vm_cut_off_from(self, _name, pairs, is_held):
+        self.run_for(1000)
+        self.cut(*pairs)
+        self.run_for(12_000)
+        self.assertIs(self.leases['e1'].is_held(self.clock.now()), is_held)
+
+    def test_lease_follows_what_was_committed(self):
+        """Guards against a VM that serves by items that are out of date."""
+        self.run_for(1000)
+        self.cut('e1-c1')
+        self.run_for(2000)
+        self.leader.commit(AdmitUpstream(UPSTREAM))
+        self.run_for(8000)
+        self.assertTrue(self.leases['e1'].is_held(self.clock.now()))
+        heartbeats = []
+        self.network.tasks['c1'].handle = lambda received: heartbeats.append(
+            received.message,
+        )
+        self.run_for(HEARTBEAT_MS)
+        relayed = [one for one in heartbeats if hasattr(one, 'heartbeat')]
+        self.assertEqual(relayed[0].heartbeat.applied_index, 1)
+
+    def test_load_is_reported(self):
+        """Guards against an owner whose load is not seen during a cut."""
+        self.run_for(1000)
+        self.cut('e1-c1')
+        self.run_for(4000)
+        self.assertIn(REPORT, self.leader.reports)
+
+
+class EncodingTest(unittest.TestCase):
+    """Guards against messages that the other side can't read."""
+
+    @parameterized.expand(
+        [
+            (RelayedHeartbeat(Heartbeat('e1', 1, 2, 3, 0), REPORT),),
+            (RelayedAnswer('e1', RENEWAL),),
+            (RelayedAnswer('e1', RENEWAL, CommittedEntries(4, [b'x'])),),
+            (RelayedAnswer('e1', RENEWAL, None, StateSnapshot(4, b'x')),),
+        ]
+    )
+    def test_round_trip(self, message):
+        codec = Codec((RelayedHeartbeat, RelayedAnswer))
+        self.assertEqual(codec.decode(codec.encode(message)), message)
+
+
+class RelayChooserTest(unittest.TestCase):
+    """Guards against relays while none is needed, and against a mute one."""
+
+    @parameterized.expand(
+        [
+            ('leader heard', 900, ('a', 'b'), ''),
+            ('leader silent', 1000, ('a', 'b'), 'a'),
+            ('nobody else', 1000, (), ''),
+        ]
+    )
+    def test_first_choice(self, _name, now, vms, expected):
+        self.assertEqual(RelayChooser(0).choose(vms, now), expected)
+
+    @parameterized.expand([(True, 'a'), (False, 'b')])
+    def test_mute_relay_gives_way(self, answers, expected):
+        chooser = RelayChooser(0)
+        chosen = ''
+        for now in range(1000, 2000, HEARTBEAT_MS):
+            chosen = chooser.choose(('a', 'b'), now)
+            if answers:
+                chooser.hear_relay(chosen, now)
+        self.assertEqual(chosen, expected)
+
+    def test_relay_ends_with_the_cut(self):
+        chooser = RelayChooser(0)
+        chooser.choose(('a', 'b'), 1000)
+        chooser.hear_leader(1200)
+        self.assertEqual(chooser.choose(('a', 'b'), 1400), '')
+
+
+if __name__ == '__main__':
+    unittest.main()
