--- /dev/null
+++ b/tests/test_spread_spec.py
@@ -0,0 +1,36 @@
+"""Explores the specification of confirmed changes."""
+
+import unittest
+
+from minicheck import check_safety
+from parameterized import parameterized
+from specs.spread import Mistake, make_protocol
+
+#: Above the number of states; a specification that outgrows it fails the test.
+_MAX_STATES = 100_000
+_INVARIANT = 'confirmed changes are in force'
+
+
+class SpreadSpecTest(unittest.TestCase):
+    """Guards against requests to an upstream that was told it may leave (R5).
+
+    The same rules keep an entry VM from serving by items that were replaced.
+    """
+
+    def test_rules_hold_in_every_state(self):
+        found = check_safety(make_protocol(), max_states=_MAX_STATES)
+        self.assertTrue(found['exhaustive'])
+        self.assertTrue(found['properties'][_INVARIANT]['holds'])
+
+    @parameterized.expand(
+        [(mistake,) for mistake in Mistake if mistake is not Mistake.NONE]
+    )
+    def test_finds_mistake(self, mistake):
+        """Guards against a specification that cannot fail."""
+        protocol = make_protocol(mistake)
+        found = check_safety(protocol, max_states=_MAX_STATES)
+        self.assertIs(found['properties'][_INVARIANT]['holds'], False)
+
+
+if __name__ == '__main__':
+    unittest.main()
