Check that items don't depend on the order of arrival

Cause: tables showed single steps only; that two operators' updates end the same in any order rested on reading. Change: all 120 orders of five updates, one repeated and one invalid, give the same versions, and none goes back on the way.

--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -1,5 +1,6 @@
 """Tests of versioned items and of finding routes."""
 
+import itertools
 import random
 import unittest
 from collections import Counter
@@ -59,6 +60,31 @@
     return Catalogue().apply(ItemUpdate(items))
 
 
+def list_versions(catalogue):
+    """Return the version of each item, removed ones included."""
+    items = catalogue.services | catalogue.routes
+    return {name: item.version for name, item in items.items()}
+
+
+#: Updates of two operators: the last but one repeats the first, the last one
+#: is refused as a whole because one of its routes names an unknown service.
+ORDERS = tuple(
+    map(
+        ItemUpdate,
+        (
+            (make_route('r', 5), make_route('s', 5)),
+            (make_route('r', 7), Item(ItemType.ROUTE, 's', 6)),
+            (make_route('r', 6), make_route('t', 4)),
+            (make_route('r', 5), make_route('s', 5)),
+            (
+                make_route('t', 9),
+                make_route('u', 9, targets=(Target('unknown', 1),)),
+            ),
+        ),
+    ),
+)
+
+
 class ApplyTest(unittest.TestCase):
     """Guards against an older version that replaces a newer one."""
 
@@ -93,6 +119,32 @@
         found = [item.document for item in after.list_items(ItemType.ROUTE)]
         self.assertEqual(found, [document] if document else [])
 
+    @parameterized.expand(
+        [
+            (' '.join(map(str, order)), order)
+            for order in itertools.permutations(range(len(ORDERS)))
+        ]
+    )
+    def test_order_of_arrival_does_not_matter(self, _name, order):
+        """Guards against VMs or operators that disagree on what stands.
+
+        Two operators send at the same time, one sends an update again, and one
+        update is invalid; at no moment does a version go back.
+        """
+        catalogue, _ = apply_all(make_service('reads'))
+        for number in order:
+            before = list_versions(catalogue)
+            catalogue, _ = catalogue.apply(ORDERS[number])
+            after = list_versions(catalogue)
+            lost = [key for key in before if after.get(key, -1) < before[key]]
+            self.assertEqual(lost, [])
+        self.assertEqual(
+            list_versions(catalogue),
+            {'reads': 1, 'r': 7, 's': 6, 't': 4},
+        )
+        found = {item.name for item in catalogue.list_items(ItemType.ROUTE)}
+        self.assertEqual(found, {'r', 't'})
+
     def test_removed_item_does_not_return(self):
         """Guards against an order that is delivered late."""
         before, _ = apply_all(make_service('reads'), make_route('r', 5))
