Test a control VM's task over real files

Cause: the answer to a relayed heartbeat and the report of a control VM were tested with a stand-in for the leader only. Change: a replica with files in a folder is elected, commits items and answers.

--- /dev/null
+++ b/tests/test_fleet_task.py
@@ -0,0 +1,150 @@
+"""Tests of a control VM's task over real files."""
+
+import asyncio
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
+from ibisjunction.clock import ManualClock
+from ibisjunction.control.effects import Tick
+from ibisjunction.control.messages import LeaderHint
+from ibisjunction.coordination.calls import ChangeItems
+from ibisjunction.coordination.messages import (
+    LoadReport,
+    LocalCall,
+    RelayedAnswer,
+    RelayedHeartbeat,
+)
+from ibisjunction.coordination.task import FleetTask, ReplicaOptions
+from ibisjunction.entry.budget import BudgetTerms
+from ibisjunction.fleet.report import ReadState, decode_report
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.messages import Heartbeat
+from ibisjunction.nodes.control import open_replica
+from ibisjunction.nodes.settings import NodeSettings
+from ibisjunction.peers.link import Received
+from ibisjunction.settings import Address
+
+VM = Address('10.0.0.1', 7000)
+SERVICE = Service('/health', 100, is_sharded=False, warmup_ms=0)
+ITEMS = ItemUpdate((Item(ItemType.SERVICE, 'reads', 3, '{}', service=SERVICE),))
+#: Ticks that an election and a commit take at most, with writes in a thread.
+MAX_TICKS = 400
+TICK_MS = 20
+
+
+class FleetTaskTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a leader that leaves VMs without an answer."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        settings = NodeSettings(
+            vm=VM,
+            failure_domain='a',
+            seeds=(VM,),
+            is_first_start=True,
+            data_folder=Path(folder.name),
+            check_in_ms=1000,
+            drain_ms=2000,
+            hold_max_ms=9000,
+            grace_ms=6000,
+            tolerated_losses=0,
+            budget=BudgetTerms(0.1, 10, 10_000),
+        )
+        opened = self.enterContext(open_replica(settings))
+        self.clock = ManualClock(1000)
+        self.sent = []
+        self.task = FleetTask(
+            ReplicaOptions(
+                str(VM),
+                'p',
+                settings.seed_names,
+                settings.election,
+                settings.timing,
+            ),
+            self.clock,
+            SimpleNamespace(
+                send=self.send,
+                subscribe=lambda *_: None,
+            ),
+            opened,
+            random.Random(1),
+        )
+        storage = asyncio.create_task(self.task.log.storage.run())
+        self.addCleanup(storage.cancel)
+
+    def send(self, vm, message):
+        """Keep a message for another VM; deliver one for this VM."""
+        if vm == str(VM):
+            self.task.mailbox.post(Received(vm, message))
+        else:
+            self.sent.append((vm, message))
+
+    async def run_until(self, is_reached):
+        """Let time pass until a condition holds."""
+        for _ in range(MAX_TICKS):
+            if is_reached():
+                return
+            self.clock.advance(TICK_MS)
+            self.task.handle(Tick())
+            await asyncio.sleep(0.001)
+            for message in self.task.mailbox.take_waiting():
+                self.task.handle(message)
+        self.fail('not reached in time')
+
+    async def lead_with_items(self):
+        """Become the leader and commit items."""
+        await self.run_until(lambda: self.task.leader == str(VM))
+        reply = Mailbox()
+        self.task.handle(LocalCall(ChangeItems(ITEMS), reply))
+        await self.run_until(lambda: self.read_state().items)
+
+    def read_state(self):
+        """Return the report of the task."""
+        reply = Mailbox()
+        self.task.handle(ReadState(reply))
+        return decode_report(reply.take_waiting()[0])
+
+    def relay(self):
+        """Hand over the heartbeat of ``e1``, which came through ``e2``."""
+        heartbeat = Heartbeat('e1', 5, 77, 0, 0)
+        relayed = RelayedHeartbeat(heartbeat, LoadReport((), ()))
+        self.sent.clear()
+        self.task.handle(Received('e2', relayed))
+        return self.sent
+
+    async def test_relayed_heartbeat_is_answered_through_the_relay(self):
+        await self.lead_with_items()
+        self.assertEqual([vm for vm, _ in self.relay()], ['e2'])
+        _, answer = self.sent[0]
+        self.assertEqual(answer.vm, 'e1')
+        self.assertIsInstance(answer, RelayedAnswer)
+        self.assertEqual(answer.renewal.sent_at, 77)
+        self.assertGreater(answer.renewal.lease_ms, 0)
+        state = self.read_state()
+        self.assertEqual(answer.renewal.committed_index, state.index)
+        self.assertEqual(answer.snapshot.index, state.index)
+        self.assertEqual(state.vms, ('e1',))
+
+    async def test_relay_is_told_who_may_lead(self):
+        """Guards against a relay that goes on asking a VM which does not."""
+        self.relay()
+        for vm, message in self.sent:
+            self.assertEqual(vm, 'e2')
+            self.assertIsInstance(message, LeaderHint)
+
+    async def test_state_names_the_duty(self):
+        self.assertEqual(self.read_state().duty, 'voting')
+        await self.lead_with_items()
+        state = self.read_state()
+        self.assertEqual((state.duty, state.leader), ('leading', str(VM)))
+        self.assertEqual(state.voters, (str(VM),))
+        self.assertEqual([one.version for one in state.items], [3])
+
+
+if __name__ == '__main__':
+    unittest.main()
