Add a fault soak of control and entry VMs

Change: ibisjunction-bench soak runs the control and entry VMs' own tasks in one process on simulated time, with stand-ins for the network and for upstreams, under overlapping faults, and checks holders, fences, departures, items and recovery.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -22,6 +22,7 @@
 from ibisjunction.bench.policy import compare_policies
 from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.sharing import compare_sharing
+from ibisjunction.bench.soak.run import run_soaks
 from ibisjunction.bench.upstream import (
     ServiceTime,
     UpstreamProfile,
@@ -174,6 +175,26 @@
         return measure_control(sys.stdout)
 
 
+@cappa.command(name='soak')
+@dataclass
+class SoakCommand:
+    """Play faults on simulated control and entry VMs and check the rules.
+
+    The exit code is 1 if a rule was broken or something did not recover.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True, help='First seed.')] = 1
+    runs: Annotated[int, cappa.Arg(long=True)] = 5
+    seconds: Annotated[
+        int,
+        cappa.Arg(long=True, help='Simulated time with faults, for each run.'),
+    ] = 60
+
+    def __call__(self) -> int:
+        """Print one line for each run, and what was found."""
+        return run_soaks(self.seed, self.runs, self.seconds, sys.stdout)
+
+
 @cappa.command(name='ibisjunction-bench')
 @dataclass
 class BenchCommand:
@@ -188,6 +209,7 @@
         | CapacityCommand
         | PolicyCommand
         | ControlCommand
+        | SoakCommand
     ]
 
 
