--- a/src/ibisjunction/bench/soak/network.py
+++ b/src/ibisjunction/bench/soak/network.py
@@ -54,8 +54,8 @@
     """A message on its way to one process of a machine."""
 
     at_ms: int
+    link: Link
     number: int
-    link: Link = field(compare=False)
     meant: Machine | None = field(compare=False)
     message: object = field(compare=False)
 
@@ -64,19 +64,31 @@
 class Network:
     """Messages on their way; ``now`` is the time of an outside observer."""
 
-    generator: random.Random
+    seed: int
     now: int = 0
+    generator: random.Random = field(init=False)
     machines: dict[str, Machine] = field(default_factory=dict)
     frozen_until: dict[str, int] = field(default_factory=dict)
     _cuts: Counter[Link] = field(default_factory=Counter)
     _queue: list[_Sent] = field(default_factory=list)
     _held: dict[Link, deque[object]] = field(default_factory=dict)
     _latest: dict[Link, int] = field(default_factory=dict)
+    _chances: dict[Link, random.Random] = field(default_factory=dict)
     _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
 
+    def __post_init__(self) -> None:
+        """Let the seed decide on chance."""
+        self.generator = random.Random(self.seed)
+
     def send(self, sender: str, vm: str, message: object) -> None:
         """Send a message that arrives after those sent before it."""
-        delay_ms = self.generator.randint(_MIN_DELAY_MS, _MAX_DELAY_MS)
+        # The order in which a task sends to several machines may differ from
+        # run to run, so each link has its own chance.
+        chance = self._chances.get((sender, vm))
+        if chance is None:
+            chance = random.Random(f'{self.seed} {sender} {vm}')
+            self._chances[(sender, vm)] = chance
+        delay_ms = chance.randint(_MIN_DELAY_MS, _MAX_DELAY_MS)
         if sender == vm:
             delay_ms = 0
         self.send_late(sender, vm, message, delay_ms)
@@ -127,7 +139,7 @@
         meant: Machine | None,
         message: object,
     ) -> None:
-        sent = _Sent(at_ms, next(self._numbers), link, meant, message)
+        sent = _Sent(at_ms, link, next(self._numbers), meant, message)
         heapq.heappush(self._queue, sent)
 
     def _arrive(
--- a/src/ibisjunction/bench/soak/upstreams.py
+++ b/src/ibisjunction/bench/soak/upstreams.py
@@ -62,6 +62,7 @@
     _target: int = 0
     _sent_ms: int = 0
     _sent_freed: tuple[FreedRange, ...] = ()
+    _sent_draining: bool = False
     _freed: list[FreedRange] = field(default_factory=list)
     _highest: list[int] = field(default_factory=lambda: list(_NO_FENCES))
     _reply: Mailbox[CallAnswer] | None = None
@@ -85,6 +86,7 @@
         self._sequence += 1
         self._sent_ms = now
         self._sent_freed = tuple(self._freed)
+        self._sent_draining = self.is_draining
         reply: Mailbox[CallAnswer] = Mailbox()
         self._reply = reply
         call = CheckIn(
@@ -132,7 +134,7 @@
         self._freed = [
             freed for freed in self._freed if freed not in self._sent_freed
         ]
-        if self.is_draining and self.drained_ms is None:
+        if self._sent_draining and self.drained_ms is None:
             self.drained_ms = now
         if answer.is_renewal:
             self._take_grants(answer.grants, answer.hold_ms, now)
