--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,8 +13,8 @@
 
 #: Simulated time with faults; a run takes a few seconds.
 PLAYED_MS = 10_000
-#: Seeds whose faults showed both mistakes. Names of new disks differ from run to
-#: run, so a seed may not repeat exactly, and the others are tried as well.
+#: Seeds whose faults showed both mistakes. Names of new disks differ from run
+#: to run, so a seed may not repeat exactly; the others are tried as well.
 SEEDS = (14, 40, 47, 53)
 
 
