Share what the soak, the reports and the command line had twice

Cause: read once more, the change had the fields of a VM's report in two classes and copied them one by one, a second printer of JSON and second options for it, the settings of a control VM three times, and in the soak the drain time, the check-in interval, the name and the end of an upstream's process twice each. Change: VmReport extends Standing; fleet and owner call print_answer of cli/connection.py, and the options exist once; two tests take the settings from the soak's make_settings, which yields the same values; the soak's constants and process rules have one place. Result: no behaviour changes and no assertion is touched.

--- a/src/ibisjunction/bench/soak/checks.py
+++ b/src/ibisjunction/bench/soak/checks.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.bench.soak.machines import EntryVm
+from ibisjunction.bench.soak.machines import DRAIN_MS, EntryVm
 from ibisjunction.bench.soak.upstreams import (
     BUCKETS,
     SERVICE,
@@ -13,9 +13,6 @@
 from ibisjunction.fleet.model import BUCKET_KEYS, FleetState
 
 _NO_FENCES: Final = tuple((0, '') for _ in range(BUCKETS))
-#: Requests may go to an upstream this long after its departure was confirmed,
-#: and items of before a confirmation may be followed as long.
-_DRAIN_MS: Final = 2000
 
 
 @dataclass(slots=True)
@@ -31,18 +28,20 @@
 
     def look(
         self,
-        upstreams: Iterable[SimulatedUpstream],
+        upstreams: list[SimulatedUpstream],
         entries: Iterable[EntryVm],
         now: int,
     ) -> None:
         """Add what is wrong now."""
-        held = list(upstreams)
-        for text in (*self._check_holders(held), *self._check_fences(held)):
+        for text in (
+            *self._check_holders(upstreams),
+            *self._check_fences(upstreams),
+        ):
             self._report(text, now)
         for entry in entries:
             state = entry.state
             if state is not None:
-                for text in self._check_entry(entry, state, held, now):
+                for text in self._check_entry(entry, state, upstreams, now):
                     self._report(text, now)
 
     def confirm(self, version: int, now: int) -> None:
@@ -60,7 +59,7 @@
     ) -> Iterator[str]:
         """Yield keys that two processes hold."""
         holds = sorted(
-            (hold.first, hold.last, f'{upstream.name}/{upstream.born}')
+            (hold.first, hold.last, upstream.process)
             for upstream in upstreams
             if upstream.is_alive
             for hold in upstream.holds
@@ -79,14 +78,16 @@
     ) -> Iterator[str]:
         """Yield keys whose fence did not grow with a change of owner."""
         for upstream in upstreams:
-            process = f'{upstream.name}/{upstream.born}'
             for hold in upstream.holds:
                 bucket = hold.first // BUCKET_KEYS
                 fence, owner = self._fences[bucket]
-                if owner != process and hold.fence <= fence:
-                    yield f'fence {fence} of {owner} is reused by {process}'
+                if owner != upstream.process and hold.fence <= fence:
+                    yield (
+                        f'fence {fence} of {owner} is reused by'
+                        f' {upstream.process}'
+                    )
                 if hold.fence >= fence:
-                    self._fences[bucket] = (hold.fence, process)
+                    self._fences[bucket] = (hold.fence, upstream.process)
 
     def _check_entry(
         self,
@@ -115,7 +116,7 @@
             (
                 version
                 for version, confirmed_ms in self.confirmed.items()
-                if now > confirmed_ms + _DRAIN_MS
+                if now > confirmed_ms + DRAIN_MS
             ),
             default=0,
         )
@@ -123,7 +124,7 @@
 
 def _has_left(upstream: SimulatedUpstream, now: int) -> bool:
     drained_ms = upstream.drained_ms
-    return drained_ms is not None and now > drained_ms + _DRAIN_MS
+    return drained_ms is not None and now > drained_ms + DRAIN_MS
 
 
 def _is_used(upstream: SimulatedUpstream, state: FleetState) -> bool:
--- a/src/ibisjunction/bench/soak/faults.py
+++ b/src/ibisjunction/bench/soak/faults.py
@@ -6,7 +6,6 @@
 
 from ibisjunction.bench.soak.fleet import Fleet
 from ibisjunction.bench.soak.network import Link
-from ibisjunction.bench.soak.upstreams import SimulatedUpstream
 
 _EVERY_MS: Final = (300, 3000)
 _FOR_MS: Final = (200, 9000)
@@ -84,7 +83,7 @@
         generator = self._fleet.generator
         alive = self._fleet.list_alive()
         chosen = generator.sample(alive, min(2, len(alive)))
-        names = [f'{one.name}/{one.born}' for one in chosen]
+        names = [one.process for one in chosen]
         control = [vm.name for vm in self._fleet.control]
         self._cut(
             [(name, vm) for name in names for vm in control],
@@ -123,7 +122,7 @@
         if not alive:
             return
         upstream = self._fleet.generator.choice(alive)
-        _stop(upstream)
+        upstream.stop()
         self._fleet.plan(
             duration_ms,
             functools.partial(self._fleet.add_upstream, upstream.name),
@@ -137,14 +136,9 @@
         upstream = self._fleet.generator.choice(alive)
         upstream.drain()
         self._fleet.add_upstream(f'u{len(self._fleet.upstreams)}')
-        self._fleet.plan(_LEAVE_MS, functools.partial(_stop, upstream))
+        self._fleet.plan(_LEAVE_MS, upstream.stop)
 
 
 def _both_ways(names: list[str], others: list[str]) -> list[Link]:
     there = [(name, other) for name in names for other in others]
     return there + [(other, name) for name, other in there]
-
-
-def _stop(upstream: SimulatedUpstream) -> None:
-    upstream.is_alive = False
-    upstream.holds = []
--- a/src/ibisjunction/bench/soak/fleet.py
+++ b/src/ibisjunction/bench/soak/fleet.py
@@ -93,7 +93,8 @@
     def add_upstream(self, name: str) -> None:
         """Start a process of an upstream."""
         born = self.network.now + 1
-        upstream = SimulatedUpstream(name, born, self.network, self.control)
+        control = [vm.name for vm in self.control]
+        upstream = SimulatedUpstream(name, born, self.network, control)
         self.upstreams.append(upstream)
 
     def list_alive(self) -> list[SimulatedUpstream]:
--- a/src/ibisjunction/bench/soak/machines.py
+++ b/src/ibisjunction/bench/soak/machines.py
@@ -28,8 +28,10 @@
 CONTROL_PORT: Final = 7000
 TICK_MS: Final = 20
 HEARTBEAT_MS: Final = 200
+#: Requests may go to an upstream this long after its departure was confirmed,
+#: and items of before a confirmation may be followed as long.
 DRAIN_MS: Final = 2000
-_CHECK_IN_MS: Final = 1000
+CHECK_IN_MS: Final = 1000
 _HOLD_MAX_MS: Final = 9000
 _GRACE_MS: Final = 6000
 _BUDGET_WINDOW_MS: Final = 10_000
@@ -56,7 +58,7 @@
         seeds=seeds,
         is_first_start=True,
         data_folder=None,
-        check_in_ms=_CHECK_IN_MS,
+        check_in_ms=CHECK_IN_MS,
         drain_ms=DRAIN_MS,
         hold_max_ms=_HOLD_MAX_MS,
         grace_ms=_GRACE_MS,
--- a/src/ibisjunction/bench/soak/upstreams.py
+++ b/src/ibisjunction/bench/soak/upstreams.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from ibisjunction.bench.soak.machines import ControlVm
+from ibisjunction.bench.soak.machines import CHECK_IN_MS
 from ibisjunction.bench.soak.network import Network
 from ibisjunction.coordination.calls import (
     CallAnswer,
@@ -24,7 +24,6 @@
 SERVICE: Final = 'reads'
 #: An answer that takes longer is not used, and the next VM is called.
 _ANSWER_MS: Final = 1000
-_CHECK_IN_MS: Final = 1000
 #: Interval of check-ins while the upstream is told to give keys up.
 _RELEASE_MS: Final = 100
 #: A check-in in so many arrives late.
@@ -52,7 +51,7 @@
     name: str
     born: int
     network: Network
-    control: list[ControlVm]
+    control: list[str]
     holds: list[Hold] = field(default_factory=list)
     is_alive: bool = True
     is_draining: bool = False
@@ -67,6 +66,11 @@
     _highest: list[int] = field(default_factory=lambda: list(_NO_FENCES))
     _reply: Mailbox[CallAnswer] | None = None
 
+    @property
+    def process(self) -> str:
+        """What tells this process from others, and names its links."""
+        return f'{self.name}/{self.born}'
+
     def tick(self) -> None:
         """Use an answer, or check in if that is due."""
         now = self.network.now
@@ -82,6 +86,11 @@
         """Say with the next check-in that this process leaves."""
         self.is_draining = True
 
+    def stop(self) -> None:
+        """End the process, which holds nothing from now on."""
+        self.is_alive = False
+        self.holds = []
+
     def _check_in(self, now: int) -> None:
         self._sequence += 1
         self._sent_ms = now
@@ -104,13 +113,13 @@
             ),
             freed=self._sent_freed,
         )
-        vm = self.control[self._target % len(self.control)].name
+        vm = self.control[self._target % len(self.control)]
         delay_ms = self.network.generator.randint(1, _USUAL_MS)
         if self.network.generator.randrange(_LATE_ONE_IN) == 0:
             delay_ms = self.network.generator.randrange(_LATE_MS)
         # Each call has a connection of its own, so calls overtake each other.
-        sender = f'{self.name}/{self.born}'
-        self.network.send_late(sender, vm, LocalCall(call, reply), delay_ms)
+        message = LocalCall(call, reply)
+        self.network.send_late(self.process, vm, message, delay_ms)
 
     def _look_for_answer(
         self,
@@ -127,7 +136,7 @@
             self._next_ms = now
 
     def _use(self, answer: CallAnswer, now: int) -> None:
-        self._next_ms = now + _CHECK_IN_MS
+        self._next_ms = now + CHECK_IN_MS
         if not isinstance(answer, CheckedIn):
             self._target += 1
             return
--- a/src/ibisjunction/cli/connection.py
+++ b/src/ibisjunction/cli/connection.py
@@ -100,6 +100,9 @@
             ) from error
 
 
+Json = Annotated[bool, cappa.Arg(long=True, help='Print JSON for scripts.')]
+
+
 @dataclass
 class Connection:
     """Options of all commands that call the administration API."""
@@ -112,10 +115,7 @@
             help='Administration address of any VM, host:port.',
         ),
     ]
-    json: Annotated[
-        bool,
-        cappa.Arg(long=True, help='Print JSON for scripts.'),
-    ] = False
+    json: Json = False
 
     def open(self) -> AdminApi:
         """Return the API at the given address.
@@ -130,7 +130,7 @@
         return AdminApi(self.admin, os.environ.get(_TOKEN_VARIABLE, ''))
 
 
-def print_answer(answer: msgspec.Struct) -> None:
+def print_answer(answer: object) -> None:
     """Print an answer as JSON."""
     text = msgspec.json.format(msgspec.json.encode(answer), indent=2)
     sys.stdout.write(f'{text.decode()}\n')
--- a/src/ibisjunction/cli/fleet.py
+++ b/src/ibisjunction/cli/fleet.py
@@ -13,6 +13,8 @@
     EXIT_INVALID,
     EXIT_UNREACHABLE,
     CommandError,
+    Json,
+    print_answer,
 )
 from ibisjunction.cli.inspection import print_table
 from ibisjunction.fleet.report import ShardEntry, VmReport, decode_report
@@ -23,7 +25,6 @@
     list[str],
     cappa.Arg(help='Metrics addresses of VMs, host:port.'),
 ]
-Json = Annotated[bool, cappa.Arg(long=True, help='Print JSON for scripts.')]
 
 
 @cappa.command(name='fleet')
@@ -38,7 +39,7 @@
         """Print the reports of all VMs that answer."""
         reports, faults = fetch_reports(self.addresses)
         if self.json:
-            _print_json(reports)
+            print_answer(reports)
         else:
             _print_vms(reports)
             newest = max(reports, key=lambda one: one.index)
@@ -69,7 +70,7 @@
             for report in reports
         ]
         if self.json:
-            _print_json(found)
+            print_answer(found)
             return _finish(faults)
         rows = [
             (vm, str(index), *_describe_shard(shard))
@@ -139,11 +140,6 @@
     return decode_report(response.body)
 
 
-def _print_json(found: object) -> None:
-    text = msgspec.json.format(msgspec.json.encode(found), indent=2)
-    sys.stdout.write(f'{text.decode()}\n')
-
-
 def _print_vms(reports: list[VmReport]) -> None:
     rows = [
         (
--- a/src/ibisjunction/cli/history.py
+++ b/src/ibisjunction/cli/history.py
@@ -34,6 +34,12 @@
     fields: dict[str, Any]
 
 
+JsonLines = Annotated[
+    bool,
+    cappa.Arg(long=True, help='Print lines of JSON.'),
+]
+
+
 @cappa.command(name='explain-request')
 @dataclass
 class ExplainRequestCommand:
@@ -44,10 +50,7 @@
         list[Path],
         cappa.Arg(help='Saved logs, one file for each process.'),
     ]
-    json: Annotated[
-        bool,
-        cappa.Arg(long=True, help='Print lines of JSON.'),
-    ] = False
+    json: JsonLines = False
 
     def __call__(self) -> int:
         """Print the history in the order of the decisions.
--- a/src/ibisjunction/cli/key_history.py
+++ b/src/ibisjunction/cli/key_history.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ibisjunction.cli.connection import EXIT_INVALID, CommandError
-from ibisjunction.cli.history import LogLine, read_logs
+from ibisjunction.cli.history import JsonLines, LogLine, read_logs
 from ibisjunction.events import Event
 from ibisjunction.fleet.model import list_starts
 
@@ -33,10 +33,7 @@
         list[Path],
         cappa.Arg(help='Saved logs of all control processes.'),
     ]
-    json: Annotated[
-        bool,
-        cappa.Arg(long=True, help='Print lines of JSON.'),
-    ] = False
+    json: JsonLines = False
 
     def __call__(self) -> int:
         """Print the commands in the order in which they were proposed.
--- a/src/ibisjunction/fleet/report.py
+++ b/src/ibisjunction/fleet/report.py
@@ -42,8 +42,8 @@
     is_releasing: bool
 
 
-class VmReport(msgspec.Struct, frozen=True):
-    """The state as one VM has applied it.
+class Standing(msgspec.Struct, frozen=True):
+    """What a VM knows of itself, beside the state of the fleet.
 
     ``role`` is ``control`` or ``entry``. ``duty`` is ``leading``, ``voting`` or
     ``joining`` for control, and ``serving`` or ``waiting`` (for a lease, so
@@ -58,23 +58,14 @@
     leader: str
     voters: tuple[str, ...]
     vms: tuple[str, ...]
-    items: tuple[ItemEntry, ...]
-    upstreams: tuple[UpstreamEntry, ...]
-    shards: tuple[ShardEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
-    """What a VM knows of itself, beside the state of the fleet."""
+class VmReport(Standing, frozen=True):
+    """A VM, and the state as it has applied it."""
 
-    vm: str
-    role: str
-    duty: str
-    term: int
-    index: int
-    leader: str
-    voters: tuple[str, ...]
-    vms: tuple[str, ...]
+    items: tuple[ItemEntry, ...]
+    upstreams: tuple[UpstreamEntry, ...]
+    shards: tuple[ShardEntry, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,14 +78,7 @@
 def encode_report(standing: Standing, state: FleetState) -> bytes:
     """Return the report of a VM as JSON."""
     report = VmReport(
-        vm=standing.vm,
-        role=standing.role,
-        duty=standing.duty,
-        term=standing.term,
-        index=standing.index,
-        leader=standing.leader,
-        voters=standing.voters,
-        vms=standing.vms,
+        **msgspec.structs.asdict(standing),
         items=_list_items(state),
         upstreams=_list_upstreams(state),
         shards=_list_shards(state),
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -7,10 +7,9 @@
 
 from parameterized import parameterized
 
+from ibisjunction.bench.soak.machines import make_settings
 from ibisjunction.control.frames import FolderInUseError
-from ibisjunction.entry.budget import BudgetTerms
 from ibisjunction.nodes.control import open_replica
-from ibisjunction.nodes.settings import NodeSettings
 from ibisjunction.settings import Address
 
 SEEDS = tuple(Address(f'10.0.0.{number}', 7000) for number in range(3))
@@ -22,18 +21,9 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.settings = NodeSettings(
-            vm=SEEDS[0],
-            failure_domain='a',
-            seeds=SEEDS,
-            is_first_start=True,
+        self.settings = replace(
+            make_settings(SEEDS[0], SEEDS),
             data_folder=Path(folder.name),
-            check_in_ms=1000,
-            drain_ms=2000,
-            hold_max_ms=9000,
-            grace_ms=6000,
-            tolerated_losses=2,
-            budget=BudgetTerms(0.1, 10, 10_000),
         )
 
     def open(self, **changes):
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -4,9 +4,11 @@
 import random
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 
+from ibisjunction.bench.soak.machines import make_settings
 from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.effects import Tick
@@ -19,12 +21,10 @@
     RelayedHeartbeat,
 )
 from ibisjunction.coordination.task import FleetTask, ReplicaOptions
-from ibisjunction.entry.budget import BudgetTerms
 from ibisjunction.fleet.report import ReadState, decode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat
 from ibisjunction.nodes.control import open_replica
-from ibisjunction.nodes.settings import NodeSettings
 from ibisjunction.peers.link import Received
 from ibisjunction.settings import Address
 
@@ -42,18 +42,10 @@
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        settings = NodeSettings(
-            vm=VM,
-            failure_domain='a',
-            seeds=(VM,),
-            is_first_start=True,
+        settings = replace(
+            make_settings(VM, (VM,)),
             data_folder=Path(folder.name),
-            check_in_ms=1000,
-            drain_ms=2000,
-            hold_max_ms=9000,
-            grace_ms=6000,
             tolerated_losses=0,
-            budget=BudgetTerms(0.1, 10, 10_000),
         )
         opened = self.enterContext(open_replica(settings))
         self.clock = ManualClock(1000)
