--- a/src/ibisjunction/coordination/metrics.py
+++ b/src/ibisjunction/coordination/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client.registry import CollectorRegistry
 
 from ibisjunction.coordination.log import FleetLog
+from ibisjunction.peers.traffic import PeerTraffic, collect_traffic
 
 
 class LogMetrics:
@@ -15,6 +16,8 @@
     def __init__(self, log: FleetLog) -> None:
         """Register the gauges, which are read from ``log`` when rendered."""
         self._log = log
+        #: The latest traffic that the links reported.
+        self.traffic = PeerTraffic()
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -50,3 +53,4 @@
                 f'{name} as applied by this replica.',
                 value=figure,
             )
+        yield from collect_traffic(self.traffic)
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -51,6 +51,7 @@
 from ibisjunction.membership.messages import Heartbeat
 from ibisjunction.metrics import ReadMetrics
 from ibisjunction.peers.link import PeerNetwork, Received
+from ibisjunction.peers.traffic import PeerTraffic
 
 _logger = logging.getLogger(__name__)
 
@@ -134,6 +135,7 @@
             LeaderHint,
             ForgetVm,
             RelayedHeartbeat,
+            PeerTraffic,
         )
 
     @property
@@ -175,6 +177,8 @@
                 self._handle_applied(self.log.handle_event(message, now), now)
             case SeedsChanged(seeds=seeds):
                 self._seeds = seeds
+            case PeerTraffic():
+                self._metrics.traffic = message
             case ReadMetrics(reply=reply):
                 reply.post(self._metrics.render())
             case ReadState(reply=reply):
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -33,6 +33,39 @@
 _logger = logging.getLogger(__name__)
 
 _HEARTBEAT_MS: Final = 200
+#: Interval at which updates of the view are logged.
+_VIEW_LOG_INTERVAL_MS: Final = 5000
+
+
+class _ViewUpdates:
+    """Counts how often the state changed and how long that took, for logs."""
+
+    def __init__(self, now: int) -> None:
+        """Start a first interval."""
+        self._interval_start_ms = now
+        self._count = 0
+        self._total_ms = 0
+
+    def add(self, started_ms: int, now: int) -> None:
+        """Count an update."""
+        self._count += 1
+        self._total_ms += now - started_ms
+
+    def log_if_due(self, vm: str, now: int) -> None:
+        """Log the updates of an interval that is over, if there were any."""
+        if now < self._interval_start_ms + _VIEW_LOG_INTERVAL_MS:
+            return
+        if self._count:
+            log_event(
+                _logger,
+                Event.VIEW_UPDATES,
+                vm=vm,
+                updates=self._count,
+                total_ms=self._total_ms,
+            )
+        self._interval_start_ms = now
+        self._count = 0
+        self._total_ms = 0
 
 
 class EntryMembership:
@@ -59,8 +92,7 @@
         self._peers = peers
         self._lease = components.lease
         self._processor = processor
-        self._budget = components.budget
-        self._tickets = components.tickets
+        self._components = components
         self._replica = FleetReplica()
         self._tracker = LeaderTracker(_HEARTBEAT_MS)
         self._relay_chooser = RelayChooser(clock.now())
@@ -68,6 +100,7 @@
         self._had_lease = False
         self._is_leaving = False
         self._vms: tuple[str, ...] = ()
+        self._view_updates = _ViewUpdates(clock.now())
         #: Set to false when this VM begins to shut down.
         self.is_serving = True
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -97,8 +130,7 @@
         now = self._clock.now()
         match message:
             case HeartbeatDue():
-                self._send_heartbeat(now)
-                self._log_lease_change(now)
+                self._handle_heartbeat_due(now)
             case SeedsChanged(seeds=seeds):
                 self._seeds = seeds
             case Received(message=LeaderHint(vm=vm, term=term)):
@@ -118,6 +150,11 @@
             case ReadState(reply=reply):
                 reply.post(self._encode_report(now))
 
+    def _handle_heartbeat_due(self, now: int) -> None:
+        self._send_heartbeat(now)
+        self._log_lease_change(now)
+        self._view_updates.log_if_due(self._vm, now)
+
     def _encode_report(self, now: int) -> bytes:
         state = self._replica.state
         summary = VmSummary(
@@ -138,12 +175,16 @@
         self._log_lease_change(now)
 
     def _apply_entries(self, entries: CommittedEntries | None) -> None:
+        started_ms = self._clock.now()
         if entries is not None and self._replica.apply_entries(entries):
             self._publish_view()
+            self._view_updates.add(started_ms, self._clock.now())
 
     def _install_snapshot(self, snapshot: StateSnapshot | None) -> None:
+        started_ms = self._clock.now()
         if snapshot is not None and self._replica.install_snapshot(snapshot):
             self._publish_view()
+            self._view_updates.add(started_ms, self._clock.now())
 
     def _forward_heartbeat(self, relayed: RelayedHeartbeat, now: int) -> None:
         """Forward the heartbeat of a VM that does not reach the leader."""
@@ -176,8 +217,8 @@
     def _update_vms(self, vms: tuple[str, ...]) -> None:
         if vms != self._vms:
             self._vms = vms
-            self._budget.vm_count = max(1, len(vms))
-            self._tickets.post(DispatchersChanged(vms))
+            self._components.budget.vm_count = max(1, len(vms))
+            self._components.tickets.post(DispatchersChanged(vms))
 
     def _publish_view(self) -> None:
         self._lease.retry_pending(self._replica.index)
@@ -214,7 +255,9 @@
             self._peers.send(targets.pop(), report)
 
     def _choose_relay(self, now: int) -> str:
-        relay = self._relay_chooser.choose(self._list_other_vms(), now)
+        relay = self._relay_chooser.choose(
+            _list_other_vms(self._vm, self._vms), now
+        )
         if relay != self._current_relay:
             self._current_relay = relay
             log_event(
@@ -226,15 +269,6 @@
             )
         return relay
 
-    def _list_other_vms(self) -> tuple[str, ...]:
-        """Return the other entry VMs by name, starting after this one.
-
-        VMs that need a relay thus try different ones first.
-        """
-        after = tuple(vm for vm in self._vms if vm > self._vm)
-        before = tuple(vm for vm in self._vms if vm < self._vm)
-        return after + before
-
     def _list_control_vms(self) -> tuple[str, ...]:
         """Return the VMs to contact without a leader: voters, then seeds."""
         voters = tuple(voter.vm for voter in self._replica.state.voters)
@@ -252,3 +286,13 @@
             vm=self._vm,
             index=self._replica.index,
         )
+
+
+def _list_other_vms(vm: str, vms: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the other entry VMs by name, starting after this one.
+
+    VMs that need a relay thus try different ones first.
+    """
+    after = tuple(other for other in vms if other > vm)
+    before = tuple(other for other in vms if other < vm)
+    return after + before
--- a/src/ibisjunction/metrics.py
+++ b/src/ibisjunction/metrics.py
@@ -19,6 +19,7 @@
 from prometheus_client.registry import CollectorRegistry
 
 from ibisjunction.mailbox import Mailbox
+from ibisjunction.peers.traffic import PeerTraffic, collect_traffic
 
 #: Longer durations count as this one in the histograms.
 _MAX_MS: Final = 600_000
@@ -63,6 +64,7 @@
         self._by_rank: dict[tuple[str, ...], _Series] = {}
         self._by_upstream: dict[tuple[str, ...], _Series] = {}
         self._outcomes: Counter[tuple[str, ...]] = Counter()
+        self._traffic = PeerTraffic()
         self._registry = CollectorRegistry()
         self._registry.register(self)
         self.mailbox: Mailbox[Any] = Mailbox()
@@ -77,6 +79,8 @@
         match message:
             case RequestMeasured():
                 self._add_measurement(message)
+            case PeerTraffic():
+                self._traffic = message
             case ReadMetrics(reply=reply):
                 reply.post(generate_latest(self._registry))
 
@@ -102,6 +106,7 @@
         for labels, count in sorted(self._outcomes.items()):
             outcomes.add_metric(labels, count)
         yield outcomes
+        yield from collect_traffic(self._traffic)
 
     def _add_measurement(self, measured: RequestMeasured) -> None:
         rank_labels = (measured.service, measured.rank)
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -24,6 +24,7 @@
 from ibisjunction.metrics import MetricsTask
 from ibisjunction.nodes.links import make_peers, read_incarnation
 from ibisjunction.nodes.settings import CLOCK_ERROR, NodeSettings
+from ibisjunction.peers.traffic import PeerTraffic
 from ibisjunction.settings import Address
 
 _logger = logging.getLogger(__name__)
@@ -87,6 +88,7 @@
     incarnation = read_incarnation()
     peers = make_peers(settings, incarnation, clock)
     metrics = MetricsTask()
+    peers.subscribe(metrics.mailbox, PeerTraffic)
     tickets = TicketTask(
         str(settings.vm),
         clock,
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -25,10 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NumberedMessage:
-    """A message with its sequence number on the link."""
+    """A message with its sequence number on the link, and its type's name."""
 
     sequence: int
     payload: bytes
+    kind: str = ''
 
 
 class OutboundLink:
@@ -50,12 +51,24 @@
             return self._unacknowledged[0].sequence
         return self._last_sequence + 1
 
-    def append(self, payload: bytes, now: int) -> NumberedMessage:
+    @property
+    def buffered_messages(self) -> int:
+        """Number of messages that are not acknowledged."""
+        return len(self._unacknowledged)
+
+    @property
+    def buffered_size(self) -> int:
+        """Bytes of the messages that are not acknowledged."""
+        return sum(len(message.payload) for message in self._unacknowledged)
+
+    def append(
+        self, payload: bytes, now: int, kind: str = ''
+    ) -> NumberedMessage:
         """Assign the next number to a message and buffer it."""
         if not self._unacknowledged:
             self._waiting_since_ms = now
         self._last_sequence += 1
-        message = NumberedMessage(self._last_sequence, payload)
+        message = NumberedMessage(self._last_sequence, payload, kind)
         self._unacknowledged.append(message)
         return message
 
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -31,6 +31,7 @@
     seal,
     unseal,
 )
+from ibisjunction.peers.traffic import PeerTraffic, TrafficCounter
 from ibisjunction.settings import Address
 
 _logger = logging.getLogger(__name__)
@@ -41,6 +42,8 @@
 _TIMER_INTERVAL_MS: Final = 50
 _MIN_RECONNECT_MS: Final = 50
 _MAX_RECONNECT_MS: Final = 200
+#: Interval at which the traffic is logged and reported.
+_TRAFFIC_INTERVAL_MS: Final = 5000
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,8 @@
         self._authenticator = authenticator
         self._peers: dict[str, _Peer] = {}
         self._subscribers: dict[type, _Mailboxes] = {}
+        self._traffic = TrafficCounter()
+        self._next_traffic_ms = 0
 
     def subscribe(
         self,
@@ -131,7 +136,9 @@
             return
         peer = self._get_or_add_peer(vm)
         payload = self._codec.encode(message)
-        numbered = peer.outbound.append(payload, self._clock.now())
+        kind = type(message).__name__
+        self._traffic.record_sent(kind, len(payload))
+        numbered = peer.outbound.append(payload, self._clock.now(), kind)
         self._transmit(vm, peer, numbered)
 
     @contextlib.asynccontextmanager
@@ -166,6 +173,28 @@
                 if peer.inbound.is_ack_due(now):
                     # Without a payload, the number is not used.
                     self._transmit(vm, peer, NumberedMessage(0, b''))
+            if now >= self._next_traffic_ms:
+                self._next_traffic_ms = now + _TRAFFIC_INTERVAL_MS
+                self._report_traffic()
+
+    def _report_traffic(self) -> None:
+        """Log the traffic, and deliver it to the mailboxes subscribed to it."""
+        links = [peer.outbound for peer in self._peers.values()]
+        traffic = self._traffic.read(
+            len(links),
+            sum(link.buffered_messages for link in links),
+            sum(link.buffered_size for link in links),
+        )
+        log_event(
+            _logger,
+            Event.PEER_TRAFFIC,
+            links=traffic.links,
+            buffered_messages=traffic.buffered_messages,
+            buffered_bytes=traffic.buffered_size,
+            kinds=traffic.describe_kinds(),
+        )
+        for mailbox in self._subscribers.get(PeerTraffic, ()):
+            mailbox.post(traffic)
 
     def _resend(self, vm: str, peer: _Peer, now: int) -> None:
         resends = peer.outbound.take_resends(now)
@@ -180,6 +209,7 @@
         )
         _close_socket(peer)
         for numbered in resends:
+            self._traffic.record_resent(numbered.kind, len(numbered.payload))
             self._transmit(vm, peer, numbered)
 
     def _handle_frame(self, frame: bytes) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,6 +20,7 @@
     unseal,
 )
 from ibisjunction.peers.link import PeerTask
+from ibisjunction.peers.traffic import TrafficCounter, collect_traffic
 from ibisjunction.settings import Address, AuthKey
 
 _OLD = AuthKey('k1', b'the-first-shared-key')
@@ -198,3 +199,31 @@
         async with asyncio.timeout(30):
             received = await inbox.get()
         self.assertEqual(received.message, Ping(number))
+
+
+class TrafficTest(unittest.TestCase):
+    """Guards against resends that the traffic of a VM does not show."""
+
+    @parameterized.expand(
+        [
+            ('first sends', (3, 4), (), 'Ping 2/7+0/0'),
+            ('resends', (3, 4), (4,), 'Ping 2/7+1/4'),
+        ]
+    )
+    def test_describes(self, _name, sent, resent, expected):
+        counter = TrafficCounter()
+        for size in sent:
+            counter.record_sent('Ping', size)
+        for size in resent:
+            counter.record_resent('Ping', size)
+        traffic = counter.read(1, 1, 4)
+        self.assertEqual(traffic.describe_kinds(), expected)
+        metrics = {
+            (sample.name, sample.labels.get('resent', '')): sample.value
+            for metric in collect_traffic(traffic)
+            for sample in metric.samples
+        }
+        self.assertEqual(
+            metrics['ibisjunction_peer_bytes_total', 'yes'], sum(resent)
+        )
+        self.assertEqual(metrics['ibisjunction_peer_buffered_bytes', ''], 4)
