--- a/src/ibisjunction/entry/budget.py
+++ b/src/ibisjunction/entry/budget.py
@@ -18,7 +18,7 @@
     """
 
     ratio: float
-    slack: int
+    slack: float
     window_ms: int
 
 
--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -20,6 +20,7 @@
 from ibisjunction.platform.settings import (
     PlatformSettings,
     PlatformSettingsError,
+    find_missing_addresses,
     load_platform_settings,
 )
 from ibisjunction.settings.loader import parse_address
@@ -122,6 +123,10 @@
     except PlatformSettingsError as error:
         sys.stderr.write(f'{error}\n')
         return 1
+    missing = '; '.join(find_missing_addresses(settings))
+    if missing:
+        sys.stderr.write(f'{missing}\n')
+        return 1
     # Later garbage collections then skip the objects of the imported modules.
     gc.freeze()
     return int(asyncio.run(run_role(settings)))
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -5,6 +5,7 @@
 
 import os
 import tomllib
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
@@ -14,6 +15,10 @@
 from ibisjunction.clock import MS_PER_S
 from ibisjunction.entry.budget import BudgetTerms
 from ibisjunction.nodes.settings import NodeSettings
+from ibisjunction.platform.settings_file import (
+    SettingsFile,
+    find_address_mistakes,
+)
 from ibisjunction.settings import Address
 from ibisjunction.settings.loader import parse_address
 from ibisjunction.validation import find_mistakes
@@ -22,60 +27,6 @@
 _DEFAULT_PATH: Final = '/etc/ibisjunction/local.toml'
 
 
-class _Model(msgspec.Struct, rename='pascal', frozen=True):
-    """Base of the tables of the file; unknown fields are ignored."""
-
-
-class _Process(_Model, frozen=True):
-    ip: str
-    zone: str
-    bootstrap: bool = False
-    data_dir: str = ''
-
-
-class _BindAddresses(_Model, frozen=True):
-    frontend: str = ''
-    readiness: str = ''
-    control_plane: str = ''
-
-
-class _Network(_Model, frozen=True):
-    internal_port_range: tuple[int, int]
-    seed_nodes: tuple[str, ...]
-    bind_addresses: _BindAddresses
-
-
-class _Platform(_Model, frozen=True):
-    #: Interval at which upstreams check in.
-    heartbeat_interval_s: float = 1
-
-
-class _FaultTolerance(_Model, frozen=True):
-    #: Control VMs that may lose their disks at once.
-    machines: int = 1
-
-
-class _Bounds(_Model, frozen=True):
-    drain_period_s: float = 2
-    grace_period_s: float = 6
-    max_hold_s: float = 10
-    retry_budget_ratio: float = 0.1
-    retry_budget_slack: int = 20
-    budget_window_s: float = 10
-
-
-class _Terms(_Model, frozen=True):
-    fault_tolerance: _FaultTolerance = _FaultTolerance()
-    bounds: _Bounds = _Bounds()
-
-
-class _Settings(_Model, frozen=True):
-    process: _Process = msgspec.field(name='Self')
-    network: _Network
-    platform: _Platform = _Platform()
-    terms: _Terms = _Terms()
-
-
 class PlatformSettingsError(Exception):
     """The settings file is missing or not valid."""
 
@@ -120,25 +71,43 @@
         raw = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise PlatformSettingsError(f'{path}: {error}') from error
-    mistakes = list(find_mistakes(raw, _Settings, allows_unknown=True))
+    mistakes = list(find_mistakes(raw, SettingsFile, allows_unknown=True))
+    if not mistakes:
+        model = msgspec.convert(raw, SettingsFile)
+        mistakes = list(find_address_mistakes(model))
     if mistakes:
         raise PlatformSettingsError(f'{path}: {"; ".join(mistakes)}')
-    model = msgspec.convert(raw, _Settings)
-    try:
-        node = _make_node_settings(model, is_control=is_control)
-    except ValueError as error:
-        raise PlatformSettingsError(f'{path}: {error}') from error
     bind = model.network.bind_addresses
     return PlatformSettings(
         is_control,
-        node,
+        _make_node_settings(model, is_control=is_control),
         bind.frontend,
         bind.readiness,
         bind.control_plane,
     )
 
 
-def _make_node_settings(model: _Settings, *, is_control: bool) -> NodeSettings:
+def find_missing_addresses(settings: PlatformSettings) -> Iterator[str]:
+    """Yield the addresses that the role of a process needs and that are empty.
+
+    A check of a file does not know the role, so it does not use this.
+    """
+    needed = (
+        {'ControlPlane': settings.control_address}
+        if settings.is_control
+        else {
+            'Frontend': settings.caller_address,
+            'Readiness': settings.readiness_address,
+        }
+    )
+    for name, text in needed.items():
+        if not text:
+            yield f'Network.BindAddresses.{name}: missing'
+
+
+def _make_node_settings(
+    model: SettingsFile, *, is_control: bool
+) -> NodeSettings:
     """Convert the platform's settings to those of a control or entry process.
 
     Processes of one machine share its ports: control processes take the first
@@ -158,11 +127,11 @@
         ),
         is_first_start=model.process.bootstrap,
         data_folder=Path(data_dir) if data_dir else None,
-        check_in_ms=_seconds_to_ms(model.platform.heartbeat_interval_s),
+        check_in_ms=max(1, _seconds_to_ms(model.platform.heartbeat_interval_s)),
         drain_ms=_seconds_to_ms(bounds.drain_period_s),
         hold_max_ms=_seconds_to_ms(bounds.max_hold_s),
         grace_ms=_seconds_to_ms(bounds.grace_period_s),
-        tolerated_losses=model.terms.fault_tolerance.machines,
+        tolerated_losses=int(model.terms.fault_tolerance.machines),
         budget=BudgetTerms(
             bounds.retry_budget_ratio,
             bounds.retry_budget_slack,
