--- a/src/ibisjunction/control/messages.py
+++ b/src/ibisjunction/control/messages.py
@@ -61,10 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CommittedEntries:
-    """Committed commands; the first has index ``first_index``."""
+    """Committed commands; the first has index ``first_index``.
+
+    ``wants_report`` asks for a heartbeat as soon as they are applied.
+    """
 
     first_index: int
     commands: list[bytes]
+    wants_report: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/control/subscribers.py
+++ b/src/ibisjunction/control/subscribers.py
@@ -1,8 +1,16 @@
 """Sends a leader's state and lease renewals to the daemons."""
 
+import functools
 from collections.abc import Callable
-from typing import Any, Final
-
+from typing import Any
+
+from ibisjunction.clock import MS_PER_S
+from ibisjunction.control.distribution import (
+    DaemonReport,
+    Distribution,
+    LeaderState,
+    split_commands,
+)
 from ibisjunction.control.messages import (
     CommittedEntries,
     LiveVms,
@@ -18,9 +26,6 @@
 )
 from ibisjunction.peers.link import PeerNetwork
 
-#: Entries per message; a daemon that misses more gets the whole state.
-_MAX_ENTRIES: Final = 512
-
 
 class Subscribers:
     """The daemons that copy a leader's state, with their leases."""
@@ -30,15 +35,22 @@
         peers: PeerNetwork,
         leases: LeaseTable,
         encode: Callable[[Any], bytes],
+        max_updates_per_s: int | None = None,
     ) -> None:
         """Serve the daemons of a lease table.
 
         :param encode: returns the bytes of a whole state.
+        :param max_updates_per_s: messages with new entries to all daemons in a
+            second; new entries wait for one another if there are more.
         """
         self._peers = peers
         self._leases = leases
         self._encode_state = encode
-        self._latest_snapshot: StateSnapshot | None = None
+        self._max_updates_per_s = max_updates_per_s
+        self._distribution = Distribution()
+        self._new_commands: list[bytes] = []
+        self._first_new_index = 0
+        self._next_push_ms = 0
 
     def reset(self, leases: LeaseTable) -> None:
         """Start a new term with an empty lease table.
@@ -47,15 +59,39 @@
         from the table does not mean that a VM is lost.
         """
         self._leases = leases
+        self._distribution = Distribution()
+        self._new_commands = []
 
-    def push(self, first_index: int, entries: tuple[Entry, ...]) -> None:
-        """Send committed entries to all daemons that sent a heartbeat."""
-        message = CommittedEntries(
-            first_index,
-            [entry.command for entry in entries],
-        )
-        for vm in self._leases.records:
-            self._peers.send(vm, message)
+    def push(
+        self, first_index: int, entries: tuple[Entry, ...], now: int
+    ) -> None:
+        """Send committed entries to the daemons that sent a heartbeat."""
+        if not self._new_commands:
+            self._first_new_index = first_index
+        self._new_commands += [entry.command for entry in entries]
+        self.push_waiting(now)
+
+    def push_waiting(self, now: int, *, wants_report: bool = False) -> None:
+        """Send the entries that wait, unless others were sent just before.
+
+        :param wants_report: whether daemons are to report at once that they
+            have applied the entries.
+        """
+        if not self._new_commands or now < self._next_push_ms:
+            return
+        if self._max_updates_per_s is not None:
+            daemon_count = len(self._leases.records)
+            self._next_push_ms = (
+                now + MS_PER_S * daemon_count // self._max_updates_per_s
+            )
+        self._distribution.remove_absent(frozenset(self._leases.records))
+        first_index = self._first_new_index
+        for commands in split_commands(self._new_commands):
+            message = CommittedEntries(first_index, commands, wants_report)
+            for vm in self._distribution.list_recipients(message, now):
+                self._peers.send(vm, message)
+            first_index += len(commands)
+        self._new_commands = []
 
     def renew_lease(
         self,
@@ -76,37 +112,44 @@
         replica_log: ReplicaLog,
         commit_index: int,
         state: Any,
+        now: int,
     ) -> None:
-        """Send a daemon the entries that it has not applied, or the state."""
-        missing = self.find_missing(heartbeat, replica_log, commit_index, state)
+        """Send a daemon the next entries that it has not got, or the state."""
+        missing = self.find_missing(
+            heartbeat, heartbeat.vm, replica_log, commit_index, state, now
+        )
         if missing is not None:
             self._peers.send(heartbeat.vm, missing)
 
     def find_missing(
         self,
         heartbeat: Heartbeat,
+        via: str,
         replica_log: ReplicaLog,
         commit_index: int,
         state: Any,
+        now: int,
     ) -> CommittedEntries | StateSnapshot | None:
-        """Return the entries that a daemon has not applied, or the state.
+        """Return the next entries that a daemon has not got, or the state.
 
-        A daemon that has applied nothing gets the state, and so does one whose
-        missing entries are too many or no longer in memory.
+        :param via: the VM that passed the heartbeat on, or its sender.
+        :return: ``None`` if there are none, or if the daemon has to apply what
+            is under way to it first.
         """
-        applied_index = heartbeat.applied_index
-        if applied_index >= commit_index:
-            return None
-        fits_in_message = commit_index - applied_index <= _MAX_ENTRIES
-        if (
-            applied_index
-            and applied_index >= replica_log.base_index
-            and fits_in_message
-        ):
-            entries = replica_log.read(applied_index + 1, commit_index)
-            commands = [entry.command for entry in entries]
-            return CommittedEntries(applied_index + 1, commands)
-        return self._make_snapshot(commit_index, state)
+        return self._distribution.choose_missing(
+            DaemonReport(
+                heartbeat.vm,
+                via,
+                heartbeat.incarnation,
+                heartbeat.applied_index,
+            ),
+            LeaderState(
+                replica_log,
+                commit_index,
+                functools.partial(self._encode_state, state),
+            ),
+            now,
+        )
 
     def answer_fetch(self, vm: str, fetch: FetchReports, now: int) -> None:
         """Send the revision that each live VM reported."""
@@ -119,11 +162,3 @@
             self._leases.live_vms(now),
             self._leases.is_settled(now),
         )
-
-    def _make_snapshot(self, commit_index: int, state: Any) -> StateSnapshot:
-        """Encode the state, once for all daemons that need this index."""
-        snapshot = self._latest_snapshot
-        if snapshot is None or snapshot.index != commit_index:
-            snapshot = StateSnapshot(commit_index, self._encode_state(state))
-            self._latest_snapshot = snapshot
-        return snapshot
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -292,7 +292,7 @@
         for entry in entries:
             self._machine = self._machine.apply(entry)
         if self._is_acting:
-            self._subscribers.push(first_index, entries)
+            self._subscribers.push(first_index, entries, self._clock.now())
         for applied in entries:
             self._finish_entry(applied)
         self._save_snapshot_if_due()
@@ -349,6 +349,7 @@
             consensus.replica_log,
             commit_index,
             self._machine.state,
+            now,
         )
         self._subscribers.renew_lease(
             heartbeat, now, consensus.term, commit_index
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -245,7 +245,7 @@
                 self._answer_heartbeat(leader_state, message, now)
             case RelayedHeartbeat(heartbeat=heartbeat, report=report):
                 answer = _make_relayed_answer(
-                    leader_state, self.log, heartbeat, now
+                    leader_state, self.log, heartbeat, sender, now
                 )
                 self._peers.send(sender, answer)
                 coordinator.record_loads(report.loads, report.speeds, now)
@@ -277,6 +277,7 @@
             self.log.replica_log,
             index,
             self.log.replica.state,
+            now,
         )
         effects = leader_state.coordinator.answer_ready_calls(now)
         self._execute_effects(leader_state, effects)
@@ -286,6 +287,7 @@
         if leader_state is not None:
             effects = leader_state.coordinator.handle_tick(now)
             self._execute_effects(leader_state, effects)
+            leader_state.subscribers.push_waiting(now)
         self._forward_calls(now)
         if now < self._next_join_ms:
             return
@@ -339,7 +341,9 @@
         leader_state = self._leader_state
         if leader_state is not None:
             for batch in applied:
-                leader_state.subscribers.push(batch.first_index, batch.entries)
+                leader_state.subscribers.push(
+                    batch.first_index, batch.entries, now
+                )
                 effects = leader_state.coordinator.apply(
                     self.log.replica.state,
                     self.log.replica.index,
@@ -406,6 +410,7 @@
     leader_state: _LeaderState,
     log: FleetLog,
     heartbeat: Heartbeat,
+    relay: str,
     now: int,
 ) -> RelayedAnswer:
     """Return the answer to a heartbeat that came through another VM."""
@@ -413,9 +418,11 @@
     leases = leader_state.coordinator.leases
     missing = leader_state.subscribers.find_missing(
         heartbeat,
+        relay,
         log.replica_log,
         replica.index,
         replica.state,
+        now,
     )
     return RelayedAnswer(
         heartbeat.vm,
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -8,11 +8,17 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from parameterized import parameterized
+
 from ibisjunction.bench.soak.machines import make_settings
 from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.effects import Tick
-from ibisjunction.control.messages import LeaderHint
+from ibisjunction.control.messages import (
+    CommittedEntries,
+    LeaderHint,
+    StateSnapshot,
+)
 from ibisjunction.coordination.calls import ChangeItems
 from ibisjunction.coordination.messages import (
     LoadReport,
@@ -140,6 +146,39 @@
         self.assertEqual(state.voters, (str(VM),))
         self.assertEqual([item.version for item in state.items], [3])
 
+    @parameterized.expand(
+        [
+            ('nothing applied', 0, 1),
+            ('an entry behind', 1, 1),
+            ('ten VMs', 0, 10),
+        ]
+    )
+    async def test_state_is_sent_once_to_a_slow_vm(
+        self, _name, behind, vm_count
+    ):
+        """Guards against a copy of the state for each heartbeat.
+
+        Grown deployments: a link of 2 Mbit/s carried 0.5 MB of routes for
+        longer than a heartbeat takes, and the leader queued them once more for
+        each heartbeat until it ran out of memory.
+        """
+        await self.lead_with_items()
+        index = self.read_state().index
+        applied = index - behind if behind else 0
+        vms = [f'e{number}' for number in range(vm_count)]
+        self.sent.clear()
+        for _ in range(8):
+            self.clock.advance(200)
+            for vm in vms:
+                heartbeat = Heartbeat(vm, 5, self.clock.now(), applied, 0)
+                self.task.handle(Received(vm, heartbeat))
+        received = [
+            vm
+            for vm, message in self.sent
+            if isinstance(message, CommittedEntries | StateSnapshot)
+        ]
+        self.assertEqual(sorted(received), sorted(vms))
+
 
 if __name__ == '__main__':
     unittest.main()
