--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -76,6 +76,7 @@
     MESSAGE_REJECTED = (801, 'peer message rejected')
     PEER_REDIALLED = (802, 'peer link redialled')
     PEER_TRAFFIC = (803, 'peer traffic')
+    PEER_UNREACHABLE = (804, 'messages to a peer discarded')
     REVISION_PUBLISHED = (901, 'revision published')
     PUBLICATION_REJECTED = (902, 'publication rejected')
     TERMS_RENEWED = (903, 'terms renewed')
--- a/src/ibisjunction/peers/envelope.py
+++ b/src/ibisjunction/peers/envelope.py
@@ -20,9 +20,10 @@
     ``oldest`` is the number of the oldest message that the sender still
     buffers. The envelope acknowledges the messages that the recipient sent in
     its incarnation ``received_incarnation``, up to the number ``received``. An
-    envelope with an empty ``payload`` carries only the acknowledgement. The tag
-    covers all other fields, so that a message to one VM can't be replayed to
-    another.
+    envelope with an empty ``payload`` carries only the acknowledgement. The
+    payload may be one part of a message, with its position and the number of
+    parts. The tag covers all other fields, so that a message to one VM can't be
+    replayed to another.
     """
 
     sender: str
@@ -35,6 +36,8 @@
     payload: bytes
     key_id: str = ''
     tag: bytes = b''
+    part: int = 0
+    part_count: int = 1
 
 
 def seal(envelope: Envelope, authenticator: Authenticator) -> bytes:
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -2,8 +2,8 @@
 
 :class:`PeerTask` owns the listening socket and one sending socket for each
 peer in use. A message reaches a peer at most once and in order. It is lost if
-the peer restarts, or if the peer stays unreachable while so many more messages
-are sent that :class:`OutboundLink` drops it.
+the peer restarts, or if the peer stays unreachable so long, or while so much
+more is sent, that :class:`OutboundLink` drops it.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
     InboundLink,
     NumberedMessage,
     OutboundLink,
+    SendBudget,
 )
 from ibisjunction.peers.envelope import (
     Envelope,
@@ -110,6 +111,7 @@
         self._authenticator = authenticator
         self._peers: dict[str, _Peer] = {}
         self._subscribers: dict[type, _Mailboxes] = {}
+        self._budget = SendBudget()
         self._traffic = TrafficCounter()
         self._next_traffic_ms = 0
 
@@ -138,8 +140,9 @@
         payload = self._codec.encode(message)
         kind = type(message).__name__
         self._traffic.record_sent(kind, len(payload))
-        numbered = peer.outbound.append(payload, self._clock.now(), kind)
-        self._transmit(vm, peer, numbered)
+        now = self._clock.now()
+        peer.outbound.append(payload, now, kind)
+        self._transmit_sendable(vm, peer, now)
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[None]:
@@ -154,7 +157,8 @@
             # drops a cancellation that races with a received message.
             listener.close()
             await receiver
-            self._close_sockets()
+            for peer in self._peers.values():
+                _close_socket(peer)
 
     async def _receive(self, listener: pynng.Pull0) -> None:
         while True:
@@ -170,9 +174,9 @@
             now = self._clock.now()
             for vm, peer in self._peers.items():
                 self._resend(vm, peer, now)
-                if peer.inbound.is_ack_due(now):
-                    # Without a payload, the number is not used.
-                    self._transmit(vm, peer, NumberedMessage(0, b''))
+                # Messages may wait for other links to leave the budget.
+                self._transmit_sendable(vm, peer, now)
+                self._acknowledge_if_due(vm, peer, now)
             if now >= self._next_traffic_ms:
                 self._next_traffic_ms = now + _TRAFFIC_INTERVAL_MS
                 self._report_traffic()
@@ -196,7 +200,25 @@
         for mailbox in self._subscribers.get(PeerTraffic, ()):
             mailbox.post(traffic)
 
+    def _transmit_sendable(self, vm: str, peer: _Peer, now: int) -> None:
+        for numbered in peer.outbound.take_sendable(now):
+            self._transmit(vm, peer, numbered)
+
+    def _acknowledge_if_due(self, vm: str, peer: _Peer, now: int) -> None:
+        if peer.inbound.is_ack_due(now):
+            # Without a payload, the number is not used.
+            self._transmit(vm, peer, NumberedMessage(0, b''))
+
     def _resend(self, vm: str, peer: _Peer, now: int) -> None:
+        discarded = peer.outbound.discard_undeliverable(now)
+        if discarded:
+            log_event(
+                _logger,
+                Event.PEER_UNREACHABLE,
+                logging.WARNING,
+                vm=vm,
+                messages=discarded,
+            )
         resends = peer.outbound.take_resends(now)
         if not resends:
             return
@@ -218,30 +240,41 @@
         except EnvelopeError as error:
             _log_rejection(error.sender, str(error))
             return
-        if self._update_link(envelope):
-            self._decode_and_deliver(envelope)
+        payload = self._update_link(envelope)
+        if payload is not None:
+            self._decode_and_deliver(envelope.sender, payload)
 
-    def _update_link(self, envelope: Envelope) -> bool:
-        """Record an envelope; return whether to deliver its message."""
+    def _update_link(self, envelope: Envelope) -> bytes | None:
+        """Record an envelope; return the message that it completes, if any."""
         now = self._clock.now()
         peer = self._get_or_add_peer(envelope.sender)
         if envelope.incarnation < peer.inbound.incarnation:
-            return False
+            return None
         if envelope.incarnation > peer.inbound.incarnation:
             peer.inbound = InboundLink(envelope.incarnation)
         if envelope.received_incarnation == self._incarnation:
             peer.outbound.acknowledge(envelope.received, now)
+            self._transmit_sendable(envelope.sender, peer, now)
         if not envelope.payload:
-            return False
-        return peer.inbound.accept(envelope.sequence, envelope.oldest, now)
+            return None
+        payload = envelope.payload
+        is_next = peer.inbound.accept(
+            envelope.sequence, envelope.oldest, now, len(payload)
+        )
+        self._acknowledge_if_due(envelope.sender, peer, now)
+        if not is_next:
+            return None
+        return peer.inbound.add_part(
+            payload, envelope.part, envelope.part_count
+        )
 
-    def _decode_and_deliver(self, envelope: Envelope) -> None:
+    def _decode_and_deliver(self, sender: str, payload: bytes) -> None:
         try:
-            message = self._codec.decode(envelope.payload)
+            message = self._codec.decode(payload)
         except CodecError as error:
-            _log_rejection(envelope.sender, str(error))
+            _log_rejection(sender, str(error))
             return
-        self._deliver(envelope.sender, message)
+        self._deliver(sender, message)
 
     def _deliver(self, sender: str, message: object) -> None:
         for mailbox in self._subscribers.get(type(message), ()):
@@ -267,7 +300,9 @@
             oldest=peer.outbound.oldest,
             received_incarnation=peer.inbound.incarnation,
             received=peer.inbound.take_acknowledgement(),
-            payload=numbered.payload,
+            payload=bytes(numbered.payload),
+            part=numbered.part,
+            part_count=numbered.part_count,
         )
         return seal(envelope, self._authenticator)
 
@@ -275,14 +310,10 @@
         peer = self._peers.get(vm)
         if peer is None:
             address = None if self._resolve is None else self._resolve(vm)
-            peer = _Peer(OutboundLink(), InboundLink(0), address)
+            peer = _Peer(OutboundLink(self._budget), InboundLink(0), address)
             self._peers[vm] = peer
         return peer
 
-    def _close_sockets(self) -> None:
-        for peer in self._peers.values():
-            _close_socket(peer)
-
 
 def _get_or_open_socket(peer: _Peer) -> pynng.Push0 | None:
     if peer.socket is None and peer.address is not None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -35,6 +35,13 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A message of any size for tests."""
+
+    text: str
+
+
 class EnvelopeTest(unittest.TestCase):
     """Guards against senders without a valid key and altered envelopes."""
 
@@ -107,7 +114,7 @@
         1,
         SystemClock(),
         address,
-        Codec([Ping]),
+        Codec([Ping, Note]),
         Authenticator((key,)),
     )
 
@@ -177,6 +184,24 @@
             await self._expect(inbox, 2)
             await self._expect(inbox, 3)
 
+    async def test_large_message_arrives_over_a_slow_receiver(self):
+        """Guards against parts of a message that are lost or out of order."""
+        addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2')}
+        first = _make_peer('vm-1', addresses['vm-1'])
+        second = _make_peer('vm-2', addresses['vm-2'])
+        inbox: Mailbox = Mailbox()
+        second.subscribe(inbox, Note)
+        text = ''.join(str(number) for number in range(100_000))
+        async with first.run(), second.run():
+            first.set_address('vm-2', addresses['vm-2'])
+            second.set_address('vm-1', addresses['vm-1'])
+            for suffix in ('a', 'b'):
+                first.send('vm-2', Note(text + suffix))
+            for suffix in ('a', 'b'):
+                async with asyncio.timeout(30):
+                    received = await inbox.get()
+                self.assertEqual(received.message, Note(text + suffix))
+
     async def test_message_with_a_wrong_key_is_ignored(self):
         addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2', 'vm-3')}
         wrong_key_peer = _make_peer('vm-1', addresses['vm-1'], _NEW)
