--- a/src/ibisjunction/control/distribution.py
+++ b/src/ibisjunction/control/distribution.py
@@ -38,13 +38,13 @@
 class DaemonReport:
     """What one process of a daemon reported to have applied.
 
-    ``via`` is the VM that passed the report on, or the daemon itself. The
-    daemon may reach the leader on several ways at once, of which some lose all
-    answers, so each way has a progress of its own.
+    ``is_relayed`` is set if another VM passed the report on. The daemon may
+    send reports on both ways at once, while answers get lost on one of them, so
+    each way has a progress of its own.
     """
 
     vm: str
-    via: str
+    is_relayed: bool
     incarnation: int
     applied_index: int
 
@@ -125,7 +125,7 @@
 
     def __init__(self) -> None:
         """Start without daemons."""
-        self._progress: dict[tuple[str, str], _Progress] = {}
+        self._progress: dict[tuple[str, bool], _Progress] = {}
         self._snapshot: StateSnapshot | None = None
         self._snapshot_ms = 0
 
@@ -164,9 +164,9 @@
         """
         size = _measure(message)
         recipients = []
-        for (vm, via), progress in self._progress.items():
+        for (vm, is_relayed), progress in self._progress.items():
             is_next = progress.sent_index == message.first_index - 1
-            if via == vm and is_next and progress.has_room(size):
+            if not is_relayed and is_next and progress.has_room(size):
                 progress.record_sent(find_last_index(message), size, now)
                 recipients.append(vm)
         return recipients
@@ -174,13 +174,13 @@
     def remove_absent(self, vms: frozenset[str]) -> None:
         """Forget the daemons that are not among ``vms``."""
         self._progress = {
-            (vm, via): progress
-            for (vm, via), progress in self._progress.items()
-            if vm in vms
+            key: progress
+            for key, progress in self._progress.items()
+            if key[0] in vms
         }
 
     def _update_progress(self, report: DaemonReport, now: int) -> _Progress:
-        key = (report.vm, report.via)
+        key = (report.vm, report.is_relayed)
         progress = self._progress.get(key)
         if progress is None or progress.incarnation < report.incarnation:
             progress = _Progress(
--- a/src/ibisjunction/control/subscribers.py
+++ b/src/ibisjunction/control/subscribers.py
@@ -116,7 +116,7 @@
     ) -> None:
         """Send a daemon the next entries that it has not got, or the state."""
         missing = self.find_missing(
-            heartbeat, heartbeat.vm, replica_log, commit_index, state, now
+            heartbeat, replica_log, commit_index, state, now, is_relayed=False
         )
         if missing is not None:
             self._peers.send(heartbeat.vm, missing)
@@ -124,22 +124,23 @@
     def find_missing(
         self,
         heartbeat: Heartbeat,
-        via: str,
         replica_log: ReplicaLog,
         commit_index: int,
         state: Any,
         now: int,
+        *,
+        is_relayed: bool,
     ) -> CommittedEntries | StateSnapshot | None:
         """Return the next entries that a daemon has not got, or the state.
 
-        :param via: the VM that passed the heartbeat on, or its sender.
+        :param is_relayed: whether another VM passed the heartbeat on.
         :return: ``None`` if there are none, or if the daemon has to apply what
             is under way to it first.
         """
         return self._distribution.choose_missing(
             DaemonReport(
                 heartbeat.vm,
-                via,
+                is_relayed,
                 heartbeat.incarnation,
                 heartbeat.applied_index,
             ),
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -245,7 +245,7 @@
                 self._answer_heartbeat(leader_state, message, now)
             case RelayedHeartbeat(heartbeat=heartbeat, report=report):
                 answer = _make_relayed_answer(
-                    leader_state, self.log, heartbeat, sender, now
+                    leader_state, self.log, heartbeat, now
                 )
                 self._peers.send(sender, answer)
                 coordinator.record_loads(report.loads, report.speeds, now)
@@ -410,7 +410,6 @@
     leader_state: _LeaderState,
     log: FleetLog,
     heartbeat: Heartbeat,
-    relay: str,
     now: int,
 ) -> RelayedAnswer:
     """Return the answer to a heartbeat that came through another VM."""
@@ -418,11 +417,11 @@
     leases = leader_state.coordinator.leases
     missing = leader_state.subscribers.find_missing(
         heartbeat,
-        relay,
         log.replica_log,
         replica.index,
         replica.state,
         now,
+        is_relayed=True,
     )
     return RelayedAnswer(
         heartbeat.vm,
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -44,9 +44,9 @@
         self.log.replace_from(first, entries)
         return CommittedEntries(first, [entry.command for entry in entries])
 
-    def report(self, vm='e1', applied=0, *, via='', incarnation=1):
+    def report(self, vm='e1', applied=0, *, is_relayed=False, incarnation=1):
         """Return what is sent to a daemon for its report."""
-        report = DaemonReport(vm, via or vm, incarnation, applied)
+        report = DaemonReport(vm, is_relayed, incarnation, applied)
         state = LeaderState(self.log, self.log.last_index, self.encode)
         return self.distribution.choose_missing(report, state, self.now)
 
@@ -160,7 +160,7 @@
     @parameterized.expand(
         [
             ('new process', {'incarnation': 2}),
-            ('other way', {'via': 'e2'}),
+            ('other way', {'is_relayed': True}),
         ]
     )
     def test_sent_anew_at_once(self, _name, change):
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -179,6 +179,23 @@
         ]
         self.assertEqual(sorted(received), sorted(vms))
 
+    async def test_state_is_sent_once_through_changing_relays(self):
+        """Guards against a copy of the state through each relay.
+
+        A VM whose link is full replaces its relay every 600 ms.
+        """
+        await self.lead_with_items()
+        answers = []
+        for number in range(4):
+            self.clock.advance(400)
+            heartbeat = Heartbeat('e1', 5, self.clock.now(), 0, 0)
+            relayed = RelayedHeartbeat(heartbeat, LoadReport((), ()))
+            self.sent.clear()
+            self.task.handle(Received(f'e{2 + number}', relayed))
+            answers += [message for _, message in self.sent]
+        snapshots = [answer.snapshot is not None for answer in answers]
+        self.assertEqual(snapshots, [True, False, False, False])
+
 
 if __name__ == '__main__':
     unittest.main()
