--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -32,7 +32,11 @@
     UpstreamSpeed,
 )
 from ibisjunction.coordination.planned import PlannedCommand
-from ibisjunction.coordination.spread import CommittedChange, is_confirmable
+from ibisjunction.coordination.spread import (
+    CommittedChange,
+    is_confirmable,
+    list_behind,
+)
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AdmitUpstream,
@@ -66,10 +70,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answers a call."""
+    """Answers a call.
+
+    ``wait`` is set if the answer had to wait for entry VMs.
+    """
 
     call_id: str
     answer: CallAnswer
+    wait: 'ConfirmationWait | None' = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmationWait:
+    """How long a call waited, and the VMs that had not applied its change."""
+
+    call: str
+    waited_ms: int
+    behind: tuple[str, ...]
 
 
 Effect = Propose | Reply
@@ -248,9 +265,22 @@
             answer = self._find_answer(call_state, now)
             if answer is not None:
                 self._calls_in_progress.pop(call_id)
-                replies.append(Reply(call_id, answer))
+                wait = self._describe_wait(call_state, now)
+                replies.append(Reply(call_id, answer, wait))
         return replies
 
+    def _describe_wait(
+        self, call_state: _CallInProgress, now: int
+    ) -> ConfirmationWait | None:
+        change = self._find_required_change(call_state.call)
+        if change is None:
+            return None
+        return ConfirmationWait(
+            type(call_state.call).__name__,
+            now - call_state.started_ms,
+            tuple(list_behind(change, self.leases, now)),
+        )
+
     def _find_answer(
         self, call_state: _CallInProgress, now: int
     ) -> CallAnswer | None:
--- a/src/ibisjunction/coordination/spread.py
+++ b/src/ibisjunction/coordination/spread.py
@@ -33,7 +33,15 @@
         return True
     if now < elected_ms + max_wait_ms:
         return False
-    return all(
-        leases.records[vm].applied_index >= change.index
-        for vm in leases.live_vms(now)
-    )
+    return not list_behind(change, leases, now)
+
+
+def list_behind(
+    change: CommittedChange, leases: LeaseTable, now: int
+) -> list[str]:
+    """Return the entry VMs with a lease that have not applied a change."""
+    return [
+        vm
+        for vm in sorted(leases.live_vms(now))
+        if leases.records[vm].applied_index < change.index
+    ]
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -401,11 +401,28 @@
                     applied = self.log.propose(proposal_id, command, now, why)
                     self._handle_applied(applied, now)
                 case Reply(call_id=call_id, answer=answer):
+                    _log_confirmation(effect)
                     sender = leader_state.call_senders.pop(call_id, '')
                     reply = CallAnswered(call_id, encode_call(answer))
                     self._peers.send(sender, reply)
 
 
+def _log_confirmation(reply: Reply) -> None:
+    """Log the answer to a call that had to wait for entry VMs."""
+    wait = reply.wait
+    if wait is None:
+        return
+    log_event(
+        _logger,
+        Event.CALL_ANSWERED,
+        call_id=reply.call_id,
+        call=wait.call,
+        answer=type(reply.answer).__name__,
+        waited_ms=wait.waited_ms,
+        behind=','.join(wait.behind),
+    )
+
+
 def _make_relayed_answer(
     leader_state: _LeaderState,
     log: FleetLog,
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -36,6 +36,7 @@
     STORAGE_REFUSED = (207, 'control storage refused')
     STORAGE_FULL = (208, 'control storage is full, writes wait')
     COMMAND_PROPOSED = (209, 'command proposed')
+    CALL_ANSWERED = (210, 'call answered')
     LEASE_HELD = (301, 'VM lease obtained')
     LEASE_LOST = (302, 'VM lease ran out')
     VM_LOST = (304, 'VM lost')
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -18,7 +18,12 @@
     ReadItems,
     Unavailable,
 )
-from ibisjunction.coordination.coordinator import Coordinator, Propose, Reply
+from ibisjunction.coordination.coordinator import (
+    ConfirmationWait,
+    Coordinator,
+    Propose,
+    Reply,
+)
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AssignShards,
@@ -68,8 +73,9 @@
         state, _ = apply_fleet_command(FleetState(), UpdateItems(ITEMS))
         self.coordinator = self.make_coordinator(state)
         self.answers = {}
+        self.waits = {}
         self.proposed = []
-        self._calls = 0
+        self.call_count = 0
 
     def make_coordinator(self, state):
         """Return the coordinator of a new term."""
@@ -88,8 +94,8 @@
 
     def call(self, call):
         """Make a call and return its answer, if it has one yet."""
-        self._calls += 1
-        call_id = f'c{self._calls}'
+        self.call_count += 1
+        call_id = f'c{self.call_count}'
         self.run(self.coordinator.handle_call(call_id, call, self.now))
         return self.answers.get(call_id)
 
@@ -99,8 +105,9 @@
         while pending:
             effect = pending.pop(0)
             match effect:
-                case Reply(call_id=call_id, answer=answer):
+                case Reply(call_id=call_id, answer=answer, wait=wait):
                     self.answers[call_id] = answer
+                    self.waits[call_id] = wait
                 case Propose(proposal_id=proposal_id, command=command):
                     self.proposed.append(command)
                     self.index += 1
@@ -456,6 +463,30 @@
         )
 
 
+class WaitTest(unittest.TestCase):
+    """Guards against a late answer whose cause no log line names."""
+
+    @parameterized.expand(
+        [
+            ('all have applied it', True, ConfirmationWait('Depart', 0, ())),
+            (
+                'one never does',
+                False,
+                ConfirmationWait('Depart', 3100, ('e1',)),
+            ),
+        ]
+    )
+    def test_departure(self, _name, is_applied, expected):
+        leader = make_leader_with_owners()
+        leader.send_heartbeat()
+        leader.call(Depart('u1', 10))
+        call_id = f'c{leader.call_count}'
+        if is_applied:
+            leader.send_heartbeat()
+        leader.wait(4000)
+        self.assertEqual(leader.waits[call_id], expected)
+
+
 class ChangeItemsTest(unittest.TestCase):
     """Guards against answers that do not give the outcome of a change.
 
