--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass
 from typing import Any, Final, get_args
 
+from ibisjunction.compression import CompressionError, compress, decompress
 from ibisjunction.control.messages import CommittedEntries, StateSnapshot
 from ibisjunction.coordination.calls import Call, CallAnswer
 from ibisjunction.coordination.loads import KeyLoad, UpstreamSpeed
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
-from ibisjunction.peers.codec import Codec
+from ibisjunction.peers.codec import Codec, CodecError
 
 _calls: Final = Codec((*get_args(Call), *get_args(CallAnswer)))
 
@@ -94,7 +95,7 @@
 
 def encode_call(call: Call | CallAnswer) -> bytes:
     """Return the bytes of a call or an answer."""
-    return _calls.encode(call)
+    return compress(_calls.encode(call))
 
 
 def decode_call(encoded: bytes) -> Any:
@@ -102,4 +103,7 @@
 
     :raises CodecError: if the bytes are not a valid call or answer.
     """
-    return _calls.decode(encoded)
+    try:
+        return _calls.decode(decompress(encoded))
+    except CompressionError as error:
+        raise CodecError(f'not a call or an answer: {error}') from error
--- a/src/ibisjunction/fleet/codec.py
+++ b/src/ibisjunction/fleet/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ibisjunction.compression import CompressionError, compress, decompress
 from ibisjunction.fleet.commands import FleetCommand
 from ibisjunction.fleet.model import FleetState
 from ibisjunction.peers.codec import Codec, CodecError
@@ -13,7 +14,7 @@
 
 def encode_fleet_command(command: FleetCommand) -> bytes:
     """Encode a command."""
-    return _commands.encode(command)
+    return compress(_commands.encode(command))
 
 
 def decode_fleet_command(encoded: bytes) -> Any:
@@ -21,12 +22,12 @@
 
     :raises CodecError: if the bytes are not a valid command.
     """
-    return _commands.decode(encoded) if encoded else None
+    return _commands.decode(_decompress(encoded)) if encoded else None
 
 
 def encode_fleet(state: FleetState) -> bytes:
     """Encode a whole state."""
-    return msgspec.msgpack.encode(state)
+    return compress(msgspec.msgpack.encode(state))
 
 
 def decode_fleet(encoded: bytes) -> FleetState:
@@ -37,6 +38,13 @@
     if not encoded:
         return FleetState()
     try:
-        return msgspec.msgpack.decode(encoded, type=FleetState)
+        return msgspec.msgpack.decode(_decompress(encoded), type=FleetState)
     except msgspec.DecodeError as error:
         raise CodecError(f'not a fleet state: {error}') from error
+
+
+def _decompress(encoded: bytes) -> bytes:
+    try:
+        return decompress(encoded)
+    except CompressionError as error:
+        raise CodecError(f'not a fleet command or state: {error}') from error
