--- a/src/ibisjunction/catalogue/items.py
+++ b/src/ibisjunction/catalogue/items.py
@@ -78,7 +78,17 @@
         error = _find_error(update.items) or after._find_unknown_service(newer)
         if error:
             return self, Rejected(error)
-        return after, Accepted(len(newer))
+        return after if newer else self, Accepted(len(newer))
+
+    def contains(self, update: ItemUpdate) -> bool:
+        """Return whether a valid update has no newer item than the catalogue.
+
+        An operator whose confirmation was lost sends the same update again.
+        """
+        if any(self._is_newer(item) for item in update.items):
+            return False
+        _, outcome = self.apply(update)
+        return isinstance(outcome, Accepted)
 
     def _is_newer(self, item: Item) -> bool:
         current = self._collection(item.type).get(item.name)
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -96,7 +96,8 @@
 class _CallInProgress:
     """A call that is not answered yet, with the proposals that it waits for.
 
-    ``is_late`` marks a check-in that arrived after a later one.
+    ``is_late`` marks a check-in that arrived after a later one. ``change`` is
+    the commit of the latest of its proposals.
     """
 
     call: Call
@@ -149,6 +150,9 @@
         if answer is not None:
             self._calls_in_progress.pop(call_id)
             return [Reply(call_id, answer)]
+        call_state.pending_proposals |= self._find_same_proposals(call_state)
+        if call_state.pending_proposals:
+            return []
         effects: list[Effect] = []
         for planned in self._plan(call, now):
             proposal = self._propose(planned)
@@ -175,6 +179,8 @@
                 outcome = outcomes[proposal_id]
                 if isinstance(outcome, Rejected):
                     call_state.rejection = outcome.detail
+            if call_state.pending_proposals & outcomes.keys():
+                call_state.change = CommittedChange(index, now)
             call_state.pending_proposals -= outcomes.keys()
         return self.answer_ready_calls(now)
 
@@ -216,6 +222,19 @@
         proposal_id = f'{self._prefix}.{self._proposal_count}'
         return Propose(proposal_id, planned.command, planned.why)
 
+    def _find_same_proposals(self, call_state: _CallInProgress) -> set[str]:
+        """Return the proposals that an equal change of items waits for."""
+        if not isinstance(call_state.call, ChangeItems):
+            return set()
+        return next(
+            (
+                other.pending_proposals
+                for other in self._calls_in_progress.values()
+                if other is not call_state and other.call == call_state.call
+            ),
+            set(),
+        )
+
     def _plan(self, call: Call, now: int) -> Iterator[PlannedCommand]:
         match call:
             case CheckIn() if self._liveness.is_late(call):
@@ -236,7 +255,9 @@
                     )
                     yield from self._keys.plan_release_all(self.state, existing)
             case ChangeItems(update=update):
-                yield PlannedCommand(UpdateItems(update), 'sent by an operator')
+                if not self.state.catalogue.contains(update):
+                    why = 'sent by an operator'
+                    yield PlannedCommand(UpdateItems(update), why)
 
     def _plan_check_in(
         self,
@@ -272,7 +293,7 @@
     def _describe_wait(
         self, call_state: _CallInProgress, now: int
     ) -> ConfirmationWait | None:
-        change = self._find_required_change(call_state.call)
+        change = self._find_required_change(call_state)
         if change is None:
             return None
         return ConfirmationWait(
@@ -290,7 +311,7 @@
             return Unavailable('not confirmed in time')
         if call_state.pending_proposals:
             return None
-        change = self._find_required_change(call_state.call)
+        change = self._find_required_change(call_state)
         if change is not None and not is_confirmable(
             change,
             self.leases,
@@ -301,15 +322,23 @@
             return None
         return self._confirm(call_state, now)
 
-    def _find_required_change(self, call: Call) -> CommittedChange | None:
-        """Return the change that entry VMs must apply before the answer."""
-        match call:
+    def _find_required_change(
+        self, call_state: _CallInProgress
+    ) -> CommittedChange | None:
+        """Return the change that entry VMs must apply before the answer.
+
+        A change of items waits for its own commit. Otherwise, changes in quick
+        succession would put off the answers to all of them.
+        """
+        match call_state.call:
             case CheckIn(upstream=name, is_draining=True):
                 return self._recent_changes.get(name, self._inherited_change)
             case Depart(upstream=name):
                 return self._recent_changes.get(name, self._inherited_change)
             case ChangeItems():
-                return self._recent_changes.get('', self._inherited_change)
+                return call_state.change or self._recent_changes.get(
+                    '', self._inherited_change
+                )
             case _:
                 return None
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -5,7 +5,15 @@
 
 from parameterized import parameterized
 
-from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
+from ibisjunction.catalogue.model import (
+    Item,
+    ItemType,
+    ItemUpdate,
+    RequestKind,
+    Route,
+    Service,
+    Target,
+)
 from ibisjunction.coordination.calls import (
     ChangeItems,
     CheckedIn,
@@ -506,3 +514,77 @@
         leader.coordinator = leader.make_coordinator(FleetState())
         self.assertIsInstance(leader.call(ReadItems()), Unavailable)
         self.assertIsInstance(leader.call(make_check_in(1)), Unavailable)
+
+
+class RepeatedChangeTest(unittest.TestCase):
+    """Guards against another copy of a change for each lost confirmation.
+
+    Grown deployments: an operator repeats a change each second until it is
+    acknowledged, and each copy was stored and sent to all VMs.
+    """
+
+    def setUp(self):
+        self.leader = make_leader_with_owners()
+        self.leader.send_heartbeat('e1')
+        self.leader.send_heartbeat('e2')
+        self.before = len(self.leader.proposed)
+
+    def change(self, version, **fields):
+        """Send a change of the service; return the answer."""
+        service = replace(ITEMS.items[0].service, **fields)
+        item = replace(ITEMS.items[0], version=version, service=service)
+        return self.leader.call(ChangeItems(ItemUpdate((item,))))
+
+    @parameterized.expand(
+        [
+            ('repeated', [9, 9, 9], 1),
+            ('older', [9, 8], 1),
+            ('newer', [9, 10, 11], 3),
+            ('in force before', [ITEMS.items[0].version], 0),
+        ]
+    )
+    def test_copies_in_the_log(self, _name, versions, expected):
+        for version in versions:
+            self.change(version)
+        self.assertEqual(len(self.leader.proposed), self.before + expected)
+
+    def test_repetition_waits_for_all_vms_too(self):
+        """Guards against a confirmation before the change is in force."""
+        self.assertIsNone(self.change(9))
+        self.assertIsNone(self.change(9))
+        self.leader.send_heartbeat('e1')
+        self.assertIsNone(self.change(9))
+        self.leader.send_heartbeat('e2')
+        self.assertIsInstance(self.change(9), Confirmed)
+
+    def test_later_changes_do_not_put_off_an_answer(self):
+        """Guards against a storm of changes of which none is confirmed."""
+        self.assertIsNone(self.change(9))
+        first_call = f'c{self.leader.call_count}'
+        first_index = self.leader.index
+        self.assertIsNone(self.change(10))
+        self.leader.send_heartbeat('e1', first_index)
+        self.leader.send_heartbeat('e2', first_index)
+        self.assertIsInstance(self.leader.answers[first_call], Confirmed)
+
+    def test_repetition_before_the_commit(self):
+        """Guards against a second copy while the first is being replicated."""
+        call = ChangeItems(ItemUpdate((replace(ITEMS.items[0], version=9),)))
+        now = self.leader.now
+        coordinator = self.leader.coordinator
+        first = coordinator.handle_call('a', call, now)
+        self.assertEqual(coordinator.handle_call('b', call, now), [])
+        self.leader.run(first)
+        self.leader.send_heartbeat('e1')
+        self.leader.send_heartbeat('e2')
+        self.assertIsInstance(self.leader.answers['a'], Confirmed)
+        self.assertIsInstance(self.leader.answers['b'], Confirmed)
+
+    def test_invalid_change_is_judged_each_time(self):
+        route = Route(
+            '', '/a/', RequestKind.SAFE, 1000, 500, 0, 2, (Target('reads', 1),)
+        )
+        item = Item(ItemType.ROUTE, 'r', 9, '{}', route=route)
+        for _ in range(2):
+            answer = self.leader.call(ChangeItems(ItemUpdate((item,))))
+            self.assertIsInstance(answer, Invalid)
