--- a/src/ibisjunction/peers/codec.py
+++ b/src/ibisjunction/peers/codec.py
@@ -30,6 +30,8 @@
         """
         self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
         self._encoder = msgspec.msgpack.Encoder()
+        self._latest_message: object = None
+        self._latest_encoded = b''
         self._message_decoder = msgspec.msgpack.Decoder(_EncodedMessage)
         for message_type in message_types:
             self._register(message_type)
@@ -37,13 +39,15 @@
     def encode(self, message: object) -> bytes:
         """Return the bytes of a message.
 
+        A message that is encoded several times in a row yields the same object,
+        so that the links to many VMs buffer one copy of it.
+
         :raises CodecError: if its type was not registered.
         """
-        kind = type(message).__name__
-        if kind not in self._decoders:
-            raise CodecError(f'message type {kind} is not registered')
-        body = msgspec.Raw(self._encoder.encode(message))
-        return self._encoder.encode(_EncodedMessage(kind, body))
+        if self._latest_message is not message:
+            self._latest_encoded = self._encode(message)
+            self._latest_message = message
+        return self._latest_encoded
 
     def decode(self, data: bytes) -> Any:
         """Return the message that the bytes encode.
@@ -63,6 +67,13 @@
         except msgspec.DecodeError as error:
             raise CodecError(f'{encoded.kind}: {error}') from error
 
+    def _encode(self, message: object) -> bytes:
+        kind = type(message).__name__
+        if kind not in self._decoders:
+            raise CodecError(f'message type {kind} is not registered')
+        body = msgspec.Raw(self._encoder.encode(message))
+        return self._encoder.encode(_EncodedMessage(kind, body))
+
     def _register(self, message_type: type[Any]) -> None:
         kind = message_type.__name__
         if kind in self._decoders:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -97,6 +97,13 @@
         with self.assertRaises(CodecError):
             Codec([Ping]).decode(encoded)
 
+    def test_message_to_many_vms_is_encoded_once(self):
+        """Guards against a copy of the state for each VM in memory."""
+        codec = Codec([Ping])
+        ping = Ping(1)
+        self.assertIs(codec.encode(ping), codec.encode(ping))
+        self.assertNotEqual(codec.encode(Ping(2)), codec.encode(ping))
+
     def test_round_trip(self):
         codec = Codec([Ping])
         self.assertEqual(codec.decode(codec.encode(Ping(3))), Ping(3))
