--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -1,10 +1,16 @@
 """VM leases, on the VM and on the leader."""
 
 import math
+from collections import deque
 from dataclasses import dataclass
+from typing import Final
 
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 
+#: Renewals that wait for entries; older ones have expired before there are as
+#: many.
+_MAX_PENDING: Final = 64
+
 
 class VmLease:
     """The lease of this VM, timed by its own clock.
@@ -18,18 +24,20 @@
         self.until_ms = 0
         self._incarnation = incarnation
         self._clock_error = clock_error
-        self._pending: LeaseRenewal | None = None
+        self._pending: deque[LeaseRenewal] = deque(maxlen=_MAX_PENDING)
 
     def renew(self, renewal: LeaseRenewal, applied_index: int) -> bool:
         """Apply a renewal and return whether it extended the lease.
 
         A renewal that requires log entries not yet applied is pending until
-        :meth:`retry_pending` is called after they are applied.
+        :meth:`retry_pending` is called after they are applied. A later one does
+        not replace it: a VM that always lags a little would never apply the
+        latest in time.
         """
         if renewal.incarnation != self._incarnation:
             return False
         if applied_index < renewal.committed_index:
-            self._pending = renewal
+            self._pending.append(renewal)
             return False
         lease_ms = math.floor(renewal.lease_ms * (1 - self._clock_error))
         until_ms = renewal.sent_at + lease_ms
@@ -38,15 +46,16 @@
         return is_extended
 
     def retry_pending(self, applied_index: int) -> bool:
-        """Retry a pending renewal after log entries were applied.
+        """Retry the pending renewals after log entries were applied.
 
-        Return whether it extended the lease.
+        Return whether one extended the lease.
         """
-        pending = self._pending
-        if pending is None or applied_index < pending.committed_index:
-            return False
-        self._pending = None
-        return self.renew(pending, applied_index)
+        until_ms = self.until_ms
+        pending = tuple(self._pending)
+        self._pending.clear()
+        for renewal in pending:
+            self.renew(renewal, applied_index)
+        return self.until_ms > until_ms
 
     def is_held(self, now: int) -> bool:
         """Return whether the VM may dispatch and send requests."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -36,6 +36,22 @@
         self.assertTrue(lease.is_held(593))
         self.assertFalse(lease.is_held(594))
 
+    @parameterized.expand([(1,), (3,), (20,)])
+    def test_vm_that_always_lags_keeps_its_lease(self, lag):
+        """Guards against refusals for lack of a lease under steady commits.
+
+        An entry is committed before each renewal, and the VM applies it only
+        ``lag`` renewals later.
+        """
+        lease = VmLease(7, 0.01)
+        for number in range(1, 200):
+            now = 200 * number
+            renewal = LeaseRenewal(7, now, 5000, 1, number)
+            lease.renew(renewal, number - lag - 1)
+            lease.retry_pending(number - lag)
+            if number > lag:
+                self.assertTrue(lease.is_held(now))
+
     def test_renewal_of_earlier_incarnation_is_ignored(self):
         lease = VmLease(7, 0.01)
         self.assertFalse(lease.renew(LeaseRenewal(6, 0, 600, 1, 0), 0))
