--- a/src/ibisjunction/control/subscribers.py
+++ b/src/ibisjunction/control/subscribers.py
@@ -62,17 +62,16 @@
         self._distribution = Distribution()
         self._new_commands = []
 
-    def push(
-        self, first_index: int, entries: tuple[Entry, ...], now: int
-    ) -> None:
-        """Send committed entries to the daemons that sent a heartbeat."""
+    def add_entries(self, first_index: int, entries: tuple[Entry, ...]) -> None:
+        """Add committed entries that :meth:`push` sends."""
         if not self._new_commands:
             self._first_new_index = first_index
         self._new_commands += [entry.command for entry in entries]
-        self.push_waiting(now)
 
-    def push_waiting(self, now: int, *, wants_report: bool = False) -> None:
-        """Send the entries that wait, unless others were sent just before.
+    def push(self, now: int, *, wants_report: bool = False) -> None:
+        """Send the entries that wait to the daemons that sent a heartbeat.
+
+        They wait longer if others were sent just before.
 
         :param wants_report: whether daemons are to report at once that they
             have applied the entries.
--- a/src/ibisjunction/control/task.py
+++ b/src/ibisjunction/control/task.py
@@ -292,7 +292,8 @@
         for entry in entries:
             self._machine = self._machine.apply(entry)
         if self._is_acting:
-            self._subscribers.push(first_index, entries, self._clock.now())
+            self._subscribers.add_entries(first_index, entries)
+            self._subscribers.push(self._clock.now())
         for applied in entries:
             self._finish_entry(applied)
         self._save_snapshot_if_due()
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -6,7 +6,7 @@
 announce one and to changes of items.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -57,6 +57,9 @@
 _MAX_SILENT_MS: Final = 60_000
 #: Interval of the work that no call triggers, such as splits of busy shards.
 _PERIODIC_INTERVAL_MS: Final = 250
+#: Heartbeats of all entry VMs in a second. It bounds the leader's processor
+#: time and traffic as VMs are added.
+_MAX_HEARTBEATS_PER_S: Final = 150
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +130,9 @@
         """
         self._inherited_change = CommittedChange(index, now)
         self.state = state
-        self.leases = LeaseTable(timing.lease_ms, timing.clock_error, now)
+        self.leases = LeaseTable(
+            timing.lease_ms, timing.clock_error, now, _MAX_HEARTBEATS_PER_S
+        )
         self._vm = vm
         self._prefix = prefix
         self._timing = timing
@@ -141,6 +146,14 @@
         self._periodic_proposals: set[str] = set()
         self._next_periodic_ms = now
 
+    @property
+    def awaits_entry_vms(self) -> bool:
+        """Whether an answer waits until entry VMs have applied a change."""
+        return any(
+            self._find_required_change(call_state) is not None
+            for call_state in self._calls_in_progress.values()
+        )
+
     def handle_call(self, call_id: str, call: Call, now: int) -> list[Effect]:
         """Propose a call's commands, and answer the calls that are ready."""
         is_late = isinstance(call, CheckIn) and self._liveness.is_late(call)
@@ -150,7 +163,9 @@
         if answer is not None:
             self._calls_in_progress.pop(call_id)
             return [Reply(call_id, answer)]
-        call_state.pending_proposals |= self._find_same_proposals(call_state)
+        call_state.pending_proposals |= _find_same_proposals(
+            call_state, self._calls_in_progress.values()
+        )
         if call_state.pending_proposals:
             return []
         effects: list[Effect] = []
@@ -222,19 +237,6 @@
         proposal_id = f'{self._prefix}.{self._proposal_count}'
         return Propose(proposal_id, planned.command, planned.why)
 
-    def _find_same_proposals(self, call_state: _CallInProgress) -> set[str]:
-        """Return the proposals that an equal change of items waits for."""
-        if not isinstance(call_state.call, ChangeItems):
-            return set()
-        return next(
-            (
-                other.pending_proposals
-                for other in self._calls_in_progress.values()
-                if other is not call_state and other.call == call_state.call
-            ),
-            set(),
-        )
-
     def _plan(self, call: Call, now: int) -> Iterator[PlannedCommand]:
         match call:
             case CheckIn() if self._liveness.is_late(call):
@@ -405,6 +407,22 @@
                 yield PlannedCommand(command, 'silent for long')
 
 
+def _find_same_proposals(
+    call_state: _CallInProgress, others: Iterable[_CallInProgress]
+) -> set[str]:
+    """Return the proposals that an equal change of items waits for."""
+    if not isinstance(call_state.call, ChangeItems):
+        return set()
+    return next(
+        (
+            other.pending_proposals
+            for other in others
+            if other is not call_state and other.call == call_state.call
+        ),
+        set(),
+    )
+
+
 def _make_upstream(call: CheckIn, existing: Upstream | None) -> Upstream:
     """Return the upstream that a check-in describes.
 
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -61,6 +61,9 @@
 _JOIN_INTERVAL_MS: Final = 300
 #: A joiner that has sent no request for this long is not made a voter.
 _JOINER_TIMEOUT_MS: Final = 1500
+#: Messages with new entries to all entry VMs in a second. It bounds the
+#: leader's processor time and traffic as VMs are added.
+_MAX_UPDATES_PER_S: Final = 600
 #: A voter that has not answered for this long is replaced if possible.
 _VOTER_TIMEOUT_MS: Final = 6000
 
@@ -287,7 +290,7 @@
         if leader_state is not None:
             effects = leader_state.coordinator.handle_tick(now)
             self._execute_effects(leader_state, effects)
-            leader_state.subscribers.push_waiting(now)
+            _push_entries(leader_state, now)
         self._forward_calls(now)
         if now < self._next_join_ms:
             return
@@ -341,8 +344,8 @@
         leader_state = self._leader_state
         if leader_state is not None:
             for batch in applied:
-                leader_state.subscribers.push(
-                    batch.first_index, batch.entries, now
+                leader_state.subscribers.add_entries(
+                    batch.first_index, batch.entries
                 )
                 effects = leader_state.coordinator.apply(
                     self.log.replica.state,
@@ -351,6 +354,7 @@
                     now,
                 )
                 self._execute_effects(leader_state, effects)
+            _push_entries(leader_state, now)
         is_acting = self.log.is_acting(now)
         if is_acting and self._leader_state is None:
             self._start_leading(now)
@@ -366,7 +370,9 @@
             self.log.replica.index,
             now,
         )
-        subscribers = Subscribers(self._peers, coordinator.leases, encode_fleet)
+        subscribers = Subscribers(
+            self._peers, coordinator.leases, encode_fleet, _MAX_UPDATES_PER_S
+        )
         self._leader_state = _LeaderState(coordinator, subscribers, {})
         log_event(
             _logger,
@@ -407,6 +413,12 @@
                     self._peers.send(sender, reply)
 
 
+def _push_entries(leader_state: _LeaderState, now: int) -> None:
+    leader_state.subscribers.push(
+        now, wants_report=leader_state.coordinator.awaits_entry_vms
+    )
+
+
 def _log_confirmation(reply: Reply) -> None:
     """Log the answer to a call that had to wait for entry VMs."""
     wait = reply.wait
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -18,6 +18,7 @@
     SeedsChanged,
 )
 from ibisjunction.coordination.replica import FleetReplica
+from ibisjunction.entry.heartbeats import HEARTBEAT_MS, HeartbeatSchedule
 from ibisjunction.entry.messages import DispatchersChanged
 from ibisjunction.entry.relay import RelayChooser
 from ibisjunction.entry.requests import EntryComponents, RequestProcessor
@@ -26,13 +27,13 @@
 from ibisjunction.fleet.report import ReadState, VmSummary, encode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.leader import LeaderTracker
+from ibisjunction.membership.leases import digest_vms
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.membership.task import HeartbeatDue
 from ibisjunction.peers.link import PeerNetwork, Received
 
 _logger = logging.getLogger(__name__)
 
-_HEARTBEAT_MS: Final = 200
 #: Interval at which updates of the view are logged.
 _VIEW_LOG_INTERVAL_MS: Final = 5000
 
@@ -94,8 +95,9 @@
         self._processor = processor
         self._components = components
         self._replica = FleetReplica()
-        self._tracker = LeaderTracker(_HEARTBEAT_MS)
+        self._tracker = LeaderTracker(HEARTBEAT_MS)
         self._relay_chooser = RelayChooser(clock.now())
+        self._schedule = HeartbeatSchedule()
         self._current_relay = ''
         self._had_lease = False
         self._is_leaving = False
@@ -123,7 +125,7 @@
         """Post ``HeartbeatDue`` at each interval until cancelled."""
         while True:
             self.mailbox.post(HeartbeatDue())
-            await asyncio.sleep(in_seconds(_HEARTBEAT_MS))
+            await asyncio.sleep(in_seconds(HEARTBEAT_MS))
 
     def handle(self, message: Any) -> None:
         """Process one message."""
@@ -139,10 +141,10 @@
                 self._tracker.record_leader(sender, renewal.term, now)
                 self._relay_chooser.record_leader_answer(now)
                 self._apply_renewal(renewal, now)
-            case Received(message=CommittedEntries() as entries):
-                self._apply_entries(entries)
-            case Received(message=StateSnapshot() as snapshot):
-                self._install_snapshot(snapshot)
+            case Received(
+                message=(CommittedEntries() | StateSnapshot()) as state
+            ):
+                self._apply_state(state)
             case Received(message=RelayedHeartbeat() as relayed):
                 self._forward_heartbeat(relayed, now)
             case Received(sender=sender, message=RelayedAnswer() as answer):
@@ -151,7 +153,8 @@
                 reply.post(self._encode_report(now))
 
     def _handle_heartbeat_due(self, now: int) -> None:
-        self._send_heartbeat(now)
+        if self._schedule.is_due(now):
+            self._send_heartbeat(now)
         self._log_lease_change(now)
         self._view_updates.log_if_due(self._vm, now)
 
@@ -171,20 +174,39 @@
 
     def _apply_renewal(self, renewal: LeaseRenewal, now: int) -> None:
         self._lease.renew(renewal, self._replica.index)
-        self._update_vms(renewal.vms)
+        if renewal.vms is not None:
+            self._update_vms(renewal.vms)
+        self._schedule.set_interval(renewal.heartbeat_ms)
+        self._tracker.set_heartbeat(self._schedule.interval_ms)
+        self._relay_chooser.set_heartbeat(self._schedule.interval_ms)
         self._log_lease_change(now)
 
-    def _apply_entries(self, entries: CommittedEntries | None) -> None:
+    def _apply_state(
+        self, message: CommittedEntries | StateSnapshot | None
+    ) -> None:
+        """Apply what the leader sent, if it is new."""
         started_ms = self._clock.now()
-        if entries is not None and self._replica.apply_entries(entries):
+        wants_report = True
+        match message:
+            case CommittedEntries():
+                is_new = self._replica.apply_entries(message)
+                wants_report = message.wants_report
+            case StateSnapshot():
+                is_new = self._replica.install_snapshot(message)
+            case None:
+                is_new = False
+        if is_new:
             self._publish_view()
             self._view_updates.add(started_ms, self._clock.now())
+        if is_new and wants_report:
+            self._send_report()
 
-    def _install_snapshot(self, snapshot: StateSnapshot | None) -> None:
-        started_ms = self._clock.now()
-        if snapshot is not None and self._replica.install_snapshot(snapshot):
-            self._publish_view()
-            self._view_updates.add(started_ms, self._clock.now())
+    def _send_report(self) -> None:
+        """Report what this VM has applied without waiting for the interval."""
+        now = self._clock.now()
+        self._schedule.request_report()
+        if self._schedule.is_report_due(now):
+            self._send_heartbeat(now)
 
     def _forward_heartbeat(self, relayed: RelayedHeartbeat, now: int) -> None:
         """Forward the heartbeat of a VM that does not reach the leader."""
@@ -203,8 +225,8 @@
             self._peers.send(answer.vm, answer)
             return
         self._relay_chooser.record_relay_answer(sender, now)
-        self._apply_entries(answer.entries)
-        self._install_snapshot(answer.snapshot)
+        self._apply_state(answer.entries)
+        self._apply_state(answer.snapshot)
         self._apply_renewal(answer.renewal, now)
 
     def leave(self) -> None:
@@ -240,7 +262,9 @@
             applied_index=self._replica.index,
             revision=0,
             is_serving=self.is_serving,
+            vms_digest=digest_vms(self._vms),
         )
+        self._schedule.record_sent(now)
         targets = self._tracker.choose_targets(self._list_control_vms(), now)
         for vm in targets:
             self._peers.send(vm, heartbeat)
--- a/src/ibisjunction/entry/relay.py
+++ b/src/ibisjunction/entry/relay.py
@@ -2,12 +2,14 @@
 
 from typing import Final
 
-#: Time without an answer of a leader after which a relay is used. An election
-#: takes about 1 s, and no other VM reaches a leader before it ends.
-_LEADER_TIMEOUT_MS: Final = 1000
-#: A relay that has not answered for three heartbeats is replaced by the next
-#: VM.
-_RELAY_TIMEOUT_MS: Final = 600
+from ibisjunction.entry.heartbeats import HEARTBEAT_MS
+
+#: Shortest time without an answer of a leader after which a relay is used. An
+#: election takes about 1 s, and no other VM reaches a leader before it ends.
+_MIN_LEADER_TIMEOUT_MS: Final = 1000
+#: A leader that has not answered for three heartbeats is asked through a relay,
+#: and a relay that has not is replaced by the next VM.
+_MISSED_HEARTBEATS: Final = 3
 
 
 class RelayChooser:
@@ -15,11 +17,16 @@
 
     def __init__(self, now: int) -> None:
         """Start with a leader that counts as reachable."""
+        self._timeout_ms = HEARTBEAT_MS * _MISSED_HEARTBEATS
         self._leader_answered_ms = now
         self._relay = ''
         #: Time of the last answer of the relay, or when it was chosen.
         self._relay_answered_ms = now
 
+    def set_heartbeat(self, heartbeat_ms: int) -> None:
+        """Set the interval of heartbeats."""
+        self._timeout_ms = heartbeat_ms * _MISSED_HEARTBEATS
+
     def record_leader_answer(self, now: int) -> None:
         """Record that an answer came directly from the leader."""
         self._leader_answered_ms = now
@@ -31,7 +38,8 @@
 
     def is_leader_reachable(self, now: int) -> bool:
         """Return whether the leader has recently answered directly."""
-        return now < self._leader_answered_ms + _LEADER_TIMEOUT_MS
+        timeout_ms = max(_MIN_LEADER_TIMEOUT_MS, self._timeout_ms)
+        return now < self._leader_answered_ms + timeout_ms
 
     def choose(self, vms: tuple[str, ...], now: int) -> str:
         """Return the relay; empty if none is needed or available.
@@ -40,7 +48,7 @@
         """
         if self.is_leader_reachable(now) or not vms:
             return ''
-        is_silent = now >= self._relay_answered_ms + _RELAY_TIMEOUT_MS
+        is_silent = now >= self._relay_answered_ms + self._timeout_ms
         if self._relay not in vms or is_silent:
             position = vms.index(self._relay) + 1 if self._relay in vms else 0
             self._relay = vms[position % len(vms)]
--- a/src/ibisjunction/membership/leader.py
+++ b/src/ibisjunction/membership/leader.py
@@ -26,6 +26,10 @@
         self._term = 0
         self._next_voter = 0
 
+    def set_heartbeat(self, heartbeat_ms: int) -> None:
+        """Set the interval of heartbeats."""
+        self._timeout_ms = heartbeat_ms * _MISSED_HEARTBEATS
+
     def record_leader(self, vm: str, term: int, now: int) -> None:
         """Record a message that only a leader sends."""
         if term >= self._term:
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -1,15 +1,25 @@
 """VM leases, on the VM and on the leader."""
 
 import math
+import zlib
 from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
+from ibisjunction.clock import MS_PER_S
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 
 #: Renewals that wait for entries; older ones have expired before there are as
 #: many.
 _MAX_PENDING: Final = 64
+#: Part of a lease in which a VM sends a heartbeat at least once, however many
+#: VMs there are. One that gets no answer to two of them keeps its lease.
+_MAX_HEARTBEAT_FRACTION: Final = 0.2
+
+
+def digest_vms(vms: tuple[str, ...]) -> int:
+    """Return a number that tells lists of VMs apart."""
+    return zlib.crc32(' '.join(vms).encode())
 
 
 class VmLease:
@@ -76,13 +86,23 @@
 class LeaseTable:
     """The leases of all VMs, timed by the leader's clock."""
 
-    def __init__(self, lease_ms: int, clock_error: float, now: int) -> None:
+    def __init__(
+        self,
+        lease_ms: int,
+        clock_error: float,
+        now: int,
+        max_heartbeats_per_s: int | None = None,
+    ) -> None:
         """Start empty.
 
         A VM without a record may hold a lease from an earlier leader until the
         table is settled, so a new leader does not count it as lost before.
+
+        :param max_heartbeats_per_s: heartbeats of all VMs in a second; each VM
+            sends fewer if there are more VMs.
         """
         self._lease_ms = lease_ms
+        self._max_heartbeats_per_s = max_heartbeats_per_s
         self._leader_lease_ms = math.ceil(lease_ms * (1 + clock_error))
         self._settled_at = now + self._leader_lease_ms
         self.records: dict[str, LeaseRecord] = {}
@@ -122,9 +142,26 @@
             lease_ms=self._lease_ms,
             term=term,
             committed_index=committed_index,
-            vms=self.serving_vms(now),
+            vms=self._find_changed_vms(heartbeat, now),
+            heartbeat_ms=self._choose_interval_ms(),
         )
 
+    def _find_changed_vms(
+        self, heartbeat: Heartbeat, now: int
+    ) -> tuple[str, ...] | None:
+        """Return the serving VMs, unless the sender has this list."""
+        if heartbeat.vms_digest is None:
+            return None
+        vms = self.serving_vms(now)
+        return None if digest_vms(vms) == heartbeat.vms_digest else vms
+
+    def _choose_interval_ms(self) -> int:
+        """Return the interval of heartbeats; 0 if the VMs choose it."""
+        if self._max_heartbeats_per_s is None:
+            return 0
+        interval_ms = MS_PER_S * len(self.records) // self._max_heartbeats_per_s
+        return min(interval_ms, int(self._lease_ms * _MAX_HEARTBEAT_FRACTION))
+
     def remove(self, vm: str, incarnation: int) -> None:
         """Remove the lease of a process that sends no more requests."""
         record = self.records.get(vm)
