--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -6,11 +6,10 @@
 """
 
 import asyncio
+import logging
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-import xxhash
-
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.control.effects import Tick
 from ibisjunction.entry.dispatch import (
@@ -20,6 +19,7 @@
     TicketRequest,
     Wait,
 )
+from ibisjunction.entry.dispatchers import Dispatchers
 from ibisjunction.entry.health import HealthReport, HealthResult
 from ibisjunction.entry.messages import (
     DispatchersChanged,
@@ -33,16 +33,14 @@
 )
 from ibisjunction.entry.model import Reason
 from ibisjunction.entry.view import FleetView
+from ibisjunction.events import Event, log_event
 from ibisjunction.fleet.model import Upstream
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.link import PeerNetwork, Received
 
+_logger = logging.getLogger(__name__)
+
 _TICK_MS: Final = 10
-#: A dispatcher answers within a few milliseconds. One that exceeds the timeout
-#: is suspected to have failed: this VM decides on that request itself, and
-#: picks other dispatchers for a while.
-_ANSWER_TIMEOUT_MS: Final = 100
-_SUSPECT_MS: Final = 1500
 #: A queued request is sent again at this interval, in case its dispatcher was
 #: restarted and lost the queue.
 _REPEAT_INTERVAL_MS: Final = 300
@@ -56,7 +54,8 @@
 class _PendingRequest:
     """A ticket request of this VM that is not decided.
 
-    ``is_queued`` is set once the dispatcher has queued it.
+    ``is_queued`` is set once the dispatcher has queued it, and ``is_answered``
+    once it has answered at all.
     """
 
     request: TicketRequest
@@ -64,6 +63,7 @@
     dispatcher_vm: str
     sent_ms: int
     is_queued: bool = False
+    is_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +99,7 @@
         self._clock = clock
         self._peers = peers
         self._dispatcher = dispatcher
-        self._vms: tuple[str, ...] = ()
-        self._suspected_until_ms: dict[str, int] = {}
+        self._dispatchers = Dispatchers(vm)
         self._state = _TicketState()
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
@@ -137,7 +136,7 @@
                 self._dispatcher.update_view(message)
                 self._decide_waiting(now)
             case DispatchersChanged(vms=vms):
-                self._vms = vms
+                self._dispatchers.replace_vms(vms)
             case Tick():
                 self._handle_tick(now)
 
@@ -150,9 +149,10 @@
             case TicketQueued(number=number):
                 pending = self._state.pending.get(number)
                 if pending is not None and pending.dispatcher_vm == sender:
+                    self._record_answer(pending, now)
                     pending.is_queued = True
             case TicketGranted() | TicketRefused():
-                self._handle_decision(sender, message)
+                self._handle_decision(sender, message, now)
 
     def _request_ticket(
         self,
@@ -173,11 +173,7 @@
             self._peers.send(dispatcher_vm, _encode_request(request, now))
 
     def _find_dispatcher(self, request: TicketRequest, now: int) -> str:
-        """Return the dispatcher of the upstreams that a request needs.
-
-        Rendezvous hashing: each VM finds the same dispatcher, the one with the
-        highest hash of VM and queue.
-        """
+        """Return the dispatcher of the upstreams that a request needs."""
         view = self._dispatcher.view
         queue = request.service
         if view is not None:
@@ -186,14 +182,7 @@
                 request.number,
                 request.key,
             )
-        vms = [
-            vm for vm in self._vms if now >= self._suspected_until_ms.get(vm, 0)
-        ]
-        return max(
-            vms,
-            key=lambda vm: xxhash.xxh3_64_intdigest(f'{vm} {queue}'.encode()),
-            default=self._vm,
-        )
+        return self._dispatchers.choose(queue, now)
 
     def _dispatch(self, request: TicketRequest, now: int) -> None:
         """Decide on a ticket request as its dispatcher."""
@@ -238,6 +227,7 @@
         self,
         sender: str,
         message: TicketGranted | TicketRefused,
+        now: int,
     ) -> None:
         """Deliver the decision of another VM to its request.
 
@@ -252,11 +242,20 @@
                 )
                 self._peers.send(sender, unused)
             return
+        self._record_answer(pending, now)
         decision = self._decode_decision(message)
         self._state.pending.pop(message.number)
         self._state.decided_by[message.number] = sender
         pending.reply.post(decision)
 
+    def _record_answer(self, pending: _PendingRequest, now: int) -> None:
+        """Record the round trip of the first answer to a ticket request."""
+        if not pending.is_answered:
+            pending.is_answered = True
+            self._dispatchers.record_answer(
+                pending.dispatcher_vm, now - pending.sent_ms
+            )
+
     def _decode_decision(
         self,
         message: TicketGranted | TicketRefused,
@@ -323,15 +322,29 @@
                 pending.dispatcher_vm,
                 _encode_request(request, now),
             )
-        elif not pending.is_queued and waited_ms >= _ANSWER_TIMEOUT_MS:
-            self._suspected_until_ms[pending.dispatcher_vm] = now + _SUSPECT_MS
-            unused = TicketDone(
-                request.number,
-                HealthReport(HealthResult.UNUSED),
-            )
-            self._peers.send(pending.dispatcher_vm, unused)
-            pending.dispatcher_vm = self._vm
-            self._dispatch(request, now)
+        elif not pending.is_queued:
+            self._check_dispatcher(pending, waited_ms, now)
+
+    def _check_dispatcher(
+        self, pending: _PendingRequest, waited_ms: int, now: int
+    ) -> None:
+        """Decide on a ticket request here if its dispatcher does not answer."""
+        if waited_ms < self._dispatchers.wait_ms(pending.dispatcher_vm):
+            return
+        log_event(
+            _logger,
+            Event.DISPATCHER_SILENT,
+            dispatcher=pending.dispatcher_vm,
+            waited_ms=waited_ms,
+        )
+        self._dispatchers.record_silence(pending.dispatcher_vm, now)
+        unused = TicketDone(
+            pending.request.number,
+            HealthReport(HealthResult.UNUSED),
+        )
+        self._peers.send(pending.dispatcher_vm, unused)
+        pending.dispatcher_vm = self._vm
+        self._dispatch(pending.request, now)
 
 
 def _encode_request(request: TicketRequest, now: int) -> TicketAsk:
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -57,6 +57,7 @@
     LIMIT_CHANGED = (503, 'limit changed')
     BREAKER_OPENED = (504, 'breaker opened')
     BREAKER_CLOSED = (505, 'breaker closed')
+    DISPATCHER_SILENT = (506, 'dispatcher did not answer')
     REQUEST_ROUTED = (601, 'request routed')
     REQUEST_ANSWERED = (602, 'request answered')
     REQUEST_REFUSED = (603, 'request refused')
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ibisjunction.round_trips import RoundTrips
+
 #: Messages and bytes buffered for a peer that does not acknowledge; the oldest
 #: message is dropped first, because a newer message of the same conversation
 #: replaces it. The newest message is kept whatever its size.
@@ -38,11 +40,6 @@
 #: Messages to a peer that acknowledges nothing for this long are dropped. All
 #: exchanges between daemons time out earlier.
 DISCARD_AFTER_MS: Final = 10_000
-#: Weights of a new sample in the mean round trip and in its mean deviation, and
-#: the multiple of the deviation that is added to the wait; see RFC 6298.
-_MEAN_WEIGHT: Final = 0.125
-_DEVIATION_WEIGHT: Final = 0.25
-_DEVIATION_FACTOR: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,40 +77,6 @@
         self.used -= size
 
 
-class RoundTrips:
-    """Estimates how long an acknowledgement may take, after RFC 6298."""
-
-    def __init__(self) -> None:
-        """Start without samples."""
-        self.wait_ms = SILENT_AFTER_MS
-        self._mean_ms: float | None = None
-        self._deviation_ms: float = 0
-
-    def add_sample(self, round_trip_ms: int) -> None:
-        """Add the round trip of a message that was sent once."""
-        if self._mean_ms is None:
-            self._mean_ms = round_trip_ms
-            self._deviation_ms = round_trip_ms / 2
-        else:
-            error_ms = round_trip_ms - self._mean_ms
-            self._deviation_ms += _DEVIATION_WEIGHT * (
-                abs(error_ms) - self._deviation_ms
-            )
-            self._mean_ms += _MEAN_WEIGHT * error_ms
-        wait_ms = self._mean_ms + _DEVIATION_FACTOR * self._deviation_ms
-        self.wait_ms = round(
-            min(max(wait_ms, SILENT_AFTER_MS), _MAX_RESEND_WAIT_MS)
-        )
-
-    def back_off(self) -> None:
-        """Double the wait after a resend.
-
-        The wait stays doubled until there is a sample, because the round trip
-        of a message that was resent is unknown.
-        """
-        self.wait_ms = min(2 * self.wait_ms, _MAX_RESEND_WAIT_MS)
-
-
 @dataclass(slots=True)
 class _InFlight:
     """A message in flight; ``sent_ms`` is ``None`` once it was resent."""
@@ -135,7 +98,7 @@
         self._waiting_size = 0
         self._progress_ms = 0
         self._silent_since_ms = 0
-        self._round_trips = RoundTrips()
+        self._round_trips = RoundTrips(SILENT_AFTER_MS, _MAX_RESEND_WAIT_MS)
 
     @property
     def oldest(self) -> int:
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -20,6 +20,7 @@
     DispatchersChanged,
     LocalTicketDone,
     LocalTicketRequest,
+    TicketDone,
 )
 from ibisjunction.entry.model import Reason
 from ibisjunction.entry.tickets import TicketTask
@@ -36,6 +37,7 @@
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.link import Received
+from ibisjunction.round_trips import RoundTrips
 
 UPSTREAMS = (
     Upstream('u1', 1, 'reads', '10.0.0.1:80', 'a', 1),
@@ -228,11 +230,16 @@
 
 
 class _Network:
-    """Delivers messages between ticket tasks, unless a VM has failed."""
+    """Delivers messages between ticket tasks, unless a VM has failed.
+
+    While it ``is_held``, messages arrive when they are released.
+    """
 
     def __init__(self):
         self.tasks = {}
         self.failed = set()
+        self.is_held = False
+        self.unused_count = 0
         self._sent = []
 
     def link(self, vm):
@@ -241,6 +248,11 @@
 
     def deliver(self):
         """Deliver all messages that were sent, and the answers to them."""
+        if not self.is_held:
+            self.release()
+
+    def release(self):
+        """Deliver all messages, held ones included."""
         while self._sent:
             sender, vm, message = self._sent.pop(0)
             if vm not in self.failed and sender not in self.failed:
@@ -248,6 +260,9 @@
 
     def post(self, sender, vm, message):
         """Queue a message until the next delivery."""
+        if isinstance(message, TicketDone):
+            is_unused = message.report.result is HealthResult.UNUSED
+            self.unused_count += int(is_unused)
         self._sent.append((sender, vm, message))
 
 
@@ -263,6 +278,36 @@
         """Ignore the subscription: messages are delivered directly."""
 
 
+class RoundTripsTest(unittest.TestCase):
+    """Guards against waits that do not fit the link to a peer."""
+
+    @parameterized.expand(
+        [
+            ('no sample', (), 100),
+            ('fast', (5, 5), 100),
+            ('slow', (150, 150), 200),
+            ('varying', (50, 250), 500),
+            ('very slow', (900, 900), 500),
+        ]
+    )
+    def test_wait(self, _name, samples, expected):
+        round_trips = RoundTrips(100, 500)
+        for _ in range(50):
+            for sample in samples:
+                round_trips.add_sample(sample)
+        self.assertAlmostEqual(round_trips.wait_ms, expected, delta=5)
+
+    def test_back_off_lasts_until_a_sample(self):
+        round_trips = RoundTrips(100, 500)
+        waits = []
+        for _ in range(4):
+            round_trips.back_off()
+            waits.append(round_trips.wait_ms)
+        self.assertEqual(waits, [200, 400, 500, 500])
+        round_trips.add_sample(10)
+        self.assertEqual(round_trips.wait_ms, 100)
+
+
 class TicketTest(unittest.TestCase):
     """Guards against requests that wait for a failed dispatcher."""
 
@@ -344,3 +389,24 @@
         self.tick(1500)
         reply = self.request_ticket('e3', 1)
         self.assertFalse(reply.is_empty)
+
+    @parameterized.expand([('e1',), ('e2',), ('e3',)])
+    def test_slow_link_to_the_dispatcher(self, requester):
+        """Guards against VMs that decide past a dispatcher on a slow link.
+
+        Grown deployments: answers took 100 to 200 ms on links of 2 Mbit/s, so
+        VMs decided by themselves and sent upstreams more than they run.
+        """
+        self.network.is_held = True
+        for number in range(80):
+            if number == 40:
+                self.network.unused_count = 0
+            self.request_ticket(requester, number)
+            for _ in range(15):
+                self.tick(10)
+            self.network.release()
+            report = HealthReport(HealthResult.ANSWERED, 10)
+            task = self.network.tasks[requester]
+            task.handle(LocalTicketDone(number, report))
+            self.network.release()
+        self.assertEqual(self.network.unused_count, 0)
