--- a/src/ibisjunction/entry/dispatchers.py
+++ b/src/ibisjunction/entry/dispatchers.py
@@ -1,5 +1,6 @@
 """Chooses the entry VM that decides on the requests of a queue."""
 
+import math
 from typing import Final
 
 import xxhash
@@ -13,25 +14,34 @@
 _MAX_WAIT_MS: Final = 500
 #: Time for which other dispatchers are chosen than one that did not answer.
 _SUSPECT_MS: Final = 1500
+_HASH_BITS: Final = 64
+_FRACTION_BITS: Final = 53
+_MIN_FRACTION: Final = 1e-18
 
 
 class Dispatchers:
     """The entry VMs as dispatchers, as one of them sees them.
 
-    Rendezvous hashing: each VM finds the same dispatcher for a queue, the one
-    with the highest hash of VM and queue.
+    Weighted rendezvous hashing: each VM finds the same dispatcher for a queue,
+    and VMs decide on shares of the queues that follow their capacities. All
+    decisions for a queue pass the link of its dispatcher, so a VM with a slow
+    link or processor would delay requests of all others.
     """
 
     def __init__(self, vm: str) -> None:
         """Start with this VM as the only one."""
         self._vm = vm
-        self._vms: tuple[str, ...] = ()
+        #: Capacities by VM.
+        self._vms: dict[str, int] = {}
         self._suspected_until_ms: dict[str, int] = {}
         self._round_trips: dict[str, RoundTrips] = {}
 
-    def replace_vms(self, vms: tuple[str, ...]) -> None:
-        """Replace the list of entry VMs."""
-        self._vms = vms
+    def replace_vms(
+        self, vms: tuple[str, ...], capacities: tuple[int, ...] = ()
+    ) -> None:
+        """Replace the list of entry VMs; without capacities, all are equal."""
+        padding = (1,) * (len(vms) - len(capacities))
+        self._vms = dict(zip(vms, (*capacities, *padding), strict=False))
         self._round_trips = {
             vm: round_trips
             for vm, round_trips in self._round_trips.items()
@@ -50,10 +60,17 @@
         ]
         return max(
             vms,
-            key=lambda vm: xxhash.xxh3_64_intdigest(f'{vm} {queue}'.encode()),
+            key=lambda vm: self._weigh(vm, queue),
             default=self._vm,
         )
 
+    def _weigh(self, vm: str, queue: str) -> float:
+        """Return the weight of a VM for a queue; the highest one decides."""
+        digest = xxhash.xxh3_64_intdigest(f'{vm} {queue}'.encode())
+        # A float holds this many bits, so that the fraction is below 1.
+        fraction = (digest >> (_HASH_BITS - _FRACTION_BITS)) / 2**_FRACTION_BITS
+        return self._vms[vm] / -math.log(max(fraction, _MIN_FRACTION))
+
     def wait_ms(self, vm: str) -> int:
         """Return how long to wait for the first answer of a dispatcher."""
         return self._find_round_trips(vm).wait_ms
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -84,8 +84,13 @@
         peers: PeerNetwork,
         processor: RequestProcessor,
         components: EntryComponents,
+        capacity: int = 1,
     ) -> None:
-        """Subscribe to the messages of the leader."""
+        """Subscribe to the messages of the leader.
+
+        :param capacity: that of this VM, compared with those of others.
+        """
+        self._capacity = capacity
         self._vm = vm
         self._incarnation = incarnation
         self._seeds = seeds
@@ -102,6 +107,7 @@
         self._had_lease = False
         self._is_leaving = False
         self._vms: tuple[str, ...] = ()
+        self._capacities: tuple[int, ...] = ()
         self._view_updates = _ViewUpdates(clock.now())
         #: Set to false when this VM begins to shut down.
         self.is_serving = True
@@ -175,7 +181,7 @@
     def _apply_renewal(self, renewal: LeaseRenewal, now: int) -> None:
         self._lease.renew(renewal, self._replica.index)
         if renewal.vms is not None:
-            self._update_vms(renewal.vms)
+            self._update_vms(renewal.vms, renewal.capacities)
         self._schedule.set_interval(renewal.heartbeat_ms)
         self._tracker.set_heartbeat(self._schedule.interval_ms)
         self._relay_chooser.set_heartbeat(self._schedule.interval_ms)
@@ -236,11 +242,14 @@
         if leader is not None:
             self._peers.send(leader, ForgetVm(self._vm, self._incarnation))
 
-    def _update_vms(self, vms: tuple[str, ...]) -> None:
-        if vms != self._vms:
+    def _update_vms(
+        self, vms: tuple[str, ...], capacities: tuple[int, ...]
+    ) -> None:
+        if (vms, capacities) != (self._vms, self._capacities):
             self._vms = vms
+            self._capacities = capacities
             self._components.budget.vm_count = max(1, len(vms))
-            self._components.tickets.post(DispatchersChanged(vms))
+            self._components.tickets.post(DispatchersChanged(vms, capacities))
 
     def _publish_view(self) -> None:
         self._lease.retry_pending(self._replica.index)
@@ -262,7 +271,8 @@
             applied_index=self._replica.index,
             revision=0,
             is_serving=self.is_serving,
-            vms_digest=digest_vms(self._vms),
+            vms_digest=digest_vms(self._vms, self._capacities),
+            capacity=self._capacity,
         )
         self._schedule.record_sent(now)
         targets = self._tracker.choose_targets(self._list_control_vms(), now)
--- a/src/ibisjunction/entry/messages.py
+++ b/src/ibisjunction/entry/messages.py
@@ -80,6 +80,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DispatchersChanged:
-    """Posted when the set of entry VMs changes; each is a dispatcher."""
+    """Posted when the set of entry VMs changes; each is a dispatcher.
+
+    ``capacities`` are those of the VMs, in the same order; without them, all
+    are equal.
+    """
 
     vms: tuple[str, ...]
+    capacities: tuple[int, ...] = ()
--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -135,8 +135,8 @@
             case FleetView():
                 self._dispatcher.update_view(message)
                 self._decide_waiting(now)
-            case DispatchersChanged(vms=vms):
-                self._dispatchers.replace_vms(vms)
+            case DispatchersChanged(vms=vms, capacities=capacities):
+                self._dispatchers.replace_vms(vms, capacities)
             case Tick():
                 self._handle_tick(now)
 
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -17,9 +17,9 @@
 _MAX_HEARTBEAT_FRACTION: Final = 0.2
 
 
-def digest_vms(vms: tuple[str, ...]) -> int:
-    """Return a number that tells lists of VMs apart."""
-    return zlib.crc32(' '.join(vms).encode())
+def digest_vms(vms: tuple[str, ...], capacities: tuple[int, ...]) -> int:
+    """Return a number that tells lists of VMs with their capacities apart."""
+    return zlib.crc32(f'{vms} {capacities}'.encode())
 
 
 class VmLease:
@@ -81,6 +81,7 @@
     revision: int
     lease_end_ms: int
     is_serving: bool = True
+    capacity: int = 1
 
 
 class LeaseTable:
@@ -135,25 +136,34 @@
             revision=heartbeat.revision,
             lease_end_ms=now + self._leader_lease_ms,
             is_serving=heartbeat.is_serving,
+            capacity=heartbeat.capacity,
         )
+        vms, capacities = self._find_changed_vms(heartbeat, now)
         return LeaseRenewal(
             incarnation=heartbeat.incarnation,
             sent_at=heartbeat.sent_at,
             lease_ms=self._lease_ms,
             term=term,
             committed_index=committed_index,
-            vms=self._find_changed_vms(heartbeat, now),
+            vms=vms,
             heartbeat_ms=self._choose_interval_ms(),
+            capacities=capacities,
         )
 
     def _find_changed_vms(
         self, heartbeat: Heartbeat, now: int
-    ) -> tuple[str, ...] | None:
-        """Return the serving VMs, unless the sender has this list."""
+    ) -> tuple[tuple[str, ...] | None, tuple[int, ...]]:
+        """Return the serving VMs with their capacities.
+
+        The list is ``None`` if the sender has it, or doesn't use it.
+        """
         if heartbeat.vms_digest is None:
-            return None
+            return None, ()
         vms = self.serving_vms(now)
-        return None if digest_vms(vms) == heartbeat.vms_digest else vms
+        capacities = tuple(self.records[vm].capacity for vm in vms)
+        if digest_vms(vms, capacities) == heartbeat.vms_digest:
+            return None, ()
+        return vms, capacities
 
     def _choose_interval_ms(self) -> int:
         """Return the interval of heartbeats; 0 if the VMs choose it."""
--- a/src/ibisjunction/membership/messages.py
+++ b/src/ibisjunction/membership/messages.py
@@ -9,7 +9,8 @@
 
     ``sent_at`` is a time of the sender's clock, returned in the answer.
     ``is_registered`` is whether the applied control state lists this process.
-    ``is_serving`` is false once the VM is shutting down. ``vms_digest`` is that
+    ``is_serving`` is false once the VM is shutting down. ``capacity`` compares
+    the processors and links of VMs. ``vms_digest`` is that
     of the list of VMs that the sender has; a sender that does not use the list
     sends none.
     """
@@ -22,6 +23,7 @@
     is_registered: bool = False
     is_serving: bool = True
     vms_digest: int | None = None
+    capacity: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +33,8 @@
     The lease lasts ``lease_ms`` from ``sent_at`` on the VM's own clock; 0 does
     not extend it. The renewal takes effect once the VM has applied the log up
     to ``committed_index``. ``vms`` are the live VMs that are not shutting down;
-    ``None`` if the VM has this list. The VM sends its next heartbeat after
-    ``heartbeat_ms``; 0 leaves the interval to the VM.
+    ``None`` if the VM has this list. ``capacities`` are theirs. The next
+    heartbeat is due after ``heartbeat_ms``; 0 leaves the interval to the VM.
     """
 
     incarnation: int
@@ -42,6 +44,7 @@
     committed_index: int
     vms: tuple[str, ...] | None = None
     heartbeat_ms: int = 0
+    capacities: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -107,6 +107,7 @@
         peers,
         processor,
         components,
+        settings.capacity,
     )
     server = EntryServer(
         processor, clock, header_names, caller_address, metrics.mailbox
--- a/src/ibisjunction/nodes/settings.py
+++ b/src/ibisjunction/nodes/settings.py
@@ -41,7 +41,8 @@
     ``hold_max_ms`` after that. Requests to an upstream have to stop within
     ``drain_ms`` of its confirmed departure. The process has to exit within
     ``grace_ms`` of the signal to stop. ``tolerated_losses`` is the number of
-    control VMs that may lose their disks at once.
+    control VMs that may lose their disks at once. ``capacity`` compares entry
+    VMs: one with twice the capacity decides on twice as many requests.
     """
 
     vm: Address
@@ -55,6 +56,7 @@
     grace_ms: int
     tolerated_losses: int
     budget: BudgetTerms
+    capacity: int = 1
 
     @property
     def timing(self) -> FleetTiming:
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -25,6 +25,8 @@
 
 _PATH_VARIABLE: Final = 'IBISJUNCTION_SETTINGS'
 _DEFAULT_PATH: Final = '/etc/ibisjunction/local.toml'
+#: Units of capacity for one core and 1 Mbit/s.
+_CAPACITY_SCALE: Final = 10
 
 
 class PlatformSettingsError(Exception):
@@ -131,6 +133,7 @@
         drain_ms=_seconds_to_ms(bounds.drain_period_s),
         hold_max_ms=_seconds_to_ms(bounds.max_hold_s),
         grace_ms=_seconds_to_ms(bounds.grace_period_s),
+        capacity=_measure_capacity(model),
         tolerated_losses=int(model.terms.fault_tolerance.machines),
         budget=BudgetTerms(
             bounds.retry_budget_ratio,
@@ -140,5 +143,15 @@
     )
 
 
+def _measure_capacity(model: SettingsFile) -> int:
+    """Return the capacity of the machine's processor and link together.
+
+    Both are needed to decide for other VMs, so their product counts.
+    """
+    limits = model.process.limits
+    cores = limits.cpu_share * limits.cpu_cores
+    return max(1, round(cores * limits.link_mbps * _CAPACITY_SCALE))
+
+
 def _seconds_to_ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
--- a/src/ibisjunction/platform/settings_file.py
+++ b/src/ibisjunction/platform/settings_file.py
@@ -21,6 +21,7 @@
 _Bound = Annotated[float, msgspec.Meta(ge=0, lt=_MAX_BOUND)] | bool
 _PositiveBound = Annotated[float, msgspec.Meta(gt=0, lt=_MAX_BOUND)] | bool
 _Interval = Annotated[float, msgspec.Meta(gt=0, lt=_MAX_BOUND)]
+_Capacity = Annotated[float, msgspec.Meta(gt=0, lt=_MAX_BOUND)]
 _Count = Annotated[float, msgspec.Meta(ge=0, lt=_MAX_COUNT, multiple_of=1)]
 
 
@@ -28,11 +29,19 @@
     """Base of the tables of the file; unknown fields are ignored."""
 
 
+class _Limits(_Model, frozen=True):
+    #: Part of a core that the machine has, and how many times as fast it is.
+    cpu_share: _Capacity = 1
+    cpu_cores: _Capacity = 1
+    link_mbps: _Capacity = 1000
+
+
 class _Process(_Model, frozen=True):
     ip: str
     zone: str
     bootstrap: bool = False
     data_dir: str = ''
+    limits: _Limits = _Limits()
 
 
 class _BindAddresses(_Model, frozen=True):
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -52,8 +52,13 @@
         [
             ('not used', None, None),
             ('unknown', 0, name_vms(3)),
-            ('the same', digest_vms(name_vms(3)), None),
-            ('another list', digest_vms(name_vms(2)), name_vms(3)),
+            ('the same', digest_vms(name_vms(3), (1, 1, 1)), None),
+            (
+                'other capacities',
+                digest_vms(name_vms(3), (1, 2, 1)),
+                name_vms(3),
+            ),
+            ('another list', digest_vms(name_vms(2), (1, 1)), name_vms(3)),
         ]
     )
     def test_list_is_sent_if_it_differs(self, _name, digest, expected):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -60,6 +60,21 @@
         self.assertEqual(settings.node.tolerated_losses, 2)
         self.assertTrue(settings.node.is_first_start)
 
+    @parameterized.expand(
+        [
+            ('small', 0.322, 1, 3.4, 11),
+            ('large', 0.537, 2, 11.0, 118),
+            ('tiny', 0.0001, 1, 1, 1),
+        ]
+    )
+    def test_capacity(self, _name, share, cores, link_mbps, expected):
+        limits = (
+            f'[Self.Limits]\nCpuShare = {share}\nCpuCores = {cores}\n'
+            f'LinkMbps = {link_mbps}\n[Network]\nInternal'
+        )
+        text = _GOOD.replace('[Network]\nInternal', limits)
+        self.assertEqual(load(text).node.capacity, expected)
+
     def test_roles_of_one_machine_use_different_ports(self):
         settings = load(_GOOD, is_control=False)
         self.assertEqual(settings.node.vm, Address('10.1.0.34', 7541))
@@ -151,6 +166,11 @@
             ('DrainPeriodS = 2', 'DrainPeriodS = "2"', 'Bounds.DrainPeriodS'),
             ('= 0.2', '= nan', 'Bounds.RetryBudgetRatio'),
             ('Ip = "10.1.0.34"', 'Ip = "edge-1"', 'Self.Ip'),
+            (
+                '[Network]\n',
+                '[Self.Limits]\nLinkMbps = 0\n[Network]\n',
+                'Self.Limits.LinkMbps',
+            ),
             ('10.1.0.37:8544', '10.1.0.37', 'Network.SeedNodes'),
             ('10.1.0.37:8544', '10.1.0.37:x', 'Network.SeedNodes'),
             ('10.1.0.37:8544', '10.1.0.37:99999', 'Network.SeedNodes'),
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -15,6 +15,7 @@
     TicketRequest,
     Wait,
 )
+from ibisjunction.entry.dispatchers import Dispatchers
 from ibisjunction.entry.health import HealthReport, HealthResult
 from ibisjunction.entry.messages import (
     DispatchersChanged,
@@ -308,6 +309,47 @@
         self.assertEqual(round_trips.wait_ms, 100)
 
 
+QUEUES = tuple(f'queue-{number}' for number in range(2000))
+
+
+class DispatchersTest(unittest.TestCase):
+    """Guards against decisions that all pass a VM with a slow link."""
+
+    def count_queues(self, vms, capacities):
+        """Return how many queues each VM decides on."""
+        dispatchers = Dispatchers('e0')
+        dispatchers.replace_vms(vms, capacities)
+        chosen = [dispatchers.choose(queue, 0) for queue in QUEUES]
+        return {vm: chosen.count(vm) for vm in vms}
+
+    @parameterized.expand(
+        [
+            ('equal', (5, 5, 5, 5), (500, 500, 500, 500)),
+            ('without capacities', (), (500, 500, 500, 500)),
+            ('one is large', (11, 11, 11, 118), (146, 146, 146, 1563)),
+            ('half is large', (11, 11, 118, 118), (85, 85, 915, 915)),
+        ]
+    )
+    def test_shares_follow_capacities(self, _name, capacities, expected):
+        counts = self.count_queues(('e1', 'e2', 'e3', 'e4'), capacities)
+        for count, expected_count in zip(
+            counts.values(), expected, strict=True
+        ):
+            self.assertAlmostEqual(count, expected_count, delta=70)
+
+    def test_few_queues_change_when_a_vm_leaves(self):
+        dispatchers = Dispatchers('e0')
+        dispatchers.replace_vms(('e1', 'e2', 'e3'), (10, 20, 30))
+        before = {queue: dispatchers.choose(queue, 0) for queue in QUEUES}
+        dispatchers.replace_vms(('e1', 'e3'), (10, 30))
+        moved_from = {
+            vm
+            for queue, vm in before.items()
+            if dispatchers.choose(queue, 0) != vm
+        }
+        self.assertEqual(moved_from, {'e2'})
+
+
 class TicketTest(unittest.TestCase):
     """Guards against requests that wait for a failed dispatcher."""
 
