--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -29,6 +29,7 @@
     Refused,
     RoutedRequest,
 )
+from ibisjunction.entry.pacing import PIECE_BYTES, AnswerPacer, split_body
 from ibisjunction.entry.reporting import log_outcome, measure_outcome
 from ibisjunction.entry.requests import RequestProcessor
 from ibisjunction.entry.trail import Trail
@@ -47,6 +48,8 @@
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
 _DRAIN_POLL_MS: Final = 20
+#: Rate of the link of a VM whose settings name none.
+_DEFAULT_LINK_MBPS: Final = 1000
 
 
 class EntryServer(HTTPServerConnectionDelegate):
@@ -59,8 +62,14 @@
         names: HeaderNames,
         address: Address,
         metrics: Mailbox[Any],
+        link_mbps: float = _DEFAULT_LINK_MBPS,
     ) -> None:
-        """Prepare the server; :meth:`start` opens its socket."""
+        """Prepare the server; :meth:`start` opens its socket.
+
+        :param link_mbps: rate of the VM's link, which large answers do not
+            fill.
+        """
+        self._pacer = AnswerPacer(link_mbps)
         self.processor = processor
         self.clock = clock
         self.names = names
@@ -80,14 +89,16 @@
             ),
         )
 
-    def start(self) -> None:
-        """Listen for connections."""
+    def start(self) -> int:
+        """Listen for connections; return the port."""
         sockets = bind_sockets(
             self._address.port,
             self._address.host,
             backlog=_BACKLOG,
         )
         self._server.add_sockets(sockets)
+        port: int = sockets[0].getsockname()[1]
+        return port
 
     @property
     def max_header_bytes(self) -> int:
@@ -207,13 +218,24 @@
             self.names,
             is_last=self.processor.is_draining,
         )
-        await request_conn.write_headers(
-            ResponseStartLine('HTTP/1.1', answer.status, ''),
-            answer.headers,
-            answer.body or None,
-        )
+        start_line = ResponseStartLine('HTTP/1.1', answer.status, '')
+        body = answer.body
+        if len(body) <= PIECE_BYTES:
+            await request_conn.write_headers(
+                start_line, answer.headers, body or None
+            )
+        else:
+            await request_conn.write_headers(start_line, answer.headers)
+            await self._write_in_pieces(body, request_conn)
         request_conn.finish()
 
+    async def _write_in_pieces(self, body: bytes, request_conn: Any) -> None:
+        for piece in split_body(body):
+            wait_ms = self._pacer.reserve(len(piece), self.clock.now())
+            if wait_ms:
+                await asyncio.sleep(in_seconds(wait_ms))
+            await request_conn.write(piece)
+
 
 class _RequestReceiver(HTTPMessageDelegate):
     """Receives one request and starts to serve it."""
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -110,7 +110,12 @@
         settings.capacity,
     )
     server = EntryServer(
-        processor, clock, header_names, caller_address, metrics.mailbox
+        processor,
+        clock,
+        header_names,
+        caller_address,
+        metrics.mailbox,
+        settings.link_mbps,
     )
     processor.on_limits_changed = server.apply_limits
     async with contextlib.AsyncExitStack() as stack:
--- a/src/ibisjunction/nodes/settings.py
+++ b/src/ibisjunction/nodes/settings.py
@@ -43,6 +43,7 @@
     ``grace_ms`` of the signal to stop. ``tolerated_losses`` is the number of
     control VMs that may lose their disks at once. ``capacity`` compares entry
     VMs: one with twice the capacity decides on twice as many requests.
+    ``link_mbps`` is the rate of the VM's link.
     """
 
     vm: Address
@@ -57,6 +58,7 @@
     tolerated_losses: int
     budget: BudgetTerms
     capacity: int = 1
+    link_mbps: float = 1000
 
     @property
     def timing(self) -> FleetTiming:
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -134,6 +134,7 @@
         hold_max_ms=_seconds_to_ms(bounds.max_hold_s),
         grace_ms=_seconds_to_ms(bounds.grace_period_s),
         capacity=_measure_capacity(model),
+        link_mbps=model.process.limits.link_mbps,
         tolerated_losses=int(model.terms.fault_tolerance.machines),
         budget=BudgetTerms(
             bounds.retry_budget_ratio,
