--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -1,28 +1,18 @@
 """Estimates load of keys and speed of upstreams from entry VMs' reports."""
 
+import enum
 import itertools
-import math
 from collections import defaultdict, deque
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from ibisjunction.clock import MS_PER_S
+from ibisjunction.coordination.decay import DecayedCounts
 from ibisjunction.fleet.model import BUCKET_KEYS, Shard, Upstream
 
-#: Time in which the weight of an old report halves. Busy keys change within
-#: seconds; with a shorter time, random variation would count as a change.
-_HALF_LIFE_MS: Final = 800
-#: Seconds by which a decayed count of requests is divided to get their rate
-#: per second, once reports have arrived for many half-lives.
-_MAX_EFFECTIVE_WINDOW_S: Final = _HALF_LIFE_MS / MS_PER_S / math.log(2)
-#: Time that the first report is assumed to cover.
-_FIRST_REPORT_MS: Final = 200
 #: Rate that is added for each key, in requests per second, so that idle keys
 #: are distributed over the upstreams too.
 _IDLE_RATE: Final = 0.00002
-#: A bucket whose decayed requests fall below this is removed.
-_MIN_BUCKET_REQUESTS: Final = 0.01
 #: Latest answers of an upstream from which its service time is estimated.
 _MAX_LATENCY_SAMPLES: Final = 24
 #: Quantile of the latencies that estimates the service time; the latencies of
@@ -37,6 +27,18 @@
 _DEFAULT_SERVICE_MS: Final = 200
 
 
+class Horizon(enum.Enum):
+    """The time over which load is averaged; the value is its half-life in ms.
+
+    Busy keys change within seconds; with a longer time than ``SHORT``, changes
+    would be noticed late. A lasting difference of a small load shows only over
+    ``LONG``; over a shorter time it is within what chance explains.
+    """
+
+    SHORT = 800
+    LONG = 6400
+
+
 @dataclass(frozen=True, slots=True)
 class KeyLoad:
     """Requests of a service since the previous report, by bucket of keys."""
@@ -54,18 +56,6 @@
     latencies: tuple[int, ...]
 
 
-@dataclass(slots=True)
-class _DecayedLoad:
-    """Decayed requests by bucket, as of ``updated_ms``.
-
-    ``since_ms`` is the start of the time that the reports cover.
-    """
-
-    since_ms: int | None = None
-    updated_ms: int = 0
-    buckets: dict[int, float] = field(default_factory=dict)
-
-
 def bucket_of(key: int) -> int:
     """Return the bucket in which requests for a key are counted."""
     return key // BUCKET_KEYS
@@ -76,19 +66,17 @@
 
     def __init__(self) -> None:
         """Start without reports."""
-        self._loads: defaultdict[str, _DecayedLoad] = defaultdict(_DecayedLoad)
+        self._loads: defaultdict[tuple[str, Horizon], DecayedCounts] = (
+            _LoadsByHorizon()
+        )
         self._latencies: defaultdict[tuple[str, int], deque[int]] = defaultdict(
             _make_samples,
         )
 
     def record_load(self, report: KeyLoad, now: int) -> None:
         """Add a VM's report on keys."""
-        load = self._loads[report.service]
-        if load.since_ms is None:
-            load.since_ms = now - _FIRST_REPORT_MS
-        _decay(load, now)
-        for bucket, requests in report.requests.items():
-            load.buckets[bucket] = load.buckets.get(bucket, 0) + requests
+        for horizon in Horizon:
+            self._loads[(report.service, horizon)].add(report.requests, now)
 
     def record_speed(self, report: UpstreamSpeed) -> None:
         """Add a VM's report on an upstream."""
@@ -104,26 +92,27 @@
             service_ms = ranked[int(len(ranked) * _SERVICE_TIME_QUANTILE)]
         return upstream.slots * MS_PER_S / max(1, service_ms)
 
-    def rates_of(self, service: str, shards: tuple[Shard, ...]) -> list[float]:
+    def rates_of(
+        self,
+        service: str,
+        shards: tuple[Shard, ...],
+        horizon: Horizon = Horizon.SHORT,
+    ) -> list[float]:
         """Return the requests per second of each shard of a service.
 
         :param shards: shards in the order of their keys; they cover all keys.
         """
-        rates = [_idle_rate(shard) for shard in shards]
-        position = 0
-        load = self._loads[service]
-        window_s = _effective_window_s(load)
-        for bucket, requests in sorted(load.buckets.items()):
-            first = bucket * BUCKET_KEYS
-            while position < len(shards) and shards[position].last < first:
-                position += 1
-            if position < len(shards):
-                rates[position] += requests / window_s
-        return rates
-
-    def window_s(self, service: str) -> float:
+        load = self._loads[(service, horizon)]
+        window_s = load.window_s
+        requests_by_shard = load.count_by_shard(shard.last for shard in shards)
+        return [
+            _idle_rate(shard) + requests / window_s
+            for shard, requests in zip(shards, requests_by_shard, strict=True)
+        ]
+
+    def window_s(self, service: str, horizon: Horizon = Horizon.SHORT) -> float:
         """Return the seconds over which the rates of a service were counted."""
-        return max(_MIN_WINDOW_S, _effective_window_s(self._loads[service]))
+        return max(_MIN_WINDOW_S, self._loads[(service, horizon)].window_s)
 
     def find_split_keys(
         self,
@@ -140,13 +129,11 @@
         :param max_keys: largest number of keys to return.
         :return: first keys of the parts after the first one.
         """
-        max_requests = max(
-            _MIN_PART_REQUESTS,
-            limit * _effective_window_s(self._loads[service]),
-        )
+        load = self._loads[(service, Horizon.SHORT)]
+        max_requests = max(_MIN_PART_REQUESTS, limit * load.window_s)
         split_keys: set[int] = set()
         part_requests: float = 0
-        for start, requests in self._list_buckets(service, shard):
+        for start, requests in load.list_busy(shard.first, shard.last):
             if part_requests + requests > max_requests:
                 split_keys.add(start)
                 part_requests = 0
@@ -158,14 +145,16 @@
         inside = itertools.takewhile(lambda key: key <= shard.last, after_first)
         return tuple(itertools.islice(inside, max(0, max_keys)))
 
-    def _list_buckets(
-        self,
-        service: str,
-        shard: Shard,
-    ) -> Iterator[tuple[int, float]]:
-        for bucket, requests in sorted(self._loads[service].buckets.items()):
-            if shard.first <= bucket * BUCKET_KEYS <= shard.last:
-                yield bucket * BUCKET_KEYS, requests
+
+class _LoadsByHorizon(defaultdict[tuple[str, Horizon], DecayedCounts]):
+    """Counts by service and horizon, created when they are first used."""
+
+    def __missing__(self, key: tuple[str, Horizon]) -> DecayedCounts:
+        """Create the counts of a service over a horizon."""
+        _, horizon = key
+        counts = DecayedCounts(horizon.value)
+        self[key] = counts
+        return counts
 
 
 def _make_samples() -> deque[int]:
@@ -174,24 +163,3 @@
 
 def _idle_rate(shard: Shard) -> float:
     return (shard.last - shard.first + 1) * _IDLE_RATE
-
-
-def _effective_window_s(load: _DecayedLoad) -> float:
-    """Return the seconds by which a decayed count is divided to get a rate.
-
-    They grow with the time that the reports cover.
-    """
-    if load.since_ms is None:
-        return _MAX_EFFECTIVE_WINDOW_S
-    half_lives = (load.updated_ms - load.since_ms) / _HALF_LIFE_MS
-    return _MAX_EFFECTIVE_WINDOW_S * (1 - math.exp2(-half_lives))
-
-
-def _decay(load: _DecayedLoad, now: int) -> None:
-    factor = math.exp2((load.updated_ms - now) / _HALF_LIFE_MS)
-    load.updated_ms = now
-    load.buckets = {
-        bucket: requests * factor
-        for bucket, requests in load.buckets.items()
-        if requests * factor > _MIN_BUCKET_REQUESTS
-    }
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -4,8 +4,9 @@
 
 from parameterized import parameterized
 
-from ibisjunction.coordination.loads import KeyLoad, LoadTracker
-from ibisjunction.fleet.model import BUCKET_KEYS, Shard
+from ibisjunction.coordination.decay import BUCKETS, DecayedCounts
+from ibisjunction.coordination.loads import Horizon, KeyLoad, LoadTracker
+from ibisjunction.fleet.model import BUCKET_KEYS, LAST_KEY, Shard
 
 #: Time of the first report.
 _START_MS = 100_000
@@ -71,5 +72,53 @@
         self.assertEqual(busiest, position)
 
 
+class DecayTest(unittest.TestCase):
+    """Guards against counts that drift, overflow or take long to update.
+
+    Grown deployments: each report of an entry VM scaled the counts of all busy
+    keys, and the leader handles hundreds of reports a second.
+    """
+
+    @parameterized.expand(
+        [
+            ('at once', 0, 40),
+            ('one half-life', 800, 20),
+            ('two half-lives', 1600, 10),
+            ('an hour', 3_600_000, 0),
+        ]
+    )
+    def test_requests_decay(self, _name, passed_ms, expected):
+        counts = DecayedCounts(800)
+        counts.add({5: 40}, _START_MS)
+        counts.add({}, _START_MS + passed_ms)
+        found = sum(counts.count_by_shard((LAST_KEY,)))
+        self.assertAlmostEqual(found, expected, places=6)
+
+    def test_counts_stay_exact_for_long(self):
+        counts = DecayedCounts(800)
+        for step in range(20_000):
+            counts.add({5: 8, 7: 1}, _START_MS + 100 * step)
+        first, second = counts.count_by_shard((6 * BUCKET_KEYS - 1, LAST_KEY))
+        steady = 1 / (1 - 2 ** (-100 / 800))
+        self.assertAlmostEqual(first, 8 * steady, places=6)
+        self.assertAlmostEqual(second, steady, places=6)
+
+    @parameterized.expand([(-1,), (BUCKETS,), (10**30,)])
+    def test_unknown_bucket_is_ignored(self, bucket):
+        counts = DecayedCounts(800)
+        counts.add({bucket: 4, 0: 1}, _START_MS)
+        found = sum(counts.count_by_shard((LAST_KEY,)))
+        self.assertEqual(found, 1)
+
+    def test_long_horizon_remembers_more(self):
+        tracker = make_tracker({0: 20})
+        end_ms = _START_MS + 20_000
+        tracker.record_load(KeyLoad('s', {9: 1}), end_ms + 3000)
+        shards = (Shard(0, 7), Shard(8, LAST_KEY))
+        short, _ = tracker.rates_of('s', shards, Horizon.SHORT)
+        long, _ = tracker.rates_of('s', shards, Horizon.LONG)
+        self.assertGreater(long, 4 * short)
+
+
 if __name__ == '__main__':
     unittest.main()
