--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -11,7 +11,7 @@
 )
 from ibisjunction.coordination.calls import CheckIn, GrantedRange
 from ibisjunction.coordination.liveness import Liveness
-from ibisjunction.coordination.loads import LoadTracker
+from ibisjunction.coordination.loads import Horizon, LoadTracker
 from ibisjunction.coordination.moves import plan_moves
 from ibisjunction.coordination.planned import PlannedCommand
 from ibisjunction.coordination.reservations import ShardReservations
@@ -113,7 +113,7 @@
         member = view.find_member(upstream)
         if member is not None:
             yield from self._plan_assignment(view, member, now)
-            yield from self._plan_rebalancing(view, member, now)
+            yield from self._plan_rebalancing(state, view, member, now)
 
     def plan_release_all(
         self,
@@ -213,11 +213,18 @@
 
     def _plan_rebalancing(
         self,
+        state: FleetState,
         view: ServiceView,
         source: Member,
         now: int,
     ) -> Iterator[PlannedCommand]:
         moves = plan_moves(view, source, now)
+        if not moves and view.is_above_mean(source):
+            # A lasting difference that is small beside the random variation
+            # over a short time shows over a longer one.
+            view = self._make_view(state, view.service, now, Horizon.LONG)
+            source = view.find_member(source.upstream) or source
+            moves = plan_moves(view, source, now)
         for move in moves:
             self._reservations.add(view.service, move.firsts, move.target, now)
         firsts = {first for move in moves for first in move.firsts}
@@ -308,6 +315,7 @@
         state: FleetState,
         service: str,
         now: int,
+        horizon: Horizon = Horizon.SHORT,
     ) -> ServiceView:
         limit_ms = self._timing.check_in_ms * _MAX_SILENT_INTERVALS
         members = []
@@ -319,13 +327,13 @@
             next_check_in_ms = now - silent_ms + self._timing.check_in_ms
             members.append(Member(upstream, capacity, next_check_in_ms))
         shards = state.shards.get(service, ())
-        rates = self._load_tracker.rates_of(service, shards)
+        rates = self._load_tracker.rates_of(service, shards, horizon)
         return ServiceView(
             service,
             shards,
             rates,
             tuple(members),
-            self._load_tracker.window_s(service),
+            self._load_tracker.window_s(service, horizon),
             self._reservations.list_targets(service, now),
             self._reservations.list_recently_moved(service, now),
         )
--- a/src/ibisjunction/coordination/service_view.py
+++ b/src/ibisjunction/coordination/service_view.py
@@ -106,14 +106,24 @@
     def is_overloaded(self, member: Member) -> bool:
         """Return whether a member has more than its share of the load.
 
-        The limit allows for random variation of a small number of requests.
+        The limit allows for random variation of a small number of requests. Of
+        more members, the one that chance loads most is further from the mean:
+        ``sqrt(2 ln n)`` standard deviations for ``n`` members.
         """
         mean = self.rate / self.capacity
         load = self.load_on(member)
         deviation = math.sqrt(max(0, load) / self.window_s) / member.capacity
-        limit = max(_LOW_UTILISATION, mean * _OVERLOAD_RATIO, mean + deviation)
+        margin = deviation * self._count_deviations()
+        limit = max(_LOW_UTILISATION, mean * _OVERLOAD_RATIO, mean + margin)
         return self.utilisation(member) >= limit
 
+    def _count_deviations(self) -> float:
+        return math.sqrt(2 * math.log(max(2, len(self.members))))
+
+    def is_above_mean(self, member: Member) -> bool:
+        """Return whether a member is busier than the mean of all."""
+        return self.utilisation(member) > self.rate / self.capacity
+
     def owned_by(self, member: Member) -> list[int]:
         """Return the positions of a member's shards, without releasing ones."""
         return self._owned.get(member.process_key, [])
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,5 +1,7 @@
 """Tests of the assignment of shards to upstreams."""
 
+import itertools
+import random
 import unittest
 
 from parameterized import parameterized
@@ -43,6 +45,29 @@
     return ServiceView('s', shards, list(map(float, rates)), members, **fields)
 
 
+def make_large_view(rates, window_s=1.15):
+    """Return a view in which each upstream has one shard with a rate."""
+    members = tuple(
+        Member(Upstream(f'u{number}', 1, 's', f'u{number}:1', 'z', 3), 14, SOON)
+        for number in range(len(rates))
+    )
+    shards = tuple(
+        Shard(10 * number, 10 * number + 9, f'u{number}', 1)
+        for number in range(len(rates))
+    )
+    return ServiceView('s', shards, list(rates), members, window_s)
+
+
+def _draw_poisson(rng, mean):
+    """Return the number of arrivals in a time in which ``mean`` are due."""
+    count = 0
+    passed = rng.expovariate(1)
+    while passed < mean:
+        count += 1
+        passed += rng.expovariate(1)
+    return count
+
+
 class MoveTest(unittest.TestCase):
     """Guards against a persistent uneven load, and against flapping."""
 
@@ -133,6 +158,33 @@
         view = make_view('aaaabc', (2, 2, 2, 2, 1, 1), window_s=window_s)
         self.assertEqual(self._find_moves(view), expected)
 
+    @parameterized.expand([(16,), (111,), (500,)])
+    def test_random_variation_of_many_upstreams(self, upstream_count):
+        """Guards against moves that grow with the number of upstreams.
+
+        Grown deployments: with 111 upstreams of 7 requests a second each,
+        chance alone put 13 of them above the limit at any time, and all keys
+        moved more than once in 12 s of a quiet day.
+        """
+        rng = random.Random(upstream_count)
+        window_s = 1.15
+        overloaded = 0
+        for _ in range(50):
+            counts = (
+                _draw_poisson(rng, 7 * window_s) for _ in range(upstream_count)
+            )
+            view = make_large_view([count / window_s for count in counts])
+            overloaded += sum(map(view.is_overloaded, view.members))
+        self.assertLess(overloaded / 50, 1)
+
+    @parameterized.expand([(1.15, False), (9.2, True)])
+    def test_lasting_difference_shows_over_a_longer_time(
+        self, window_s, expected
+    ):
+        """Guards against an upstream that stays busier than all others."""
+        view = make_large_view([12, *itertools.repeat(7, 110)], window_s)
+        self.assertEqual(view.is_overloaded(view.members[0]), expected)
+
     def _find_moves(self, view):
         return [
             (move.target.upstream.upstream, move.firsts)
