--- a/src/ibisjunction/peers/codec.py
+++ b/src/ibisjunction/peers/codec.py
@@ -5,11 +5,16 @@
 are accepted, and every field is validated against its type.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
+#: Encoded messages from this size on are kept for a while.
+_LARGE_BYTES: Final = 1024
+_MAX_LARGE: Final = 8
+
 
 class CodecError(Exception):
     """The bytes are not a valid message of a registered type."""
@@ -30,8 +35,7 @@
         """
         self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._latest_message: object = None
-        self._latest_encoded = b''
+        self._large: OrderedDict[int, tuple[object, bytes]] = OrderedDict()
         self._message_decoder = msgspec.msgpack.Decoder(_EncodedMessage)
         for message_type in message_types:
             self._register(message_type)
@@ -39,15 +43,20 @@
     def encode(self, message: object) -> bytes:
         """Return the bytes of a message.
 
-        A message that is encoded several times in a row yields the same object,
-        so that the links to many VMs buffer one copy of it.
+        A large message that is encoded again soon yields the same object, so
+        that the links to many VMs buffer one copy of it.
 
         :raises CodecError: if its type was not registered.
         """
-        if self._latest_message is not message:
-            self._latest_encoded = self._encode(message)
-            self._latest_message = message
-        return self._latest_encoded
+        cached, encoded = self._large.get(id(message), (None, b''))
+        if cached is message:
+            return encoded
+        encoded = self._encode(message)
+        if len(encoded) >= _LARGE_BYTES:
+            self._large[id(message)] = (message, encoded)
+            if len(self._large) > _MAX_LARGE:
+                self._large.popitem(last=False)
+        return encoded
 
     def decode(self, data: bytes) -> Any:
         """Return the message that the bytes encode.
