--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -14,6 +14,7 @@
     project_again,
     report_capacity,
 )
+from ibisjunction.bench.capacity.distribution_costs import report_distribution
 from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.outage import compare_breakers
@@ -175,6 +176,16 @@
         return measure_control(sys.stdout)
 
 
+@cappa.command(name='distribution')
+@dataclass
+class DistributionCommand:
+    """Measure what a leader holds and sends to entry VMs on slow links."""
+
+    def __call__(self) -> int:
+        """Print a table by the number of entry VMs."""
+        return report_distribution(sys.stdout)
+
+
 @cappa.command(name='soak')
 @dataclass
 class SoakCommand:
@@ -210,6 +221,7 @@
         | CapacityCommand
         | PolicyCommand
         | ControlCommand
+        | DistributionCommand
         | SoakCommand
     ]
 
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -59,7 +59,7 @@
 _PERIODIC_INTERVAL_MS: Final = 250
 #: Heartbeats of all entry VMs in a second. It bounds the leader's processor
 #: time and traffic as VMs are added.
-_MAX_HEARTBEATS_PER_S: Final = 150
+MAX_HEARTBEATS_PER_S: Final = 150
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +131,7 @@
         self._inherited_change = CommittedChange(index, now)
         self.state = state
         self.leases = LeaseTable(
-            timing.lease_ms, timing.clock_error, now, _MAX_HEARTBEATS_PER_S
+            timing.lease_ms, timing.clock_error, now, MAX_HEARTBEATS_PER_S
         )
         self._vm = vm
         self._prefix = prefix
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -63,7 +63,7 @@
 _JOINER_TIMEOUT_MS: Final = 1500
 #: Messages with new entries to all entry VMs in a second. It bounds the
 #: leader's processor time and traffic as VMs are added.
-_MAX_UPDATES_PER_S: Final = 600
+MAX_UPDATES_PER_S: Final = 600
 #: A voter that has not answered for this long is replaced if possible.
 _VOTER_TIMEOUT_MS: Final = 6000
 
@@ -371,7 +371,7 @@
             now,
         )
         subscribers = Subscribers(
-            self._peers, coordinator.leases, encode_fleet, _MAX_UPDATES_PER_S
+            self._peers, coordinator.leases, encode_fleet, MAX_UPDATES_PER_S
         )
         self._leader_state = _LeaderState(coordinator, subscribers, {})
         log_event(
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -11,6 +11,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -119,6 +120,26 @@
         """Bytes of the buffered messages."""
         return self._in_flight_size + self._waiting_size
 
+    @property
+    def last_sequence(self) -> int:
+        """Number of the last part that was appended."""
+        return self._last_sequence
+
+    def list_payloads(self) -> Iterator[tuple[int, int]]:
+        """Yield identity and size of the buffers that hold the messages.
+
+        Parts of a message, and links that got the same message, share one.
+        """
+        for message in (
+            *(entry.message for entry in self._in_flight),
+            *self._waiting,
+        ):
+            match message.payload:
+                case memoryview(obj=bytes() as whole):
+                    yield id(whole), len(whole)
+                case payload:
+                    yield id(payload), len(payload)
+
     def append(self, payload: bytes, now: int, kind: str = '') -> None:
         """Buffer a message; :meth:`take_sendable` returns it."""
         if not self.buffered_messages:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,9 +5,12 @@
 from parameterized import parameterized
 
 from ibisjunction.bench.capacity.control_costs import build_state
+from ibisjunction.bench.capacity.distribution_costs import measure
 from ibisjunction.bench.capacity.fit import fit_line
 from ibisjunction.bench.capacity.projection import Row
 from ibisjunction.bench.capacity.targets import Assumptions, Counts, Targets
+from ibisjunction.control.distribution import WINDOW_BYTES
+from ibisjunction.peers.delivery import MAX_IN_FLIGHT_BYTES
 
 
 class FitTest(unittest.TestCase):
@@ -52,3 +55,20 @@
         self.assertEqual(len(state.grants['service-0001']), 40)
         self.assertEqual(len(state.upstreams), 4)
         self.assertEqual(len(state.vms), 3)
+
+
+class DistributionTest(unittest.TestCase):
+    """Guards against a leader whose memory grows with VMs and upstreams.
+
+    Grown deployments: leaders ended over their limit of 296 MB.
+    """
+
+    @parameterized.expand([(10, 20, 50), (60, 20, 50), (10, 200, 400)])
+    def test_what_a_leader_holds(self, vms, upstreams, routes):
+        figures = measure(vms, upstreams, routes)
+        # The state and the change once, and a window of entries for each VM.
+        bound = 4 * figures.state_size + vms * WINDOW_BYTES
+        self.assertLess(figures.held, bound)
+        self.assertLessEqual(figures.in_flight, MAX_IN_FLIGHT_BYTES)
+        self.assertLess(figures.change_ms, 2000)
+        self.assertLess(figures.resent, figures.sent)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -119,13 +119,15 @@
         self.assertEqual(commands, 100)
 
     def _subscribe(self, vms, max_updates_per_s):
-        """Return the subscribers with VMs that have the state, and what is sent."""
+        """Return subscribers whose VMs have the state, and what is sent."""
         sent = []
+
+        def send(vm, message):
+            sent.append((vm, message))
+
         table = LeaseTable(LEASE_MS, 0, 0)
         subscribers = Subscribers(
-            SimpleNamespace(
-                send=lambda vm, message: sent.append((vm, message))
-            ),
+            SimpleNamespace(send=send),
             table,
             lambda state: b'state',
             max_updates_per_s,
