--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -8,7 +8,7 @@
 
 from ibisjunction.clock import MS_PER_S
 from ibisjunction.coordination.decay import DecayedCounts
-from ibisjunction.fleet.model import BUCKET_KEYS, Shard, Upstream
+from ibisjunction.fleet.model import BUCKET_KEYS, ProcessKey, Shard, Upstream
 
 #: Rate that is added for each key, in requests per second, so that idle keys
 #: are distributed over the upstreams too.
@@ -23,6 +23,8 @@
 _MIN_PART_REQUESTS: Final = 3
 #: Lower bound of the window of rates, in seconds; no report covers less.
 _MIN_WINDOW_S: Final = 0.1
+#: Requests a second of an upstream that names a lower limit.
+_MIN_CAPACITY: Final = 0.1
 #: Service time of an upstream that has not answered yet, in milliseconds.
 _DEFAULT_SERVICE_MS: Final = 200
 
@@ -49,11 +51,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamSpeed:
-    """Latencies in ms of a process's answers since the previous report."""
+    """Latencies in ms of a process's answers since the previous report.
+
+    ``limit_per_s`` is the limit on requests that its latest answer named.
+    """
 
     upstream: str
     born: int
     latencies: tuple[int, ...]
+    limit_per_s: float | None = None
 
 
 def bucket_of(key: int) -> int:
@@ -72,6 +78,7 @@
         self._latencies: defaultdict[tuple[str, int], deque[int]] = defaultdict(
             _make_samples,
         )
+        self._limits: dict[ProcessKey, float] = {}
 
     def record_load(self, report: KeyLoad, now: int) -> None:
         """Add a VM's report on keys."""
@@ -80,8 +87,12 @@
 
     def record_speed(self, report: UpstreamSpeed) -> None:
         """Add a VM's report on an upstream."""
-        samples = self._latencies[(report.upstream, report.born)]
-        samples.extend(report.latencies)
+        process_key = (report.upstream, report.born)
+        self._latencies[process_key].extend(report.latencies)
+        if report.limit_per_s is None:
+            self._limits.pop(process_key, None)
+        else:
+            self._limits[process_key] = report.limit_per_s
 
     def capacity_of(self, upstream: Upstream) -> float:
         """Return the requests per second that an upstream can process."""
@@ -90,7 +101,9 @@
         if samples:
             ranked = sorted(samples)
             service_ms = ranked[int(len(ranked) * _SERVICE_TIME_QUANTILE)]
-        return upstream.slots * MS_PER_S / max(1, service_ms)
+        capacity = upstream.slots * MS_PER_S / max(1, service_ms)
+        limit = self._limits.get(upstream.process_key, capacity)
+        return max(_MIN_CAPACITY, min(capacity, limit))
 
     def rates_of(
         self,
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -10,10 +10,12 @@
 import operator
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
-from ibisjunction.entry.health import HealthReport, UpstreamHealth
+from ibisjunction.entry.health import HealthReport
+from ibisjunction.entry.health_table import HealthTable
 from ibisjunction.entry.model import Reason
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.model import ProcessKey, Upstream
@@ -87,9 +89,11 @@
     def __init__(self, rng: random.Random) -> None:
         """Start without upstreams."""
         self._rng = rng
-        self._health: dict[ProcessKey, UpstreamHealth] = {}
+        self.health = HealthTable()
         self._waiting: list[TicketRequest] = []
         self.view: FleetView | None = None
+        #: Returns the share of an upstream's limit for a queue.
+        self.find_share: Callable[[str], float] = _use_whole_limit
 
     @property
     def waiting_count(self) -> int:
@@ -99,14 +103,7 @@
     def update_view(self, view: FleetView) -> None:
         """Replace the view and discard the health of removed processes."""
         self.view = view
-        listed = {
-            upstream.process_key for upstream in view.list_all_upstreams()
-        }
-        self._health = {
-            process_key: health
-            for process_key, health in self._health.items()
-            if process_key in listed
-        }
+        self.health.retain(view.list_all_upstreams())
 
     def submit(self, request: TicketRequest, now: int) -> Decision:
         """Decide on a new request; queue it if it has to wait."""
@@ -172,11 +169,12 @@
         upstream: Upstream,
         report: HealthReport,
         now: int,
+        granted_ms: int = 0,
     ) -> None:
         """Free the slot of a granted request and record its result."""
-        health = self._get_health(upstream)
+        health = self.health.get(upstream)
         health.in_flight = max(0, health.in_flight - 1)
-        health.record(report, now)
+        health.record(report, now, granted_ms)
 
     def _decide(self, request: TicketRequest, now: int) -> Decision:
         """Decide on a request; a grant occupies a slot of the upstream."""
@@ -194,16 +192,20 @@
         if not candidates:
             return Refuse(Reason.NO_UPSTREAM)
         for candidate in candidates:
-            self._get_health(candidate).discard_old_samples(now)
+            health = self.health.get(candidate)
+            health.discard_old_samples(now)
+            if health.pacer.limit_per_s is not None:
+                queue = self._find_queue_name(request)
+                health.pacer.use_share(self.find_share(queue), now)
         fastest_ms = min(
-            self._get_health(candidate).service_ms for candidate in candidates
+            self.health.get(candidate).service_ms for candidate in candidates
         )
         if now + fastest_ms * _MIN_SERVICE_FRACTION >= request.give_up_ms:
             return Refuse(Reason.TIMED_OUT)
         available = [
             candidate
             for candidate in candidates
-            if self._get_health(candidate).has_free_capacity(now)
+            if self.health.get(candidate).has_free_capacity(now)
         ]
         if not available:
             return Wait()
@@ -211,7 +213,8 @@
             available,
             key=lambda candidate: self._cost(request, candidate, now),
         )
-        self._get_health(chosen).in_flight += 1
+        self.health.get(chosen).in_flight += 1
+        self.health.get(chosen).pacer.take(now)
         return Grant(chosen)
 
     def _find_candidates(
@@ -236,14 +239,6 @@
         ]
         return preferred or upstreams
 
-    def _get_health(self, upstream: Upstream) -> UpstreamHealth:
-        process_key = upstream.process_key
-        health = self._health.get(process_key)
-        if health is None:
-            health = UpstreamHealth(upstream.slots)
-            self._health[process_key] = health
-        return health
-
     def _cost(
         self,
         request: TicketRequest,
@@ -256,7 +251,7 @@
         chosen only if no local one is likely to meet the target. The random
         factor spreads requests over upstreams of similar cost.
         """
-        health = self._get_health(upstream)
+        health = self.health.get(upstream)
         cost = health.cost()
         if upstream.failure_domain != request.failure_domain:
             # An upstream that has not answered yet costs next to nothing, so
@@ -282,7 +277,7 @@
         candidates = self._list_candidates(request)
         conservative_service_ms = min(
             (
-                self._get_health(candidate).conservative_service_ms
+                self.health.get(candidate).conservative_service_ms
                 for candidate in candidates
             ),
             default=0,
@@ -320,7 +315,7 @@
         candidates = self._list_candidates(request)
         if not candidates:
             return False
-        healths = [self._get_health(candidate) for candidate in candidates]
+        healths = [self.health.get(candidate) for candidate in candidates]
         service_rate = sum(health.service_rate for health in healths)
         service_ms = min(health.service_ms for health in healths)
         expected_ms = (ahead + 1) / service_rate + service_ms
@@ -335,3 +330,8 @@
             request.number,
             request.key,
         )
+
+
+def _use_whole_limit(queue: str) -> float:
+    """Return the share of a dispatcher that is the only one."""
+    return 1
--- a/src/ibisjunction/entry/dispatchers.py
+++ b/src/ibisjunction/entry/dispatchers.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from ibisjunction.entry.limits import find_share
 from ibisjunction.round_trips import RoundTrips
 
 #: Bounds of the wait for a dispatcher, which follows its round trips: an answer
@@ -64,6 +65,12 @@
             default=self._vm,
         )
 
+    def find_share(self, queue: str) -> float:
+        """Return the share of an upstream's limit that this VM may grant."""
+        own = self._weigh(self._vm, queue) if self._vm in self._vms else 0
+        rank = sum(self._weigh(vm, queue) > own for vm in self._vms)
+        return find_share(rank, len(self._vms))
+
     def _weigh(self, vm: str, queue: str) -> float:
         """Return the weight of a VM for a queue; the highest one decides."""
         digest = xxhash.xxh3_64_intdigest(f'{vm} {queue}'.encode())
--- a/src/ibisjunction/entry/health.py
+++ b/src/ibisjunction/entry/health.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ibisjunction.entry.limits import RequestPacer
+
 #: Weight of a new result in the moving average of the success rate.
 _SMOOTHING_FACTOR: Final = 0.15
 #: Service time that is assumed until the first answer.
@@ -52,10 +54,28 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthReport:
-    """The result of one attempt and its latency in milliseconds."""
+    """The result of one attempt and its latency in milliseconds.
+
+    ``limit_per_s`` is the limit that the answer named, if any.
+    """
 
     result: HealthResult
     latency_ms: int = 0
+    limit_per_s: float | None = None
+
+    @property
+    def tells_limit(self) -> bool:
+        """Whether an answer shows the upstream's limit, or that it has none.
+
+        A ticket that was returned unused may carry a limit that its dispatcher
+        does not know.
+        """
+        is_answer = self.result in {
+            HealthResult.ANSWERED,
+            HealthResult.ERROR,
+            HealthResult.FULL,
+        }
+        return is_answer or self.limit_per_s is not None
 
 
 @dataclass(slots=True)
@@ -67,6 +87,7 @@
     success_rate: float = 1
     consecutive_failures: int = 0
     paused_until_ms: int = 0
+    pacer: RequestPacer = field(default_factory=RequestPacer)
     #: Times and latencies of the latest answers, in milliseconds.
     _samples: deque[tuple[int, int]] = field(
         default_factory=lambda: deque(maxlen=_MAX_SAMPLES),
@@ -95,15 +116,17 @@
 
     @property
     def service_rate(self) -> float:
-        """Requests that the upstream completes per millisecond."""
-        return max(1, self.slots) / max(1, self.service_ms)
+        """Requests that the upstream takes per millisecond."""
+        completed = max(1, self.slots) / max(1, self.service_ms)
+        limit = self.pacer.rate_per_ms
+        return completed if limit is None else min(completed, limit)
 
     def has_free_capacity(self, now: int) -> bool:
         """Return whether one more request may be sent.
 
         After its pause, a failing upstream gets one request at a time.
         """
-        if now < self.paused_until_ms:
+        if now < self.paused_until_ms or not self.pacer.may_send(now):
             return False
         if self.consecutive_failures >= _PAUSE_THRESHOLD:
             return self.in_flight == 0
@@ -122,8 +145,15 @@
             service_ms * load_factor / max(_MIN_SUCCESS_RATE, self.success_rate)
         )
 
-    def record(self, report: HealthReport, now: int) -> None:
-        """Update the health by the result of one attempt."""
+    def record(
+        self, report: HealthReport, now: int, granted_ms: int = 0
+    ) -> None:
+        """Update the health by the result of one attempt.
+
+        :param granted_ms: when the attempt was granted.
+        """
+        if report.tells_limit:
+            self.pacer.record(report.limit_per_s, granted_ms, now)
         match report.result:
             case HealthResult.ANSWERED:
                 self.consecutive_failures = 0
@@ -140,7 +170,9 @@
                 self.consecutive_failures += 1
                 self._update_success_rate(0)
                 self._pause_after_failures(now)
-            case HealthResult.WRONG | HealthResult.UNUSED:
+            case HealthResult.UNUSED:
+                self.pacer.give_back()
+            case HealthResult.WRONG:
                 return
 
     def _quantile(self, fraction: float) -> float:
--- a/src/ibisjunction/entry/messages.py
+++ b/src/ibisjunction/entry/messages.py
@@ -30,12 +30,14 @@
 class TicketGranted:
     """The request may be sent to this process of an upstream.
 
-    ``born`` is when the process started.
+    ``born`` is when the process started. ``is_paced`` is set if the dispatcher
+    knows a limit of the upstream and keeps it.
     """
 
     number: int
     upstream: str
     born: int
+    is_paced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/entry/model.py
+++ b/src/ibisjunction/entry/model.py
@@ -17,7 +17,8 @@
     remaining time in milliseconds. ``expected_upstream`` lets any other
     upstream refuse the request. ``not_run`` marks an answer of an upstream
     that did not run the request. ``receipt`` is in every answer of an upstream
-    that did run it.
+    that did run it. ``limit`` names the requests a second that an upstream
+    takes from all VMs together.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     expected_upstream: str
     not_run: str
     receipt: str
+    limit: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -20,6 +20,7 @@
     Progress,
     Unsent,
     classify,
+    find_limit,
     health_result_of,
     make_outcome,
     may_retry,
@@ -97,6 +98,7 @@
         self._last_number = 0
         self._loads: dict[str, dict[int, int]] = {}
         self._latencies: dict[ProcessKey, list[int]] = {}
+        self._limits: dict[ProcessKey, float | None] = {}
         self.view: FleetView | None = None
         self.is_draining = False
         #: Called with the limits on requests at each update to a view that has
@@ -128,18 +130,27 @@
         return loads
 
     def take_speeds(self) -> tuple[UpstreamSpeed, ...]:
-        """Return the latencies of upstreams since the last call."""
+        """Return latencies and limits of upstreams since the last call."""
         speeds = tuple(
-            UpstreamSpeed(name, born, tuple(latencies))
-            for (name, born), latencies in self._latencies.items()
+            UpstreamSpeed(
+                name,
+                born,
+                tuple(self._latencies.get((name, born), ())),
+                self._limits.get((name, born)),
+            )
+            for name, born in self._latencies.keys() | self._limits.keys()
         )
         self._latencies = {}
+        self._limits = {}
         return speeds
 
-    def record_latency(self, upstream: Upstream, latency_ms: int) -> None:
-        """Record the latency of an answer for the next report."""
-        latencies = self._latencies.setdefault(upstream.process_key, [])
-        latencies.append(latency_ms)
+    def record_report(self, upstream: Upstream, report: HealthReport) -> None:
+        """Record the latency and the limit in an answer for the next report."""
+        if report.tells_limit:
+            self._limits[upstream.process_key] = report.limit_per_s
+        if report.result is HealthResult.ANSWERED:
+            latencies = self._latencies.setdefault(upstream.process_key, [])
+            latencies.append(report.latency_ms)
 
     def route(self, request: CallerRequest) -> RoutedRequest | Refused:
         """Choose the service for a request and count its key, or refuse it."""
@@ -221,6 +232,7 @@
         self._avoided: frozenset[ProcessKey] = frozenset()
         self._is_in_flight = False
         self._report = HealthReport(HealthResult.UNUSED)
+        self._limit_per_s: float | None = None
 
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
@@ -271,9 +283,9 @@
         self._report = HealthReport(
             health_result_of(attempt_result),
             latency_ms,
+            self._limit_per_s,
         )
-        if self._report.result is HealthResult.ANSWERED:
-            self._processor.record_latency(decision.upstream, latency_ms)
+        self._processor.record_report(decision.upstream, self._report)
         return attempt_result
 
     def make_timeout_outcome(self) -> Outcome:
@@ -317,6 +329,7 @@
     async def _send(self, upstream: Upstream) -> AttemptResult:
         address = parse_address(upstream.address)
         result = await self._exchange(upstream, address)
+        self._limit_per_s = find_limit(result, self._components.names)
         attempt_result = classify(result, self._components.names)
         if isinstance(attempt_result, Declined | Unsent | Lost):
             self._failed_attempts += 1
--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -20,6 +21,7 @@
     Wait,
 )
 from ibisjunction.entry.dispatchers import Dispatchers
+from ibisjunction.entry.granted import Decided, GrantedTickets
 from ibisjunction.entry.health import HealthReport, HealthResult
 from ibisjunction.entry.messages import (
     DispatchersChanged,
@@ -34,7 +36,6 @@
 from ibisjunction.entry.model import Reason
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event, log_event
-from ibisjunction.fleet.model import Upstream
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.peers.link import PeerNetwork, Received
 
@@ -44,10 +45,6 @@
 #: A queued request is sent again at this interval, in case its dispatcher was
 #: restarted and lost the queue.
 _REPEAT_INTERVAL_MS: Final = 300
-#: A ticket that was not returned expires this long after its request times out.
-_TICKET_GRACE_MS: Final = 500
-#: The VM of a request, and the number of its ticket request there.
-_TicketId = tuple[str, int]
 
 
 @dataclass(slots=True)
@@ -67,21 +64,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Ticket:
-    """A ticket that this dispatcher granted and that is in use."""
+class _Decided:
+    """The decision on a request of this VM, and the dispatcher that made it."""
 
-    upstream: Upstream
-    expires_ms: int
+    dispatcher_vm: str
+    decision: Grant | Refuse
+    decided_ms: int
 
 
 @dataclass(slots=True)
-class _TicketState:
-    """Pending ticket requests, and tickets by VM and number."""
+class _OwnRequests:
+    """The ticket requests of this VM, by number."""
 
     pending: dict[int, _PendingRequest] = field(default_factory=dict)
-    tickets: dict[_TicketId, _Ticket] = field(default_factory=dict)
-    #: Dispatchers that decided on the requests of this VM, by number.
-    decided_by: dict[int, str] = field(default_factory=dict)
+    #: Decisions on requests that still use or used their ticket.
+    decided: dict[int, _Decided] = field(default_factory=dict)
 
 
 class TicketTask:
@@ -100,7 +97,9 @@
         self._peers = peers
         self._dispatcher = dispatcher
         self._dispatchers = Dispatchers(vm)
-        self._state = _TicketState()
+        dispatcher.find_share = self._dispatchers.find_share
+        self._granted = GrantedTickets(dispatcher)
+        self._state = _OwnRequests()
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
             self.mailbox,
@@ -134,7 +133,7 @@
                 self._handle_received(sender, received, now)
             case FleetView():
                 self._dispatcher.update_view(message)
-                self._decide_waiting(now)
+                self._deliver(self._granted.decide_waiting(now), now)
             case DispatchersChanged(vms=vms, capacities=capacities):
                 self._dispatchers.replace_vms(vms, capacities)
             case Tick():
@@ -145,7 +144,9 @@
             case TicketAsk():
                 self._dispatch(_decode_request(sender, message, now), now)
             case TicketDone(number=number, report=report):
-                self._end_ticket((sender, number), report, now)
+                self._deliver(
+                    self._granted.end((sender, number), report, now), now
+                )
             case TicketQueued(number=number):
                 pending = self._state.pending.get(number)
                 if pending is not None and pending.dispatcher_vm == sender:
@@ -186,41 +187,33 @@
 
     def _dispatch(self, request: TicketRequest, now: int) -> None:
         """Decide on a ticket request as its dispatcher."""
-        ticket_id = (request.vm, request.number)
-        if ticket_id in self._state.tickets:
-            # The request was repeated just before the ticket arrived.
-            return
-        # A repeated ticket request keeps its place in the queue.
-        is_waiting = self._dispatcher.is_waiting(*ticket_id)
-        decision = (
-            Wait() if is_waiting else self._dispatcher.submit(request, now)
-        )
-        if isinstance(decision, Wait):
-            if request.vm != self._vm:
-                self._peers.send(request.vm, TicketQueued(request.number))
-        else:
-            self._deliver_decision(request, decision)
+        match self._granted.decide(request, now):
+            case None:
+                return
+            case Wait():
+                if request.vm != self._vm:
+                    self._peers.send(request.vm, TicketQueued(request.number))
+            case decision:
+                self._deliver_decision(request, decision, now)
 
     def _deliver_decision(
         self,
         request: TicketRequest,
         decision: Grant | Refuse,
+        now: int,
     ) -> None:
-        """Record the ticket if granted; send the decision to the requester."""
-        if isinstance(decision, Grant):
-            self._state.tickets[(request.vm, request.number)] = _Ticket(
-                decision.upstream,
-                request.give_up_ms + _TICKET_GRACE_MS,
-            )
+        """Send a decision of this dispatcher to the requester."""
         if request.vm != self._vm:
             self._peers.send(
                 request.vm,
-                _encode_decision(request.number, decision),
+                _encode_decision(request.number, decision, self._dispatcher),
             )
             return
         pending = self._state.pending.pop(request.number, None)
         if pending is not None:
-            self._state.decided_by[request.number] = self._vm
+            self._state.decided[request.number] = _Decided(
+                self._vm, decision, now
+            )
             pending.reply.post(decision)
 
     def _handle_decision(
@@ -243,11 +236,28 @@
                 self._peers.send(sender, unused)
             return
         self._record_answer(pending, now)
-        decision = self._decode_decision(message)
+        decision = _decode_decision(message, self._dispatcher.view)
+        limit = _find_unkept_limit(message, decision, self._dispatcher)
+        if limit is not None:
+            self._ask_again(pending, limit, now)
+            return
         self._state.pending.pop(message.number)
-        self._state.decided_by[message.number] = sender
+        self._state.decided[message.number] = _Decided(sender, decision, now)
         pending.reply.post(decision)
 
+    def _ask_again(
+        self, pending: _PendingRequest, limit_per_s: float, now: int
+    ) -> None:
+        """Tell the dispatcher a limit that it does not know, and ask again."""
+        number = pending.request.number
+        report = HealthReport(HealthResult.UNUSED, limit_per_s=limit_per_s)
+        self._peers.send(pending.dispatcher_vm, TicketDone(number, report))
+        pending.sent_ms = now
+        pending.is_queued = False
+        self._peers.send(
+            pending.dispatcher_vm, _encode_request(pending.request, now)
+        )
+
     def _record_answer(self, pending: _PendingRequest, now: int) -> None:
         """Record the round trip of the first answer to a ticket request."""
         if not pending.is_answered:
@@ -256,58 +266,41 @@
                 pending.dispatcher_vm, now - pending.sent_ms
             )
 
-    def _decode_decision(
-        self,
-        message: TicketGranted | TicketRefused,
-    ) -> Grant | Refuse:
-        match message:
-            case TicketRefused(why=why, retry_after_ms=retry_ms):
-                return Refuse(Reason[why], retry_ms)
-            case TicketGranted(upstream=name, born=born):
-                view = self._dispatcher.view
-                upstream = view and view.find_process(name, born)
-                return (
-                    Grant(upstream) if upstream else Refuse(Reason.NO_UPSTREAM)
-                )
-
     def _handle_done(self, number: int, report: HealthReport, now: int) -> None:
         """End a ticket or a pending ticket request of this VM."""
         pending = self._state.pending.pop(number, None)
-        pending_vm = '' if pending is None else pending.dispatcher_vm
-        dispatcher_vm = self._state.decided_by.pop(number, pending_vm)
+        dispatcher_vm = '' if pending is None else pending.dispatcher_vm
+        decided = self._state.decided.pop(number, None)
+        if decided is not None:
+            dispatcher_vm = decided.dispatcher_vm
+            self._record_limit(decided, report, now)
         if dispatcher_vm == self._vm:
-            self._end_ticket((dispatcher_vm, number), report, now)
+            ticket_id = (dispatcher_vm, number)
+            self._deliver(self._granted.end(ticket_id, report, now), now)
         elif dispatcher_vm:
             self._peers.send(dispatcher_vm, TicketDone(number, report))
 
-    def _end_ticket(
-        self,
-        ticket_id: _TicketId,
-        report: HealthReport,
-        now: int,
+    def _record_limit(
+        self, decided: _Decided, report: HealthReport, now: int
     ) -> None:
-        """End a ticket as its dispatcher, or cancel a waiting request."""
-        ticket = self._state.tickets.pop(ticket_id, None)
-        if ticket is None:
-            self._dispatcher.cancel(*ticket_id)
-        else:
-            self._dispatcher.finish(ticket.upstream, report, now)
-            self._decide_waiting(now)
+        """Record a limit that an answer to another dispatcher's grant named."""
+        if decided.dispatcher_vm != self._vm and isinstance(
+            decided.decision, Grant
+        ):
+            self._dispatcher.health.record_limit(
+                decided.decision.upstream, report, decided.decided_ms, now
+            )
 
-    def _decide_waiting(self, now: int) -> None:
-        for request, decision in self._dispatcher.decide_waiting(now):
-            self._deliver_decision(request, decision)
+    def _deliver(self, decided: Iterable[Decided], now: int) -> None:
+        for request, decision in decided:
+            self._deliver_decision(request, decision, now)
 
     def _handle_tick(self, now: int) -> None:
         if self._dispatcher.waiting_count:
-            self._decide_waiting(now)
+            self._deliver(self._granted.decide_waiting(now), now)
         for pending in list(self._state.pending.values()):
             self._check_pending(pending, now)
-        for ticket_id, ticket in list(self._state.tickets.items()):
-            if now >= ticket.expires_ms:
-                self._end_ticket(
-                    ticket_id, HealthReport(HealthResult.UNUSED), now
-                )
+        self._deliver(self._granted.expire(now), now)
 
     def _check_pending(self, pending: _PendingRequest, now: int) -> None:
         """Repeat a ticket request, or decide on it here after a timeout."""
@@ -376,11 +369,39 @@
 
 
 def _encode_decision(
-    number: int,
-    decision: Grant | Refuse,
+    number: int, decision: Grant | Refuse, dispatcher: Dispatcher
 ) -> TicketGranted | TicketRefused:
     match decision:
         case Grant(upstream=upstream):
-            return TicketGranted(number, upstream.upstream, upstream.born)
+            return TicketGranted(
+                number,
+                upstream.upstream,
+                upstream.born,
+                is_paced=dispatcher.health.find_limit(upstream) is not None,
+            )
         case Refuse(reason=reason, retry_after_ms=retry_ms):
             return TicketRefused(number, reason.name, retry_ms)
+
+
+def _decode_decision(
+    message: TicketGranted | TicketRefused, view: FleetView | None
+) -> Grant | Refuse:
+    match message:
+        case TicketRefused(why=why, retry_after_ms=retry_ms):
+            return Refuse(Reason[why], retry_ms)
+        case TicketGranted(upstream=name, born=born):
+            upstream = view and view.find_process(name, born)
+            return Grant(upstream) if upstream else Refuse(Reason.NO_UPSTREAM)
+
+
+def _find_unkept_limit(
+    message: TicketGranted | TicketRefused,
+    decision: Grant | Refuse,
+    dispatcher: Dispatcher,
+) -> float | None:
+    """Return the limit that a grant does not keep, if there is one."""
+    match message, decision:
+        case TicketGranted(is_paced=False), Grant(upstream=upstream):
+            return dispatcher.health.find_limit(upstream)
+        case _:
+            return None
--- a/src/ibisjunction/platform/bodies.py
+++ b/src/ibisjunction/platform/bodies.py
@@ -14,6 +14,7 @@
     expected_upstream='Expected-Instance',
     not_run='Not-Executed',
     receipt='Response-Signature',
+    limit='Server-Limit',
 )
 
 _Body = TypeVar('_Body', bound='Body')
