--- a/src/ibisjunction/platform/bodies.py
+++ b/src/ibisjunction/platform/bodies.py
@@ -1,6 +1,6 @@
 """Decodes the platform's JSON bodies and names its headers."""
 
-from typing import Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 
@@ -17,6 +17,15 @@
     limit='Server-Limit',
 )
 
+#: Numbers that JSON writers represent exactly; larger ones can't be stored.
+_MAX_INTEGER: Final = 9_007_199_254_740_991
+_MAX_SECONDS: Final = 1e9
+_MAX_NAME_LENGTH: Final = 256
+Natural = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+Integer = Annotated[int, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)]
+Seconds = Annotated[float, msgspec.Meta(gt=-_MAX_SECONDS, lt=_MAX_SECONDS)]
+Name = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
+
 _Body = TypeVar('_Body', bound='Body')
 
 
@@ -31,12 +40,16 @@
 def decode_body(body: bytes, model: type[_Body]) -> _Body:
     """Decode a JSON body.
 
-    :raises InvalidBodyError: if it is not valid JSON or a field is missing or
-        wrong.
+    :raises InvalidBodyError: if it is not valid JSON, is nested too deeply,
+        or a field is missing or wrong.
     """
     try:
         return msgspec.json.decode(body, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise InvalidBodyError(str(error)) from error
 
 
--- a/src/ibisjunction/platform/check_ins.py
+++ b/src/ibisjunction/platform/check_ins.py
@@ -1,6 +1,6 @@
 """Decodes and encodes the bodies of upstreams' check-ins and departures."""
 
-from typing import Any
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -11,36 +11,50 @@
     FreedRange,
     HeldRange,
 )
-from ibisjunction.platform.bodies import Body, InvalidBodyError, decode_body
+from ibisjunction.fleet.model import LAST_KEY
+from ibisjunction.platform.bodies import (
+    Body,
+    InvalidBodyError,
+    Name,
+    Natural,
+    decode_body,
+)
+from ibisjunction.settings.loader import is_address
+
+#: More requests at the same time than any upstream runs.
+_MAX_SLOTS: Final = 1_000_000
+
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+_Key = Annotated[int, msgspec.Meta(ge=0, le=LAST_KEY)]
 
 
 class _Capability(Body, frozen=True):
-    service: str
-    zone: str
+    service: Name
+    zone: Name
     #: Number of requests that the upstream runs at the same time.
-    capacity: int
+    capacity: _Slots
 
 
 class _Status(Body, frozen=True):
-    state: str
-    sequence_number: int
+    state: Name
+    sequence_number: Natural
 
 
 class _CheckInBody(Body, frozen=True):
-    address: str
+    address: Name
     capability: _Capability = msgspec.field(name='Info')
     status: _Status
     #: Key ranges that the upstream holds: first key, last key and fence.
-    holds: tuple[tuple[int, int, int], ...] = ()
+    holds: tuple[tuple[_Key, _Key, Natural], ...] = ()
     #: Key ranges that it gave up: first key, last key and hand-over token.
-    freed: tuple[tuple[int, int, str], ...] = ()
+    freed: tuple[tuple[_Key, _Key, Name], ...] = ()
     #: Start of the process in Unix milliseconds. Unlike all other fields, it
     #: has a lower-case name in the body.
-    born: int = msgspec.field(default=0, name='born')
+    born: Natural = msgspec.field(default=0, name='born')
 
 
 class _DepartureBody(Body, frozen=True):
-    born: int = msgspec.field(default=0, name='born')
+    born: Natural = msgspec.field(default=0, name='born')
 
 
 def decode_check_in(upstream: str, body: bytes) -> CheckIn:
@@ -51,6 +65,8 @@
     check_in = decode_body(body, _CheckInBody)
     if check_in.status.state not in {'ready', 'draining'}:
         raise InvalidBodyError(f'State {check_in.status.state!r} is not known')
+    if not is_address(check_in.address):
+        raise InvalidBodyError(f'Address {check_in.address!r} is not IP:PORT')
     return CheckIn(
         upstream=upstream,
         born=check_in.born,
--- a/src/ibisjunction/platform/item_bodies.py
+++ b/src/ibisjunction/platform/item_bodies.py
@@ -5,7 +5,13 @@
 
 from typing import Any, Final
 
-from ibisjunction.platform.bodies import Body
+from ibisjunction.platform.bodies import (
+    Body,
+    Integer,
+    Name,
+    Natural,
+    Seconds,
+)
 
 #: Timeout and target latency of a route that sets none.
 _DEFAULT_TIMEOUT_S: Final = 60.0
@@ -50,8 +56,8 @@
 class TargetBody(Body, frozen=True):
     """A service that gets a share of a route's requests."""
 
-    service: str
-    weight: int
+    service: Name
+    weight: Integer
 
 
 class RouteBody(Body, frozen=True):
@@ -63,10 +69,10 @@
     host: str
     path_prefix: str
     type: str
-    priority: int
-    max_attempts: int
-    timeout_s: float = _DEFAULT_TIMEOUT_S
-    target_latency_s: float = _DEFAULT_TIMEOUT_S
+    priority: Integer
+    max_attempts: Integer
+    timeout_s: Seconds = _DEFAULT_TIMEOUT_S
+    target_latency_s: Seconds = _DEFAULT_TIMEOUT_S
     service: str = ''
     traffic_split: tuple[TargetBody, ...] = ()
 
@@ -75,15 +81,15 @@
     """A service; ``sharded`` if each key has one owner."""
 
     health_check_path: str = ''
-    max_connections: int = 0
+    max_connections: Integer = 0
     sharded: bool = False
-    warmup_s: float = 0
+    warmup_s: Seconds = 0
 
 
 class LimitsBody(Body, frozen=True):
     """Bounds on the size of requests and on the time that callers may take."""
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: Natural
+    max_body_bytes: Natural
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
--- a/src/ibisjunction/platform/items.py
+++ b/src/ibisjunction/platform/items.py
@@ -34,6 +34,8 @@
 #: The item of the limits has a fixed name, because there is only one.
 _LIMITS_NAME: Final = 'Limits'
 _VERSION_PREFIX: Final = 'r'
+#: A version with more digits does not fit into 64 bits.
+_MAX_VERSION_DIGITS: Final = 18
 
 
 def decode_update(body: bytes) -> ItemUpdate:
@@ -42,6 +44,13 @@
     :raises InvalidBodyError: if any part of the body is not valid.
     """
     update = decode_body(body, UpdateBody)
+    try:
+        return _decode_items(update)
+    except RecursionError as error:
+        raise InvalidBodyError(str(error)) from error
+
+
+def _decode_items(update: UpdateBody) -> ItemUpdate:
     items = [
         *_decode_rows(update.upsert.routes, ItemType.ROUTE),
         *_decode_rows(update.upsert.services, ItemType.SERVICE),
@@ -181,7 +190,8 @@
 
 def _decode_version(text: str) -> int:
     number = text.removeprefix(_VERSION_PREFIX)
-    if number == text or not number.isdecimal():
+    is_valid = number.isdecimal() and len(number) <= _MAX_VERSION_DIGITS
+    if number == text or not is_valid:
         raise InvalidBodyError(
             f'Version {text!r} is not {_VERSION_PREFIX}NUMBER'
         )
--- a/tests/test_platform_bodies.py
+++ b/tests/test_platform_bodies.py
@@ -2,17 +2,20 @@
 
 import json
 import unittest
+from dataclasses import dataclass
 
 from parameterized import parameterized
 
 from ibisjunction.catalogue.items import Catalogue
 from ibisjunction.catalogue.model import Accepted, ItemType, RequestKind, Target
 from ibisjunction.coordination.calls import (
+    ChangeItems,
     CheckedIn,
     FreedRange,
     GrantedRange,
     HeldRange,
 )
+from ibisjunction.coordination.messages import decode_call, encode_call
 from ibisjunction.platform.bodies import InvalidBodyError
 from ibisjunction.platform.check_ins import (
     decode_check_in,
@@ -89,6 +92,35 @@
     return json.dumps(changed).encode()
 
 
+@dataclass(frozen=True)
+class Raw:
+    """JSON text that stands for itself."""
+
+    text: str
+
+
+def nest(depth):
+    """Return the text of a list of lists, nested this deeply."""
+    return Raw('[' * depth + ']' * depth)
+
+
+def make_body(path, value):
+    """Return a check-in in which one field is replaced."""
+    fields = {
+        'Address': '10.128.0.9:8080',
+        'Info': {'Service': 's', 'Zone': 'z', 'Capacity': 4},
+        'Status': {'State': 'ready', 'SequenceNumber': 4},
+    }
+    target = fields
+    for name in path[:-1]:
+        target = target[name]
+    target[path[-1]] = '@' if isinstance(value, Raw) else value
+    text = json.dumps(fields)
+    if isinstance(value, Raw):
+        text = text.replace('"@"', value.text)
+    return text.encode()
+
+
 class CheckInTest(unittest.TestCase):
     """Guards against check-ins that are misread or accepted incomplete."""
 
@@ -117,6 +149,43 @@
         with self.assertRaises(InvalidBodyError):
             decode_check_in('i', change(CHECK_IN, path, replacement))
 
+    @parameterized.expand(
+        [
+            ('large sequence', ('Status', 'SequenceNumber'), 10**30),
+            ('negative sequence', ('Status', 'SequenceNumber'), -1),
+            ('large start', ('born',), 10**25),
+            ('no slots', ('Info', 'Capacity'), 0),
+            ('large slots', ('Info', 'Capacity'), 10**18),
+            ('key beyond the last', ('Holds',), [[0, 65_536, 1]]),
+            ('large key', ('Holds',), [[0, 10**30, 1]]),
+            ('large fence', ('Holds',), [[0, 5, 10**30]]),
+            ('key below zero', ('Freed',), [[-1, 5, 'x']]),
+            ('long token', ('Freed',), [[0, 5, 'x' * 100_000]]),
+            ('long service', ('Info', 'Service'), 'x' * 100_000),
+            ('port out of range', ('Address',), '10.128.0.9:99999'),
+            ('large port', ('Address',), '10.128.0.9:' + '9' * 5000),
+            ('no port', ('Address',), '10.128.0.9'),
+            ('host name', ('Address',), 'backend:8080'),
+            ('nested', ('Other',), nest(100_000)),
+            ('nested holds', ('Holds',), nest(100_000)),
+        ]
+    )
+    def test_odd_entry_of_another_writer(self, _name, path, value):
+        """Guards against an entry that ends each control VM it reaches.
+
+        Another writer's check-in with a number beyond 64 bits was accepted, and
+        forwarding it to the leader raised in the task that owns the replica.
+        """
+        body = make_body(path, value)
+        with self.assertRaises(InvalidBodyError):
+            decode_check_in('i-7f3a91c2', body)
+
+    def test_largest_numbers_can_be_forwarded(self):
+        largest = 2**53 - 1
+        for path in (('Status', 'SequenceNumber'), ('born',)):
+            call = decode_check_in('i-1', make_body(path, largest))
+            self.assertEqual(decode_call(encode_call(call)), call)
+
     @parameterized.expand([(b'{',), (b'\xff\xfe',), (b'',), (b'[]',)])
     def test_unreadable(self, body):
         with self.assertRaises(InvalidBodyError):
@@ -200,6 +269,36 @@
         with self.assertRaises(InvalidBodyError):
             decode_update(body)
 
+    @parameterized.expand(
+        [
+            ('large version', 'Version', 'r' + '9' * 30),
+            ('very long version', 'Version', 'r' + '9' * 5000),
+            ('large number', 'MaxConnections', 10**30),
+            ('large time', 'WarmupS', 1e300),
+            ('nested', 'Other', nest(100_000)),
+            ('nested less', 'Other', nest(950)),
+        ]
+    )
+    def test_odd_item_of_another_writer(self, _name, column, value):
+        """Guards against an item that ends each control VM it reaches."""
+        fields = {'Name': 's', 'Version': 'r7', column: value}
+        columns = json.dumps(list(fields))
+        cells = ','.join(
+            cell.text if isinstance(cell, Raw) else json.dumps(cell)
+            for cell in fields.values()
+        )
+        body = (
+            f'{{"Upsert":{{"Services":{{"Columns":{columns},'
+            f'"Rows":[[{cells}]]}}}}}}'
+        )
+        try:
+            update = decode_update(body.encode())
+        except InvalidBodyError:
+            return
+        call = ChangeItems(update)
+        self.assertEqual(decode_call(encode_call(call)), call)
+        encode_items(update.items)
+
 
 def _list_rows(table):
     """Return the rows as mappings from column to value, without ``None``."""
