--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -22,7 +22,9 @@
 )
 from tornado.iostream import StreamClosedError
 
+from ibisjunction.clock import MS_PER_S
 from ibisjunction.entry.model import HeaderFields
+from ibisjunction.heads import parse_number
 from ibisjunction.limits import CHUNK_BYTES
 from ibisjunction.settings import Address
 from ibisjunction.upstreams.stream import UpstreamStream, make_stream
@@ -260,8 +262,9 @@
     """Return how long the upstream allows the connection to be idle."""
     for option in headers.get('Keep-Alive', '').split(','):
         name, _, text = option.strip().partition('=')
-        if name.lower() == 'timeout' and text.isdecimal():
-            return int(text) * 1000
+        seconds = parse_number(text)
+        if name.lower() == 'timeout' and seconds is not None:
+            return seconds * MS_PER_S
     return default_ms
 
 
--- a/src/ibisjunction/entry/server.py
+++ b/src/ibisjunction/entry/server.py
@@ -37,6 +37,7 @@
     PARSER_LIMIT_FACTOR,
     find_head_error,
     has_conflicting_values,
+    parse_number,
 )
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
@@ -294,7 +295,7 @@
             has_body=has_body,
             arrived_ms=self._arrived_ms,
             deadline_ms=self._parse_deadline(),
-            key=_parse_number(headers.get(names.shard_key)),
+            key=parse_number(headers.get(names.shard_key)),
         )
         self._task = self._server.spawn(
             request,
@@ -325,14 +326,7 @@
         return Refused(Reason.HEAD_TOO_LARGE)
 
     def _parse_deadline(self) -> int | None:
-        remaining_ms = _parse_number(
+        remaining_ms = parse_number(
             self._headers.get(self._server.names.deadline)
         )
         return None if remaining_ms is None else self._arrived_ms + remaining_ms
-
-
-def _parse_number(text: str | None) -> int | None:
-    """Parse a header; return ``None`` unless it is a decimal integer."""
-    if text is None or not text.strip().isdecimal():
-        return None
-    return int(text)
--- a/src/ibisjunction/heads.py
+++ b/src/ibisjunction/heads.py
@@ -12,6 +12,8 @@
 #: Above its limit the parser can only reset the connection, without an answer
 #: that gives the caller the reason.
 PARSER_LIMIT_FACTOR: Final = 4
+#: Enough for any time in milliseconds.
+_MAX_DIGITS: Final = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,21 @@
     return None
 
 
+def parse_number(text: str | None) -> int | None:
+    """Parse a decimal integer of a header.
+
+    :return: ``None`` without the header, or if it is no decimal integer or has
+        more digits than any number in a header needs. Python does not convert
+        thousands of digits.
+    """
+    if text is None:
+        return None
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > _MAX_DIGITS:
+        return None
+    return int(digits)
+
+
 def has_conflicting_values(headers: HTTPHeaders, name: str) -> bool:
     """Return whether a header is given with different values."""
     return len(set(headers.get_list(name))) > 1
--- a/src/ibisjunction/routing/exchange.py
+++ b/src/ibisjunction/routing/exchange.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ibisjunction.clock import MS_PER_S, in_seconds
+from ibisjunction.heads import parse_number
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import Answered, Failed, Outcome, Reason, Refused
 from ibisjunction.routing.messages import TicketHeld
@@ -153,8 +154,8 @@
     verdict = parse_verdict(headers.get(VERDICT_HEADER.lower()))
     if verdict is not Verdict.NOT_RUN or head.status < HTTPStatus.BAD_REQUEST:
         return None
-    seconds = headers.get(_RETRY_AFTER_HEADER, '')
-    retry_after_ms = int(seconds) * MS_PER_S if seconds.isdecimal() else None
+    seconds = parse_number(headers.get(_RETRY_AFTER_HEADER))
+    retry_after_ms = None if seconds is None else seconds * MS_PER_S
     if head.status == HTTPStatus.CONFLICT:
         return Refused(
             Reason.UPSTREAM_FENCED,
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -8,6 +8,7 @@
 
 from ibisjunction.clock import in_seconds
 from ibisjunction.dispatch.messages import TicketResult
+from ibisjunction.heads import parse_number
 from ibisjunction.ledger.messages import ReportCrash, SuspectFinished
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.outcomes import Answered, Failed, Outcome, Reason, Refused
@@ -176,9 +177,10 @@
     text = head.headers.get(TIMEOUT_HEADER)
     if text is None:
         return route.operation.timeout_ms
-    if not text.isdecimal() or int(text) == 0:
+    timeout_ms = parse_number(text)
+    if not timeout_ms:
         return None
-    return min(int(text), route.operation.timeout_ms)
+    return min(timeout_ms, route.operation.timeout_ms)
 
 
 async def _attempt(routed: _RoutedRequest) -> Outcome:
--- a/src/ibisjunction/settings/loader.py
+++ b/src/ibisjunction/settings/loader.py
@@ -140,7 +140,8 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return False
-    return port.isdecimal() and int(port) <= _MAX_PORT
+    is_number = port.isdecimal() and len(port) <= len(str(_MAX_PORT))
+    return is_number and int(port) <= _MAX_PORT
 
 
 def parse_address(text: str) -> Address:
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -5,7 +5,12 @@
 from parameterized import parameterized
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from ibisjunction.heads import find_head_error, has_conflicting_values
+from ibisjunction.heads import (
+    find_head_error,
+    has_conflicting_values,
+    parse_number,
+)
+from ibisjunction.settings.loader import is_address
 
 
 def make_headers(*fields):
@@ -43,3 +48,38 @@
     def test_conflicting_values(self, _name, texts, expected):
         headers = make_headers(*(('Key', text) for text in texts))
         self.assertEqual(has_conflicting_values(headers, 'Key'), expected)
+
+
+class NumberTest(unittest.TestCase):
+    """Guards against a request without an answer after a header of digits.
+
+    Converting a header of 5,000 digits raised in the task of the request, for a
+    caller's deadline as well as for an upstream's keep-alive time.
+    """
+
+    @parameterized.expand(
+        [
+            ('0', 0),
+            (' 1500 ', 1500),
+            (None, None),
+            ('', None),
+            ('-1', None),
+            ('1.5', None),
+            ('9' * 15, 999_999_999_999_999),
+            ('9' * 16, None),
+            ('9' * 5000, None),
+        ]
+    )
+    def test_parse(self, text, expected):
+        self.assertEqual(parse_number(text), expected)
+
+    @parameterized.expand(
+        [
+            ('10.0.0.1:80', True),
+            ('10.0.0.1:65535', True),
+            ('10.0.0.1:65536', False),
+            ('10.0.0.1:' + '9' * 5000, False),
+        ]
+    )
+    def test_port(self, text, expected):
+        self.assertEqual(is_address(text), expected)
