--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -42,6 +43,9 @@
 #: Maximum number of answers to earlier requests that are skipped on a reused
 #: connection.
 _MAX_STALE_ANSWERS: Final = 2
+#: Ids of requests that a connection remembers. A request is sent again within
+#: seconds, so it is among the latest ones.
+_MAX_SENT_IDS: Final = 64
 #: A connection whose peer answers no keepalive probe fails after about 3 s.
 _KEEPALIVE_IDLE_S: Final = 1
 _KEEPALIVE_INTERVAL_S: Final = 1
@@ -98,12 +102,24 @@
         self._address = address
         self._default_keep_alive_ms = default_keep_alive_ms
         self._stream: UpstreamStream | None = None
+        self._sent_ids: deque[str] = deque(maxlen=_MAX_SENT_IDS)
 
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
         return self._stream is not None and self._stream.is_clean
 
+    def may_repeat_answer(self, request_id: str) -> bool:
+        """Return whether an earlier answer could pass for that to a request.
+
+        A faulty upstream may write an answer once more. If the connection has
+        carried the same request before, or the request has no id, it can't be
+        told from the answer to the new exchange.
+        """
+        return bool(self._sent_ids) and (
+            not request_id or request_id in self._sent_ids
+        )
+
     def close(self) -> None:
         """Close the connection; the upstream aborts a running request."""
         if self._stream is not None:
@@ -167,14 +183,17 @@
         )
         write_future.add_done_callback(_consume_exception)
         connection.finish()
+        # An answer without an id can only be told on a new connection.
+        first_id = None if self._sent_ids else request_id
+        self._sent_ids.append(request_id)
         for _ in range(_MAX_STALE_ANSWERS + 1):
             receiver = _AnswerReceiver()
             await connection.read_response(receiver)
             if not receiver.is_complete(stream):
                 stream.close()
                 return NoAnswer(f'{stream.error or "the answer is incomplete"}')
-            echoed = receiver.headers.get(id_header)
-            if echoed is None or echoed == request_id:
+            echoed = receiver.headers.get(id_header, first_id)
+            if echoed == request_id:
                 return self._make_answer(stream, receiver)
             connection = HTTP1Connection(
                 stream,
--- a/src/ibisjunction/entry/pool.py
+++ b/src/ibisjunction/entry/pool.py
@@ -40,17 +40,24 @@
     def acquire_idle(
         self,
         address: Address,
+        request_id: str,
         *,
         is_idempotent: bool,
     ) -> UpstreamConnection | None:
         """Remove and return an idle connection that is fresh enough.
 
+        Connections that could return an earlier answer to the same request
+        stay for other requests.
+
         :return: ``None`` if there is none.
         """
         idle = self._idle[address]
         now = self._clock.now()
-        while idle:
-            entry = idle.pop()
+        for position in reversed(range(len(idle))):
+            entry = idle[position]
+            if entry.connection.may_repeat_answer(request_id):
+                continue
+            idle.pop(position)
             max_idle_ms = entry.keep_alive_ms * _KEEP_ALIVE_FRACTION
             if not is_idempotent:
                 max_idle_ms = min(max_idle_ms, _MAX_NON_IDEMPOTENT_IDLE_MS)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -353,6 +353,7 @@
         pool = self._components.pool
         connection = pool.acquire_idle(
             address,
+            self._routed.request.request_id,
             is_idempotent=self._routed.is_idempotent,
         )
         if connection is None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,6 +5,7 @@
 
 from parameterized import parameterized
 
+from ibisjunction.clock import SystemClock
 from ibisjunction.entry.exchange import (
     NoAnswer,
     NotSent,
@@ -12,6 +13,7 @@
     UpstreamConnection,
     UpstreamRequest,
 )
+from ibisjunction.entry.pool import ConnectionPool
 from ibisjunction.settings import Address
 from tests.scripted import (
     ScriptedUpstream,
@@ -119,3 +121,84 @@
             return await connection.connect()
 
         self.assertIsInstance(asyncio.run(connect()), NotSent)
+
+
+_REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nId: own\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+)
+_NO_ID = b'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+class RepeatedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an earlier refusal that is taken for that of a later run.
+
+    Operators of systems like this one reported it: a faulty upstream wrote a
+    refusal once more on a kept connection. Callers were told *not run* for
+    requests that ran, or such a request ran at a second upstream too.
+    """
+
+    async def send(self, pool, address, request_id):
+        """Send a request as an attempt does, with an idle connection if any."""
+        connection = pool.acquire_idle(address, request_id, is_idempotent=False)
+        if connection is None:
+            connection = await pool.open(address)
+        headers = (('Host', 'x'), ('Id', request_id))
+        request = UpstreamRequest('GET', '/', headers, b'')
+        found = await connection.perform(request, 'Id', request_id)
+        pool.release(address, connection, 1000)
+        return found
+
+    @parameterized.expand(
+        [
+            ('same request again', 'own', 200, 2),
+            ('other request', 'new', 200, 1),
+        ]
+    )
+    async def test_refusal_is_written_once_more(
+        self, _name, request_id, expected, connections
+    ):
+        ok = _ANSWER.replace(b'own', request_id.encode())
+        upstream = ScriptedUpstream(
+            answer(_REFUSAL, _REFUSAL + ok), answer(_ANSWER)
+        )
+        pool = ConnectionPool(SystemClock())
+        async with upstream.run() as address:
+            first = await self.send(pool, address, 'own')
+            second = await self.send(pool, address, request_id)
+            pool.close()
+            await asyncio.sleep(0.01)
+        self.assertEqual((first.status, second.status), (503, expected))
+        self.assertEqual(upstream.connections, connections)
+
+    @parameterized.expand(
+        [
+            ('new connection', (_NO_ID,), 1, 503),
+            (
+                'kept connection',
+                (_REFUSAL, _NO_ID + _ANSWER.replace(b'own', b'r1')),
+                2,
+                200,
+            ),
+        ]
+    )
+    async def test_refusal_without_an_id(self, _name, texts, count, status):
+        """A refusal without an id may belong to any request before."""
+        upstream = ScriptedUpstream(answer(*texts))
+        pool = ConnectionPool(SystemClock())
+        async with upstream.run() as address:
+            for number in range(count):
+                request_id = 'own' if number == 0 else f'r{number}'
+                found = await self.send(pool, address, request_id)
+            pool.close()
+            await asyncio.sleep(0.01)
+        self.assertEqual(found.status, status)
+
+    async def test_request_without_an_id_gets_a_new_connection(self):
+        upstream = ScriptedUpstream(answer(_NO_ID, _NO_ID))
+        pool = ConnectionPool(SystemClock())
+        async with upstream.run() as address:
+            for _ in range(2):
+                await self.send(pool, address, '')
+            pool.close()
+            await asyncio.sleep(0.01)
+        self.assertEqual(upstream.connections, 2)
