--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -42,6 +43,9 @@
 _logger = logging.getLogger(__name__)
 
 _TICK_MS: Final = 10
+#: Ticks of which one is posted while no request waits; it only ends tickets
+#: that were not returned.
+_IDLE_TICKS: Final = 10
 #: A queued request is sent again at this interval, in case its dispatcher was
 #: restarted and lost the queue.
 _REPEAT_INTERVAL_MS: Final = 300
@@ -116,10 +120,12 @@
             self.handle(await self.mailbox.get())
 
     async def run_timer(self) -> None:
-        """Post ticks until cancelled."""
-        while True:
+        """Post ticks until cancelled; fewer while no request waits."""
+        for number in itertools.count():
             await asyncio.sleep(in_seconds(_TICK_MS))
-            self.mailbox.post(Tick())
+            is_waiting = self._state.pending or self._dispatcher.waiting_count
+            if is_waiting or not number % _IDLE_TICKS:
+                self.mailbox.post(Tick())
 
     def handle(self, message: Any) -> None:
         """Process one message."""
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -110,6 +110,11 @@
             return self._waiting[0].sequence
         return self._last_sequence + 1
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether all messages are acknowledged."""
+        return not (self._in_flight or self._waiting)
+
     @property
     def buffered_messages(self) -> int:
         """Number of buffered messages, where each part counts."""
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -173,9 +173,11 @@
             await asyncio.sleep(in_seconds(_TIMER_INTERVAL_MS))
             now = self._clock.now()
             for vm, peer in self._peers.items():
-                self._resend(vm, peer, now)
-                # Messages may wait for other links to leave the budget.
-                self._transmit_sendable(vm, peer, now)
+                # Most links of a large deployment are idle most of the time.
+                if not peer.outbound.is_empty:
+                    self._resend(vm, peer, now)
+                    # Messages may wait for other links to leave the budget.
+                    self._transmit_sendable(vm, peer, now)
                 self._acknowledge_if_due(vm, peer, now)
             if now >= self._next_traffic_ms:
                 self._next_traffic_ms = now + _TRAFFIC_INTERVAL_MS
