--- a/src/ibisjunction/bench/capacity/distribution_costs.py
+++ b/src/ibisjunction/bench/capacity/distribution_costs.py
@@ -13,6 +13,7 @@
 from typing import IO, Any, Final
 
 from ibisjunction.bench.report import format_table
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.catalogue.model import (
     Item,
     ItemType,
@@ -42,10 +43,10 @@
 from ibisjunction.peers.codec import Codec
 from ibisjunction.peers.delivery import (
     ACK_DELAY_MS,
+    MAX_IN_FLIGHT_BYTES,
     PART_BYTES,
     NumberedMessage,
     OutboundLink,
-    SendBudget,
 )
 
 _LINK_BYTES_PER_MS: Final = 125
@@ -107,7 +108,7 @@
 
     def __init__(self, vm_count: int, upstream_count: int) -> None:
         self.now = 0
-        self.budget = SendBudget()
+        self.budget = ByteBudget(MAX_IN_FLIGHT_BYTES)
         self.figures = Figures(vm_count, upstream_count)
         self.vms = {
             f'10.0.{number}': _Vm(
--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -23,6 +23,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.clock import MS_PER_S
 from ibisjunction.entry.model import HeaderFields
 from ibisjunction.heads import parse_number
@@ -97,9 +98,18 @@
 class UpstreamConnection:
     """A connection to one upstream; carries one exchange at a time."""
 
-    def __init__(self, address: Address, default_keep_alive_ms: int) -> None:
-        """Prepare a connection that :meth:`connect` opens."""
+    def __init__(
+        self,
+        address: Address,
+        default_keep_alive_ms: int,
+        budget: ByteBudget | None = None,
+    ) -> None:
+        """Prepare a connection that :meth:`connect` opens.
+
+        :param budget: bytes of answers that all connections may hold.
+        """
         self._address = address
+        self._budget = budget
         self._default_keep_alive_ms = default_keep_alive_ms
         self._stream: UpstreamStream | None = None
         self._sent_ids: deque[str] = deque(maxlen=_MAX_SENT_IDS)
@@ -127,7 +137,7 @@
 
     async def connect(self) -> NotSent | None:
         """Open the connection; return the error if that fails."""
-        stream = make_stream(self._address)
+        stream = make_stream(self._address, self._budget, _MAX_ANSWER_BYTES)
         self._stream = stream
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
@@ -155,9 +165,12 @@
             return NotSent('the connection is closed')
         try:
             return await self._exchange(stream, request, id_header, request_id)
-        except (OSError, StreamClosedError) as error:
+        except (OSError, StreamClosedError, RecursionError) as error:
+            # Tornado calls itself for each interim answer, so that an endless
+            # series of them ends in a recursion error.
             return NoAnswer(f'{type(error).__name__}: {error}')
         finally:
+            stream.release_received()
             if not stream.is_clean:
                 stream.close()
 
--- a/src/ibisjunction/entry/pool.py
+++ b/src/ibisjunction/entry/pool.py
@@ -4,12 +4,15 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.clock import Clock
 from ibisjunction.entry.exchange import NotSent, UpstreamConnection
 from ibisjunction.settings import Address
 
 #: Limit per upstream; more connections than its slots are rarely in use.
 _MAX_IDLE_CONNECTIONS: Final = 8
+#: Bytes of answers that a VM holds if its settings name no memory.
+_MAX_ANSWER_BYTES: Final = 268_435_456
 #: Keep-alive time of an upstream that does not state one.
 _DEFAULT_KEEP_ALIVE_MS: Final = 8000
 #: Fraction of the keep-alive time for which an idle connection is reused.
@@ -30,9 +33,15 @@
 class ConnectionPool:
     """Idle connections by address, reused in last-in, first-out order."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self, clock: Clock, max_answer_bytes: int = _MAX_ANSWER_BYTES
+    ) -> None:
+        """Create an empty pool.
+
+        :param max_answer_bytes: bytes of answers that all connections may hold.
+        """
         self._clock = clock
+        self._budget = ByteBudget(max_answer_bytes)
         self._idle: defaultdict[Address, list[_IdleConnection]] = defaultdict(
             list
         )
@@ -69,7 +78,9 @@
 
     async def open(self, address: Address) -> UpstreamConnection | NotSent:
         """Return a new connection, or the error if it can't be opened."""
-        connection = UpstreamConnection(address, _DEFAULT_KEEP_ALIVE_MS)
+        connection = UpstreamConnection(
+            address, _DEFAULT_KEEP_ALIVE_MS, self._budget
+        )
         failure = await connection.connect()
         return connection if failure is None else failure
 
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -154,5 +154,5 @@
         tickets=tickets,
         splitter=Splitter(rng),
         budget=RetryBudget(settings.budget),
-        pool=ConnectionPool(clock),
+        pool=ConnectionPool(clock, settings.max_answer_bytes),
     )
--- a/src/ibisjunction/nodes/settings.py
+++ b/src/ibisjunction/nodes/settings.py
@@ -27,6 +27,10 @@
 #: longer outages of the control VMs; with a shorter one, the keys of a lost
 #: upstream move sooner.
 HOLD_MS: Final = 5000
+_BYTES_PER_MB: Final = 1_000_000
+#: Part of the memory for answers that are being received. The program takes 30
+#: MB, and answers are held until they are forwarded.
+_ANSWER_MEMORY_SHARE: Final = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +47,8 @@
     ``grace_ms`` of the signal to stop. ``tolerated_losses`` is the number of
     control VMs that may lose their disks at once. ``capacity`` compares entry
     VMs: one with twice the capacity decides on twice as many requests.
-    ``link_mbps`` is the rate of the VM's link.
+    ``link_mbps`` is the rate of the VM's link, and ``memory_mb`` the memory of
+    the process.
     """
 
     vm: Address
@@ -59,6 +64,7 @@
     budget: BudgetTerms
     capacity: int = 1
     link_mbps: float = 1000
+    memory_mb: float = 1024
 
     @property
     def timing(self) -> FleetTiming:
@@ -77,6 +83,11 @@
         """The range of election timeouts, and the clock error."""
         return ElectionTiming(ELECTION_MIN_MS, ELECTION_MAX_MS, CLOCK_ERROR)
 
+    @property
+    def max_answer_bytes(self) -> int:
+        """Bytes of answers of upstreams that an entry VM holds at once."""
+        return int(self.memory_mb * _BYTES_PER_MB * _ANSWER_MEMORY_SHARE)
+
     @property
     def seed_names(self) -> tuple[str, ...]:
         """The VM names of the seeds."""
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.round_trips import RoundTrips
 
 #: Messages and bytes buffered for a peer that does not acknowledge; the oldest
@@ -58,26 +59,6 @@
     part_count: int = 1
 
 
-class SendBudget:
-    """The bytes that all links of a VM may have in flight."""
-
-    def __init__(self, limit: int = MAX_IN_FLIGHT_BYTES) -> None:
-        """Start with nothing in flight."""
-        self._limit = limit
-        self.used = 0
-
-    def try_take(self, size: int) -> bool:
-        """Take bytes if the limit allows it; return whether it did."""
-        if self.used + size > self._limit:
-            return False
-        self.used += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Give back bytes that are no longer in flight."""
-        self.used -= size
-
-
 @dataclass(slots=True)
 class _InFlight:
     """A message in flight; ``sent_ms`` is ``None`` once it was resent."""
@@ -89,9 +70,11 @@
 class OutboundLink:
     """Buffers the messages to one peer until they are acknowledged."""
 
-    def __init__(self, budget: SendBudget | None = None) -> None:
+    def __init__(self, budget: ByteBudget | None = None) -> None:
         """Start with an empty link; ``budget`` is shared with other links."""
-        self._budget = SendBudget() if budget is None else budget
+        self._budget = (
+            ByteBudget(MAX_IN_FLIGHT_BYTES) if budget is None else budget
+        )
         self._last_sequence = 0
         self._waiting: deque[NumberedMessage] = deque()
         self._in_flight: deque[_InFlight] = deque()
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -15,16 +15,17 @@
 
 import pynng
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.events import Event, log_event
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.peers.authentication import Authenticator
 from ibisjunction.peers.codec import Codec, CodecError
 from ibisjunction.peers.delivery import (
+    MAX_IN_FLIGHT_BYTES,
     InboundLink,
     NumberedMessage,
     OutboundLink,
-    SendBudget,
 )
 from ibisjunction.peers.envelope import (
     Envelope,
@@ -111,7 +112,7 @@
         self._authenticator = authenticator
         self._peers: dict[str, _Peer] = {}
         self._subscribers: dict[type, _Mailboxes] = {}
-        self._budget = SendBudget()
+        self._budget = ByteBudget(MAX_IN_FLIGHT_BYTES)
         self._traffic = TrafficCounter()
         self._next_traffic_ms = 0
 
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -135,6 +135,7 @@
         grace_ms=_seconds_to_ms(bounds.grace_period_s),
         capacity=_measure_capacity(model),
         link_mbps=model.process.limits.link_mbps,
+        memory_mb=model.process.limits.memory_mb,
         tolerated_losses=int(model.terms.fault_tolerance.machines),
         budget=BudgetTerms(
             bounds.retry_budget_ratio,
--- a/src/ibisjunction/platform/settings_file.py
+++ b/src/ibisjunction/platform/settings_file.py
@@ -34,6 +34,7 @@
     cpu_share: _Capacity = 1
     cpu_cores: _Capacity = 1
     link_mbps: _Capacity = 1000
+    memory_mb: _Capacity = 1024
 
 
 class _Process(_Model, frozen=True):
--- a/src/ibisjunction/upstreams/stream.py
+++ b/src/ibisjunction/upstreams/stream.py
@@ -1,14 +1,70 @@
 """The TCP stream of a connection to an upstream."""
 
+import errno
 import socket
 
 from tornado.iostream import IOStream
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.settings import Address
 
 
 class UpstreamStream(IOStream):
-    """A stream that detects unread bytes and a close by the other end."""
+    """A stream that detects unread bytes and a close by the other end.
+
+    The bytes of an answer count until :meth:`release_received` is called. A
+    stream that receives more than it may is closed, so that an upstream that
+    sends without end does not fill the memory.
+    """
+
+    def __init__(
+        self,
+        stream_socket: socket.socket,
+        budget: ByteBudget | None = None,
+        max_bytes: int | None = None,
+    ) -> None:
+        """Create a stream.
+
+        :param budget: bytes that all streams of the VM may hold together.
+        :param max_bytes: bytes that this one may hold.
+        """
+        super().__init__(stream_socket, max_buffer_size=max_bytes)
+        self._budget = budget
+        self._max_bytes = max_bytes
+        self._received = 0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer, unless more was received than is allowed."""
+        size = super().read_from_fd(buf)
+        if size and not self._take(size):
+            # Tornado closes a stream quietly after a reset.
+            raise ConnectionResetError(
+                errno.ECONNRESET, 'the upstream sent more than is buffered'
+            )
+        return size
+
+    def release_received(self) -> None:
+        """Stop counting the bytes that were received so far."""
+        if self._budget is not None:
+            self._budget.release(self._received)
+        self._received = 0
+
+    def close_fd(self) -> None:
+        """Close the socket."""
+        self.release_received()
+        super().close_fd()
+
+    def _take(self, size: int) -> bool:
+        """Count received bytes; return whether they are allowed."""
+        if self._budget is None:
+            return True
+        is_small = (
+            self._max_bytes is None or self._received + size <= self._max_bytes
+        )
+        if not is_small or not self._budget.try_take(size):
+            return False
+        self._received += size
+        return True
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -33,7 +89,13 @@
         return False
 
 
-def make_stream(address: Address) -> UpstreamStream:
+def make_stream(
+    address: Address,
+    budget: ByteBudget | None = None,
+    max_bytes: int | None = None,
+) -> UpstreamStream:
     """Return a stream that is not connected yet."""
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    return UpstreamStream(socket.socket(family, socket.SOCK_STREAM))
+    return UpstreamStream(
+        socket.socket(family, socket.SOCK_STREAM), budget, max_bytes
+    )
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.peers.delivery import (
     ACK_DELAY_MS,
     DISCARD_AFTER_MS,
@@ -15,7 +16,6 @@
     WINDOW_BYTES,
     InboundLink,
     OutboundLink,
-    SendBudget,
 )
 
 
@@ -154,7 +154,7 @@
 
     def test_all_links_share_a_budget(self):
         """Guards against bytes in flight that grow with the number of VMs."""
-        budget = SendBudget(3 * PART_BYTES)
+        budget = ByteBudget(3 * PART_BYTES)
         links = [OutboundLink(budget) for _ in range(10)]
         sent = [send(link, bytes(PART_BYTES), 0) for link in links]
         self.assertEqual([len(parts) for parts in sent], [1, 1, 1] + 7 * [0])
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,6 +5,7 @@
 
 from parameterized import parameterized
 
+from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.clock import SystemClock
 from ibisjunction.entry.exchange import (
     NoAnswer,
@@ -202,3 +203,76 @@
             pool.close()
             await asyncio.sleep(0.01)
         self.assertEqual(upstream.connections, 2)
+
+
+def _send_without_end(start, repeated):
+    """Return a script that sends bytes until the connection closes."""
+
+    async def script(upstream, reader, writer) -> None:
+        await upstream.read_head(reader)
+        writer.write(start)
+        while not writer.transport.is_closing():
+            writer.write(repeated)
+            await writer.drain()
+
+    return script
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against memory that an upstream fills by sending without end."""
+
+    @parameterized.expand(
+        [
+            ('head', b'HTTP/1.1 200 OK\r\nA: ', b'x' * 65_536),
+            ('header lines', b'HTTP/1.1 200 OK\r\n', b'A: b\r\n' * 9000),
+            ('no line', b'', b'x' * 65_536),
+            (
+                'interim answers',
+                b'',
+                b'HTTP/1.1 100 Continue\r\n\r\n' * 900,
+            ),
+            ('body without a length', _OK + b'\r\n', b'x' * 65_536),
+            (
+                'chunks',
+                _OK + b'Transfer-Encoding: chunked\r\n\r\n',
+                b'10000\r\n' + b'x' * 65_536 + b'\r\n',
+            ),
+            (
+                'length',
+                _OK + b'Content-Length: 60000000\r\n\r\n',
+                b'x' * 65_536,
+            ),
+            ('other answers', b'', _STALE_ANSWER * 900),
+        ]
+    )
+    async def test_connection_is_closed(self, _name, start, repeated):
+        budget = ByteBudget(2_000_000)
+        upstream = ScriptedUpstream(_send_without_end(start, repeated))
+        async with upstream.run() as address:
+            connection = UpstreamConnection(address, 1000, budget)
+            await connection.connect()
+            async with asyncio.timeout(30):
+                found = await connection.perform(_REQUEST, 'Id', 'own')
+            self.assertFalse(connection.is_reusable)
+            await asyncio.sleep(0.01)
+        self.assertIsInstance(found, NoAnswer)
+        self.assertEqual(budget.used, 0)
+
+    async def test_others_are_answered_meanwhile(self):
+        """Guards against a budget that one endless answer keeps for itself."""
+        endless = _send_without_end(_OK + b'\r\n', b'x' * 65_536)
+        upstream = ScriptedUpstream(endless, answer(_ANSWER))
+        pool = ConnectionPool(SystemClock(), 2_000_000)
+        async with upstream.run() as address:
+            connections = [await pool.open(address) for _ in range(2)]
+            results = await asyncio.gather(
+                *(
+                    connection.perform(_REQUEST, 'Id', 'own')
+                    for connection in connections
+                )
+            )
+            for connection in connections:
+                connection.close()
+            await asyncio.sleep(0.01)
+        self.assertIsInstance(results[0], NoAnswer)
+        self.assertEqual(results[1].body, b'ok')
