--- a/src/ibisjunction/entry/attempts.py
+++ b/src/ibisjunction/entry/attempts.py
@@ -11,7 +11,6 @@
     UpstreamAnswer,
 )
 from ibisjunction.entry.health import HealthResult
-from ibisjunction.entry.limits import parse_limit
 from ibisjunction.entry.model import (
     Answered,
     Failed,
@@ -124,13 +123,6 @@
     verdict: Verdict
 
 
-def find_limit(result: ExchangeResult, names: HeaderNames) -> float | None:
-    """Return the requests a second that an upstream's answer names, if any."""
-    if isinstance(result, UpstreamAnswer):
-        return parse_limit(result.headers.get(names.limit))
-    return None
-
-
 def verdict_of(result: AttemptResult) -> Verdict:
     """Return whether the request may have run in this attempt."""
     match result:
--- a/src/ibisjunction/entry/model.py
+++ b/src/ibisjunction/entry/model.py
@@ -18,7 +18,8 @@
     upstream refuse the request. ``not_run`` marks an answer of an upstream
     that did not run the request. ``receipt`` is in every answer of an upstream
     that did run it. ``limit`` names the requests a second that an upstream
-    takes from all VMs together.
+    takes from all VMs together, and ``leaving`` marks the answers of one that
+    is about to end.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     not_run: str
     receipt: str
     limit: str = ''
+    leaving: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -20,7 +20,6 @@
     Progress,
     Unsent,
     classify,
-    find_limit,
     health_result_of,
     make_outcome,
     may_retry,
@@ -49,6 +48,7 @@
     Refused,
     RoutedRequest,
 )
+from ibisjunction.entry.notices import UpstreamNotices, read_notice
 from ibisjunction.entry.outgoing import make_upstream_request
 from ibisjunction.entry.pool import ConnectionPool
 from ibisjunction.entry.trail import Trail
@@ -87,6 +87,7 @@
     splitter: Splitter
     budget: RetryBudget
     pool: ConnectionPool
+    notices: UpstreamNotices
 
 
 class RequestProcessor:
@@ -116,6 +117,9 @@
     def update_view(self, view: FleetView) -> None:
         """Replace the view of the fleet, here and in the ticket task."""
         self.view = view
+        self._components.notices.retain(
+            upstream.process_key for upstream in view.list_all_upstreams()
+        )
         self._components.tickets.post(view)
         if view.limits is not None:
             self.on_limits_changed(view.limits)
@@ -237,6 +241,10 @@
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
         while True:
+            pause_ms = self._find_pause_ms()
+            if pause_ms:
+                refusal = Refuse(Reason.NOT_ACCEPTED, pause_ms)
+                return self._make_refusal_outcome(refusal)
             result = await self._attempt()
             if isinstance(result, Refuse):
                 return self._make_refusal_outcome(result)
@@ -247,11 +255,32 @@
                     in_seconds(_SAME_UPSTREAM_DELAY_MS * self._failed_attempts),
                 )
 
+    def _find_pause_ms(self) -> int:
+        """Return how long the only upstream for the request wants nothing."""
+        view = self._processor.view
+        key = self._routed.request.key
+        if view is None or not self._routed.is_sharded or key is None:
+            return 0
+        owner = view.find_owner(self._routed.service, key)
+        if owner is None:
+            return 0
+        now = self._components.clock.now()
+        return self._components.notices.pause_left_ms(owner.process_key, now)
+
+    def _list_avoided(self) -> frozenset[ProcessKey]:
+        """Return the upstreams that are chosen only if there is no other."""
+        if self._routed.is_sharded:
+            return self._avoided
+        now = self._components.clock.now()
+        return self._avoided | self._components.notices.list_avoided(
+            self._routed.service, now
+        )
+
     async def _attempt(self) -> AttemptResult | Refuse:
         """Get a ticket and send the request once."""
         ticket_request = self._processor.make_ticket_request(
             self._routed,
-            self._avoided,
+            self._list_avoided(),
         )
         reply: Mailbox[Grant | Refuse] = Mailbox()
         self._report = HealthReport(HealthResult.UNUSED)
@@ -329,7 +358,11 @@
     async def _send(self, upstream: Upstream) -> AttemptResult:
         address = parse_address(upstream.address)
         result = await self._exchange(upstream, address)
-        self._limit_per_s = find_limit(result, self._components.names)
+        notice = read_notice(result, self._components.names)
+        self._limit_per_s = notice.limit_per_s
+        self._components.notices.record(
+            upstream, notice, self._components.clock.now()
+        )
         attempt_result = classify(result, self._components.names)
         if isinstance(attempt_result, Declined | Unsent | Lost):
             self._failed_attempts += 1
@@ -379,6 +412,8 @@
             return NotSent('the lease of this VM has expired')
         if view is None or not view.is_current(upstream):
             return NotSent('the upstream is draining or was removed')
+        if self._components.notices.is_unwanted(upstream.process_key, now):
+            return NotSent('the upstream leaves or asked to wait')
         if now + _MIN_REMAINING_MS >= self._routed.give_up_ms:
             return NotSent('too little time is left')
         return None
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -14,6 +14,7 @@
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.membership import EntryMembership
 from ibisjunction.entry.model import HeaderNames
+from ibisjunction.entry.notices import UpstreamNotices
 from ibisjunction.entry.pool import ConnectionPool
 from ibisjunction.entry.requests import EntryComponents, RequestProcessor
 from ibisjunction.entry.server import EntryServer
@@ -34,6 +35,9 @@
 _ACCEPT_AFTER_UNREADY_MS: Final = 2600
 #: Time reserved to close connections and exit within the grace period.
 _SHUTDOWN_RESERVE_MS: Final = 400
+#: An upstream that leaves gets the last request this long before the end of the
+#: drain period, as the request takes time to arrive.
+_LEAVE_RESERVE_MS: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,4 +159,7 @@
         splitter=Splitter(rng),
         budget=RetryBudget(settings.budget),
         pool=ConnectionPool(clock, settings.max_answer_bytes),
+        notices=UpstreamNotices(
+            max(0, settings.drain_ms - _LEAVE_RESERVE_MS),
+        ),
     )
--- a/src/ibisjunction/platform/bodies.py
+++ b/src/ibisjunction/platform/bodies.py
@@ -15,6 +15,7 @@
     not_run='Not-Executed',
     receipt='Response-Signature',
     limit='Server-Limit',
+    leaving='Server-Leaving',
 )
 
 #: Numbers that JSON writers represent exactly; larger ones can't be stored.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,7 +13,6 @@
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.effects import Tick
 from ibisjunction.coordination.loads import LoadTracker, UpstreamSpeed
-from ibisjunction.entry.attempts import find_limit
 from ibisjunction.entry.dispatch import Dispatcher, Grant, Refuse
 from ibisjunction.entry.exchange import NoAnswer, UpstreamAnswer
 from ibisjunction.entry.health import HealthReport, HealthResult
@@ -23,6 +22,7 @@
     LocalTicketDone,
     LocalTicketRequest,
 )
+from ibisjunction.entry.notices import Notice, read_notice
 from ibisjunction.entry.tickets import TicketTask
 from ibisjunction.fleet.model import Upstream
 from ibisjunction.mailbox import Mailbox
@@ -61,8 +61,8 @@
     def test_answer(self):
         headers = HTTPHeaders({'Server-Limit': '2.5'})
         answer = UpstreamAnswer(503, headers, b'', 1000)
-        self.assertEqual(find_limit(answer, HEADERS), 2.5)
-        self.assertIsNone(find_limit(NoAnswer('x'), HEADERS))
+        self.assertEqual(read_notice(answer, HEADERS).limit_per_s, 2.5)
+        self.assertEqual(read_notice(NoAnswer('x'), HEADERS), Notice())
 
 
 class PacerTest(unittest.TestCase):
