--- /dev/null
+++ b/src/ibisjunction/entry/components.py
@@ -0,0 +1,29 @@
+"""What all requests on one entry VM use."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from ibisjunction.catalogue.routes import Splitter
+from ibisjunction.clock import Clock
+from ibisjunction.entry.budget import RetryBudget
+from ibisjunction.entry.model import HeaderNames
+from ibisjunction.entry.notices import UpstreamNotices
+from ibisjunction.entry.pool import ConnectionPool
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.membership.leases import VmLease
+
+
+@dataclass(slots=True)
+class EntryComponents:
+    """Tasks, stores and settings of the VM, shared by its requests."""
+
+    vm: str
+    failure_domain: str
+    clock: Clock
+    names: HeaderNames
+    lease: VmLease
+    tickets: Mailbox[Any]
+    splitter: Splitter
+    budget: RetryBudget
+    pool: ConnectionPool
+    notices: UpstreamNotices
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -18,10 +18,11 @@
     SeedsChanged,
 )
 from ibisjunction.coordination.replica import FleetReplica
+from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.heartbeats import HEARTBEAT_MS, HeartbeatSchedule
 from ibisjunction.entry.messages import DispatchersChanged
 from ibisjunction.entry.relay import RelayChooser
-from ibisjunction.entry.requests import EntryComponents, RequestProcessor
+from ibisjunction.entry.requests import RequestProcessor
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event, log_event
 from ibisjunction.fleet.report import ReadState, VmSummary, encode_report
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -1,95 +1,38 @@
-"""Processes requests on an entry VM, from routing to the outcome."""
+"""Routes requests on an entry VM, and measures loads and latencies."""
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from ibisjunction.catalogue.model import Limits
-from ibisjunction.catalogue.routes import Splitter
-from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.clock import in_seconds
 from ibisjunction.coordination.loads import (
     KeyLoad,
     UpstreamSpeed,
     bucket_of,
 )
-from ibisjunction.entry.attempts import (
-    AttemptResult,
-    Declined,
-    Lost,
-    Progress,
-    Unsent,
-    classify,
-    health_result_of,
-    make_outcome,
-    may_retry,
-    verdict_of,
-)
-from ibisjunction.entry.budget import RetryBudget
-from ibisjunction.entry.dispatch import (
-    Grant,
-    Refuse,
-    TicketRequest,
-)
-from ibisjunction.entry.exchange import (
-    ExchangeResult,
-    NoAnswer,
-    NotSent,
-    UpstreamConnection,
-)
+from ibisjunction.entry.attempt_loop import AttemptLoop
+from ibisjunction.entry.components import EntryComponents
+from ibisjunction.entry.dispatch import TicketRequest
 from ibisjunction.entry.health import HealthReport, HealthResult
-from ibisjunction.entry.messages import LocalTicketDone, LocalTicketRequest
 from ibisjunction.entry.model import (
     CallerRequest,
-    Failed,
-    HeaderNames,
     Outcome,
     Reason,
     Refused,
     RoutedRequest,
 )
-from ibisjunction.entry.notices import UpstreamNotices, read_notice
-from ibisjunction.entry.outgoing import make_upstream_request
-from ibisjunction.entry.pool import ConnectionPool
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
-from ibisjunction.events import Event
 from ibisjunction.fleet.model import LAST_KEY, ProcessKey, Upstream
-from ibisjunction.mailbox import Mailbox
-from ibisjunction.membership.leases import VmLease
-from ibisjunction.settings import Address
-from ibisjunction.settings.loader import parse_address
-from ibisjunction.verdict import Verdict
 
-#: Retry time given to callers while this VM is not ready, and after a timeout
-#: of a request that has not run.
+#: Retry time given to callers while this VM is not ready.
 _RETRY_AFTER_MS: Final = 500
-#: A request with less time left than this is not sent.
-_MIN_REMAINING_MS: Final = 20
-#: Delay before a retry to the only upstream that may serve the request; it is
-#: multiplied by the number of failed attempts.
-_SAME_UPSTREAM_DELAY_MS: Final = 40
 #: A request times out this long before its deadline: the caller counts the
 #: deadline from when it sent the request, and the answer takes time to arrive.
 _ANSWER_MARGIN_MS: Final = 40
 
 
-@dataclass(slots=True)
-class EntryComponents:
-    """Components that all requests on one VM use."""
-
-    vm: str
-    failure_domain: str
-    clock: Clock
-    names: HeaderNames
-    lease: VmLease
-    tickets: Mailbox[Any]
-    splitter: Splitter
-    budget: RetryBudget
-    pool: ConnectionPool
-    notices: UpstreamNotices
-
-
 class RequestProcessor:
     """Routes and serves requests, and measures loads and latencies."""
 
@@ -186,7 +129,7 @@
     async def serve(self, routed: RoutedRequest, trail: Trail) -> Outcome:
         """Serve a request; return its final outcome before it times out."""
         remaining_ms = routed.give_up_ms - self._components.clock.now()
-        attempt_loop = _AttemptLoop(self, self._components, routed, trail)
+        attempt_loop = AttemptLoop(self, self._components, routed, trail)
         try:
             async with asyncio.timeout(
                 in_seconds(max(0, remaining_ms - _ANSWER_MARGIN_MS)),
@@ -216,252 +159,6 @@
         )
 
 
-class _AttemptLoop:
-    """Sends one request, and retries it until it has an outcome."""
-
-    def __init__(
-        self,
-        processor: RequestProcessor,
-        components: EntryComponents,
-        routed: RoutedRequest,
-        trail: Trail,
-    ) -> None:
-        self._trail = trail
-        self._processor = processor
-        self._components = components
-        self._routed = routed
-        self._attempts = 0
-        self._failed_attempts = 0
-        self._verdict = Verdict.NOT_RUN
-        self._avoided: frozenset[ProcessKey] = frozenset()
-        self._is_in_flight = False
-        self._report = HealthReport(HealthResult.UNUSED)
-        self._limit_per_s: float | None = None
-
-    async def run(self) -> Outcome:
-        """Send the request until it has a final outcome."""
-        while True:
-            pause_ms = self._find_pause_ms()
-            if pause_ms:
-                refusal = Refuse(Reason.NOT_ACCEPTED, pause_ms)
-                return self._make_refusal_outcome(refusal)
-            result = await self._attempt()
-            if isinstance(result, Refuse):
-                return self._make_refusal_outcome(result)
-            if not self._should_retry(result):
-                return make_outcome(result, self._verdict)
-            if self._routed.is_sharded:
-                await asyncio.sleep(
-                    in_seconds(_SAME_UPSTREAM_DELAY_MS * self._failed_attempts),
-                )
-
-    def _find_pause_ms(self) -> int:
-        """Return how long the only upstream for the request wants nothing."""
-        view = self._processor.view
-        key = self._routed.request.key
-        if view is None or not self._routed.is_sharded or key is None:
-            return 0
-        owner = view.find_owner(self._routed.service, key)
-        if owner is None:
-            return 0
-        now = self._components.clock.now()
-        return self._components.notices.pause_left_ms(owner.process_key, now)
-
-    def _list_avoided(self) -> frozenset[ProcessKey]:
-        """Return the upstreams that are chosen only if there is no other."""
-        if self._routed.is_sharded:
-            return self._avoided
-        now = self._components.clock.now()
-        return self._avoided | self._components.notices.list_avoided(
-            self._routed.service, now
-        )
-
-    async def _attempt(self) -> AttemptResult | Refuse:
-        """Get a ticket and send the request once."""
-        ticket_request = self._processor.make_ticket_request(
-            self._routed,
-            self._list_avoided(),
-        )
-        reply: Mailbox[Grant | Refuse] = Mailbox()
-        self._report = HealthReport(HealthResult.UNUSED)
-        self._components.tickets.post(LocalTicketRequest(ticket_request, reply))
-        try:
-            decision = await reply.get()
-            return await self._apply_decision(decision)
-        finally:
-            self._components.tickets.post(
-                LocalTicketDone(ticket_request.number, self._report),
-            )
-
-    async def _apply_decision(
-        self,
-        decision: Grant | Refuse,
-    ) -> AttemptResult | Refuse:
-        """Send the request if the dispatcher granted it."""
-        if isinstance(decision, Refuse):
-            return decision
-        started_ms = self._components.clock.now()
-        self._trail.add(
-            Event.REQUEST_GRANTED,
-            started_ms,
-            upstream=decision.upstream.upstream,
-            index=self._processor.view.index if self._processor.view else 0,
-        )
-        attempt_result = await self._send(decision.upstream)
-        latency_ms = self._components.clock.now() - started_ms
-        self._report = HealthReport(
-            health_result_of(attempt_result),
-            latency_ms,
-            self._limit_per_s,
-        )
-        self._processor.record_report(decision.upstream, self._report)
-        return attempt_result
-
-    def make_timeout_outcome(self) -> Outcome:
-        """Return the outcome of a request that has timed out."""
-        if self._is_in_flight or self._verdict is not Verdict.NOT_RUN:
-            return Failed(Reason.TIMED_OUT, Verdict.MAY_HAVE_RUN)
-        return Refused(Reason.TIMED_OUT, _RETRY_AFTER_MS)
-
-    def _make_refusal_outcome(self, decision: Refuse) -> Outcome:
-        if self._verdict is Verdict.NOT_RUN:
-            return Refused(decision.reason, decision.retry_after_ms)
-        return Failed(decision.reason, self._verdict)
-
-    def _should_retry(self, result: AttemptResult) -> bool:
-        """Return whether to retry the request.
-
-        The result is added to the verdict of the request. A retry is taken from
-        the budget, unless the last attempt sent nothing.
-        """
-        self._verdict = verdict_of(result).combine(self._verdict)
-        now = self._components.clock.now()
-        route = self._routed.named_route.route
-        progress = Progress(
-            attempts=self._attempts,
-            max_attempts=route.max_attempts,
-            is_idempotent=route.kind.is_idempotent,
-            has_time=now + _MIN_REMAINING_MS < self._routed.give_up_ms,
-            verdict=self._verdict,
-        )
-        if not may_retry(result, progress):
-            return False
-        if isinstance(result, Unsent):
-            return self._failed_attempts < _MAX_UNSENT_ATTEMPTS
-        has_budget = self._components.budget.try_acquire(
-            self._routed.service,
-            now,
-        )
-        self._trail.add(Event.REQUEST_REPEATED, now, has_budget=has_budget)
-        return has_budget
-
-    async def _send(self, upstream: Upstream) -> AttemptResult:
-        address = parse_address(upstream.address)
-        result = await self._exchange(upstream, address)
-        notice = read_notice(result, self._components.names)
-        self._limit_per_s = notice.limit_per_s
-        self._components.notices.record(
-            upstream, notice, self._components.clock.now()
-        )
-        attempt_result = classify(result, self._components.names)
-        if isinstance(attempt_result, Declined | Unsent | Lost):
-            self._failed_attempts += 1
-            self._avoided |= {upstream.process_key}
-        if isinstance(attempt_result, Unsent | Lost):
-            self._components.pool.close_idle(address)
-        self._trail.add(
-            Event.REQUEST_SENT,
-            self._components.clock.now(),
-            upstream=upstream.upstream,
-            result=type(attempt_result).__name__,
-            detail=getattr(result, 'detail', ''),
-        )
-        return attempt_result
-
-    async def _exchange(
-        self,
-        upstream: Upstream,
-        address: Address,
-    ) -> ExchangeResult:
-        pool = self._components.pool
-        connection = pool.acquire_idle(
-            address,
-            self._routed.request.request_id,
-            is_idempotent=self._routed.is_idempotent,
-        )
-        if connection is None:
-            new_connection = await pool.open(address)
-            if isinstance(new_connection, NotSent):
-                return new_connection
-            connection = new_connection
-        not_sent = self._check_send(upstream)
-        if not_sent is not None:
-            connection.close()
-            return not_sent
-        return await self._perform(connection, upstream, address)
-
-    def _check_send(self, upstream: Upstream) -> NotSent | None:
-        """Return ``NotSent`` if the request must no longer be sent.
-
-        The task is not suspended between this check and the write of the
-        request, so the check still applies then.
-        """
-        view = self._processor.view
-        now = self._components.clock.now()
-        if not self._components.lease.is_held(now):
-            return NotSent('the lease of this VM has expired')
-        if view is None or not view.is_current(upstream):
-            return NotSent('the upstream is draining or was removed')
-        if self._components.notices.is_unwanted(upstream.process_key, now):
-            return NotSent('the upstream leaves or asked to wait')
-        if now + _MIN_REMAINING_MS >= self._routed.give_up_ms:
-            return NotSent('too little time is left')
-        return None
-
-    async def _perform(
-        self,
-        connection: UpstreamConnection,
-        upstream: Upstream,
-        address: Address,
-    ) -> ExchangeResult:
-        components = self._components
-        request = self._routed.request
-        now = components.clock.now()
-        if self._attempts == 0:
-            components.budget.count_request(self._routed.service, now)
-        self._attempts += 1
-        self._is_in_flight = True
-        result: ExchangeResult = NoAnswer('the request was cancelled')
-        try:
-            result = await connection.perform(
-                make_upstream_request(
-                    self._routed,
-                    upstream,
-                    components.names,
-                    now,
-                ),
-                components.names.request_id,
-                request.request_id,
-            )
-        finally:
-            match result:
-                case NoAnswer() | NotSent():
-                    connection.close()
-                case answer:
-                    components.pool.release(
-                        address,
-                        connection,
-                        answer.keep_alive_ms,
-                    )
-        self._is_in_flight = False
-        return result
-
-
-#: Failed attempts of a request after which an unsent one is not retried. The
-#: limit of the route counts only attempts that sent the request.
-_MAX_UNSENT_ATTEMPTS: Final = 3
-
-
 def _ignore_limits(limits: Limits) -> None:
     """Ignore the limits: no server is attached."""
 
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -11,12 +11,13 @@
 from ibisjunction.catalogue.routes import Splitter
 from ibisjunction.clock import SystemClock
 from ibisjunction.entry.budget import RetryBudget
+from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.membership import EntryMembership
 from ibisjunction.entry.model import HeaderNames
 from ibisjunction.entry.notices import UpstreamNotices
 from ibisjunction.entry.pool import ConnectionPool
-from ibisjunction.entry.requests import EntryComponents, RequestProcessor
+from ibisjunction.entry.requests import RequestProcessor
 from ibisjunction.entry.server import EntryServer
 from ibisjunction.entry.tickets import TicketTask
 from ibisjunction.events import Event, log_event
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -21,13 +21,14 @@
 from ibisjunction.catalogue.routes import Splitter
 from ibisjunction.clock import ManualClock
 from ibisjunction.entry.budget import BudgetTerms, RetryBudget
+from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.exchange import NoAnswer, UpstreamAnswer
 from ibisjunction.entry.messages import DispatchersChanged
 from ibisjunction.entry.model import Answered, CallerRequest, Refused
 from ibisjunction.entry.notices import Notice, UpstreamNotices, read_notice
 from ibisjunction.entry.pool import ConnectionPool
-from ibisjunction.entry.requests import EntryComponents, RequestProcessor
+from ibisjunction.entry.requests import RequestProcessor
 from ibisjunction.entry.tickets import TicketTask
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
