--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -34,7 +34,7 @@
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
 from ibisjunction.mailbox import run_task
-from ibisjunction.upstreams.protocol import GrantCall
+from ibisjunction.upstreams.protocol import REQUEST_ID_HEADER, GrantCall
 from ibisjunction.verdict import VERDICT_HEADER, Verdict
 
 __all__ = ('ServiceTime', 'UpstreamProfile', 'make_answer', 'run_upstream')
@@ -124,6 +124,7 @@
             self._digest.digest(),
             self.stand_in.clock.now(),
         )
+        self.set_header(REQUEST_ID_HEADER, parsed_request.request_id)
         self._task = asyncio.create_task(self._run(parsed_request))
         self.stand_in.request_tasks[parsed_request.request_id] = self._task
         await asyncio.wait({self._task})
--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -207,7 +207,7 @@
                 return NoAnswer(f'{stream.error or "the answer is incomplete"}')
             echoed = receiver.headers.get(id_header, first_id)
             if echoed == request_id:
-                return self._make_answer(stream, receiver)
+                return self._make_answer(stream, receiver, id_header)
             connection = HTTP1Connection(
                 stream,
                 is_client=True,
@@ -223,9 +223,14 @@
         self,
         stream: UpstreamStream,
         receiver: '_AnswerReceiver',
+        id_header: str,
     ) -> UpstreamAnswer:
-        """Return the answer; close the connection if its headers require it."""
-        if _closes_connection(receiver):
+        """Return the answer; close the connection if its headers require it.
+
+        After an answer without an id the connection is closed as well, because
+        a later one without an id could be the same answer again.
+        """
+        if _closes_connection(receiver) or id_header not in receiver.headers:
             stream.close()
         return UpstreamAnswer(
             receiver.status,
--- a/src/ibisjunction/routing/request.py
+++ b/src/ibisjunction/routing/request.py
@@ -270,6 +270,7 @@
         _cancel_if_unfinished(routed, ticket) as sending,
         routed.context.pool.borrow(
             ticket.address,
+            routed.request.request_id,
             can_repeat=idempotent,
         ) as connection,
     ):
--- a/src/ibisjunction/upstreams/connection.py
+++ b/src/ibisjunction/upstreams/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -48,6 +49,9 @@
 #: Connecting takes about 1 ms. An upstream that exceeds this timeout counts as
 #: not accepting connections.
 _CONNECT_TIMEOUT_MS: Final = 250
+#: Ids of requests that a connection remembers. A request is sent again within
+#: seconds, so it is among the latest ones.
+_MAX_SENT_IDS: Final = 64
 _HTTP_PARAMETERS: Final = HTTP1ConnectionParameters(
     chunk_size=CHUNK_BYTES,
     max_body_size=MAX_BODY_BYTES,
@@ -69,8 +73,17 @@
         self._is_stopped = False
         self._idle_since_ms = clock.now()
         self._answer_parts: Mailbox[AnswerPart] | None = None
+        self._sent_ids: deque[str] = deque(maxlen=_MAX_SENT_IDS)
         self.mailbox: Mailbox[Exchange | StopConnection] = Mailbox()
 
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether this connection has carried a request before.
+
+        A faulty upstream may write the earlier answer to it once more, which
+        can't be told from the answer to a new attempt.
+        """
+        return request_id in self._sent_ids
+
     def can_reuse(self, max_idle_ms: int) -> bool:
         """Return whether the stream can carry another exchange.
 
@@ -153,7 +166,11 @@
             is_client=True,
             params=_HTTP_PARAMETERS,
         )
-        receiver = _AnswerReceiver(exchange, connection)
+        receiver = _AnswerReceiver(
+            exchange, connection, is_first=not self._sent_ids
+        )
+        if exchange.request_id is not None:
+            self._sent_ids.append(exchange.request_id)
         connection.write_headers(
             RequestStartLine(exchange.method, exchange.target, 'HTTP/1.1'),
             _make_headers(exchange),
@@ -229,8 +246,11 @@
         self,
         exchange: Exchange,
         connection: HTTP1Connection,
+        *,
+        is_first: bool,
     ) -> None:
         self._exchange = exchange
+        self._is_first = is_first
         self._connection = connection
         self._framing = _Framing(None)
         self.is_request_body_sent = False
@@ -253,7 +273,10 @@
         if self.failure is not None:
             self._connection.close()
             return None
-        self.closes_connection = _closes_connection(start_line, headers)
+        self.closes_connection = (
+            _closes_connection(start_line, headers)
+            or self._echoed_id(headers) != self._exchange.request_id
+        )
         header_list = tuple(headers.get_all())
         return self._exchange.answer_parts.put(
             AnswerHead(start_line.code, header_list)
@@ -285,20 +308,28 @@
         if not self.is_request_body_sent:
             self._connection.close()
 
+    def _echoed_id(self, headers: HTTPHeaders) -> str | None:
+        """Return the id in an answer, or ``None`` if it is not checked."""
+        if self._exchange.request_id is None:
+            return None
+        return headers.get(REQUEST_ID_HEADER)
+
     def _check_head(
         self,
         start_line: ResponseStartLine,
         headers: HTTPHeaders,
     ) -> ExchangeFailed | None:
-        echoed_id = headers.get(REQUEST_ID_HEADER)
-        if (
-            self._exchange.request_id not in {None, echoed_id}
-            and echoed_id is not None
-        ):
+        echoed_id = self._echoed_id(headers)
+        # An answer without an id is only told from an earlier one on a new
+        # connection.
+        is_own = echoed_id == self._exchange.request_id or (
+            echoed_id is None and self._is_first
+        )
+        if not is_own:
             return ExchangeFailed(
                 Reason.BAD_ANSWER,
                 Verdict.MAY_HAVE_RUN,
-                f'the answer belongs to request {echoed_id}',
+                f'the answer belongs to request {echoed_id or "without an id"}',
             )
         if (
             start_line.code in _STATUSES_WITHOUT_BODY
--- a/src/ibisjunction/upstreams/pool.py
+++ b/src/ibisjunction/upstreams/pool.py
@@ -45,6 +45,7 @@
     async def borrow(
         self,
         address: Address,
+        request_id: str,
         *,
         can_repeat: bool = True,
     ) -> AsyncIterator[ConnectionTask]:
@@ -54,11 +55,13 @@
         block is left. The exit waits for the end of its task, so that the task
         reads no more of the request's body.
 
+        :param request_id: connections that have carried this request stay for
+            other requests.
         :param can_repeat: false for a request that is sent only once; it gets
             a connection that was used recently, or a new one.
         """
         max_idle_ms = _MAX_IDLE_MS if can_repeat else _MAX_IDLE_NO_REPEAT_MS
-        pooled = await self._acquire(address, max_idle_ms)
+        pooled = await self._acquire(address, request_id, max_idle_ms)
         is_returned = False
         try:
             yield pooled.connection
@@ -86,11 +89,13 @@
             await pooled.close()
 
     async def _acquire(
-        self, address: Address, max_idle_ms: int
+        self, address: Address, request_id: str, max_idle_ms: int
     ) -> _PooledConnection:
         idle = self._idle[address]
-        while idle:
-            pooled = idle.pop()
+        for pooled in reversed(tuple(idle)):
+            if pooled.connection.has_sent(request_id):
+                continue
+            idle.remove(pooled)
             if pooled.connection.can_reuse(max_idle_ms):
                 return pooled
             await pooled.close()
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -3,9 +3,10 @@
 An upstream announces itself to any VM with ``POST /v1/upstreams``. Its
 dispatcher sends it grants with ``PUT /ibis/grants``. A VM sends it
 ``POST /ibis/cancel/<request id>`` to cancel a request whose answer is no longer
-needed; any status means that the call arrived. The grant lease runs on the
-upstream's own clock and starts at the clock reading that the call echoes, so a
-delayed call never extends it.
+needed; any status means that the call arrived. An upstream echoes
+``Ibis-Request-Id`` in its answers; a connection is closed after an answer
+without it. The grant lease runs on the upstream's own clock and starts at the
+clock reading that the call echoes, so a delayed call never extends it.
 """
 
 from typing import Final
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -73,6 +73,25 @@
     return script
 
 
+def answer_with_id(*texts):
+    """Return a script like that of `answer` which echoes the requests' ids."""
+
+    async def script(upstream, reader, writer) -> None:
+        for text in texts:
+            head = await upstream.read_head(reader)
+            status_line, rest = text.split(b'\r\n', maxsplit=1)
+            ids = [
+                line
+                for line in head.split(b'\r\n')
+                if line.startswith(b'Ibis-Request-Id: ')
+            ]
+            writer.write(b'\r\n'.join((status_line, *ids, rest)))
+            await writer.drain()
+        await reader.read()
+
+    return script
+
+
 def answer_and_close(text):
     """Return a script that sends bytes and closes."""
 
