--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -129,6 +129,13 @@
 _BAD_MAY_HAVE_RUN = (Reason.BAD_ANSWER, Verdict.MAY_HAVE_RUN)
 
 
+async def _send_interim_answers(upstream, reader, writer) -> None:
+    await upstream.read_head(reader)
+    while True:
+        writer.write(_EARLY_HINTS * 100)
+        await writer.drain()
+
+
 class AnswerTest(unittest.TestCase):
     """Guards against partial, foreign or overlong answers that are accepted.
 
@@ -163,6 +170,7 @@
             ('header close', 'GET', answer(_CLOSING), 200, b'ok', 'end', 2),
             ('no answer', 'GET', answer_and_close(b''), 0, b'', _LOST, 2),
             ('reset', 'GET', answer_and_reset(), 0, b'', _LOST, 2),
+            ('endless 1xx', 'GET', _send_interim_answers, 0, b'', _LOST, 2),
             ('not HTTP', 'GET', answer(b'hello\r\n\r\n'), 0, b'', _LOST, 2),
         ]
     )  # fmt: skip
