--- a/tests/runner.py
+++ b/tests/runner.py
@@ -2,14 +2,19 @@
 
 An entry of that file starts with a line ``test: <id>``. The run fails if a
 test without an entry fails, or if the test of an entry passes or does not run.
+It also fails if an object that a test left open raises an error when it is
+destroyed.
 """
 
+import contextlib
+import gc
 import logging
 import re
 import sys
 import unittest
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 _ROOT: Final = Path(__file__).parent.parent
 _KNOWN_RED: Final = _ROOT / 'KNOWN-RED.txt'
@@ -35,6 +40,23 @@
     ]
 
 
+@contextlib.contextmanager
+def record_destructor_errors() -> Iterator[list[str]]:
+    """Yield a list that gets the errors of objects that are destroyed."""
+    errors: list[str] = []
+    previous_hook = sys.unraisablehook
+
+    def record(unraisable: Any) -> None:
+        errors.append(f'{unraisable.exc_value!r} in {unraisable.object!r}')
+
+    sys.unraisablehook = record
+    try:
+        yield errors
+    finally:
+        gc.collect()
+        sys.unraisablehook = previous_hook
+
+
 class _Recorder(unittest.TextTestResult):
     """Records the ids of all tests and of those that failed."""
 
@@ -71,7 +93,8 @@
     else:
         suite = loader.discover(str(_ROOT / 'tests'), top_level_dir=str(_ROOT))
     runner = unittest.TextTestRunner(resultclass=_Recorder, verbosity=1)
-    recorder = runner.run(suite)
+    with record_destructor_errors() as destructor_errors:
+        recorder = runner.run(suite)
     known_red = read_known_red(_KNOWN_RED)
     if test_names:
         known_red &= recorder.run_ids
@@ -82,6 +105,9 @@
         recorder.failed_ids,
         recorder.run_ids,
     )
+    disagreements += [
+        f'left open by a test: {error}' for error in destructor_errors
+    ]
     for line in sorted(disagreements):
         sys.stdout.write(f'{line}\n')
     failed = len(recorder.failed_ids)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -172,6 +172,11 @@
                 _forward(reader, target_writer, silenced),
                 _forward(target_reader, writer, silenced),
             )
+        # A stream that is left open fails to close after the event loop.
+        for open_writer in (writer, target_writer):
+            open_writer.close()
+            with contextlib.suppress(OSError):
+                await open_writer.wait_closed()
 
 
 async def _forward(reader, writer, silenced) -> None:
