Give the deployments of each process a loopback address of their own

Each process now uses an address of 127.64.0.0/10 that follows from its process id, which no other running process has. Stand-ins get the whole control address instead of a port.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -49,7 +49,7 @@
     cold_ms: Annotated[int, cappa.Arg(long=True)] = 0
     seed: Annotated[int, cappa.Arg(long=True)] = 0
     max_queue: Annotated[int, cappa.Arg(long=True)] = 0
-    control_port: Annotated[int, cappa.Arg(long=True)] = 0
+    control_address: Annotated[str, cappa.Arg(long=True)] = ''
     crash_on: Annotated[str, cappa.Arg(long=True)] = ''
     answer_bytes: Annotated[int, cappa.Arg(long=True)] = 128
     skip_fence_check: Annotated[bool, cappa.Arg(long=True)] = False
@@ -75,7 +75,7 @@
             token=self.token,
             record_file=self.records,
             max_queue=self.max_queue,
-            control_port=self.control_port,
+            control_address=self.control_address,
             crash_on=self.crash_on,
         )
         asyncio.run(_run_until_signal(profile))
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import ipaddress
+import os
 import secrets
 import signal
 import socket
@@ -23,6 +25,9 @@
 _FIRST_PORT: Final = 12_000
 _END_PORT: Final = 32_000
 _ADDRESSES_PER_VM: Final = 3
+#: Process ids have at most 22 bits on Linux, which fit into this part of the
+#: loopback network.
+_FIRST_HOST: Final = int(ipaddress.IPv4Address('127.64.0.0'))
 _STOP_TIMEOUT_S: Final = 40
 OPERATOR_TOKEN: Final = 'operator-token-for-local-use'
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
@@ -84,7 +89,6 @@
         self.control_addresses[name] = find_addresses(
             1, self._list_addresses()
         )[0]
-        control_port = self.control_addresses[name].rpartition(':')[2]
         self._start(
             name,
             [
@@ -95,7 +99,7 @@
                 f'--name={name}',
                 f'--token={UPSTREAM_TOKEN}',
                 f'--records={self.folder / name}.jsonl',
-                f'--control-port={control_port}',
+                f'--control-address={self.control_addresses[name]}',
                 *(f'--announce-to={vm.admin}' for vm in self.vms),
                 *arguments,
             ],
@@ -211,6 +215,16 @@
     ]
 
 
+def find_own_host() -> str:
+    """Return the loopback address that this process uses alone.
+
+    A port is free until the daemon that it was chosen for listens on it. Two
+    processes that start deployments at the same time would choose the same
+    port now and then if they shared an address.
+    """
+    return str(ipaddress.IPv4Address(_FIRST_HOST + os.getpid()))
+
+
 def find_addresses(
     count: int,
     taken: Container[str] = (),
@@ -230,14 +244,15 @@
     taken: Container[str],
 ) -> str:
     """Bind a free port until the stack is closed."""
+    host = find_own_host()
     while True:
         port = secrets.choice(range(_FIRST_PORT, _END_PORT))
-        address = f'127.0.0.1:{port}'
+        address = f'{host}:{port}'
         if address in taken:
             continue
         reserved_socket = socket.socket()
         try:
-            reserved_socket.bind(('127.0.0.1', port))
+            reserved_socket.bind((host, port))
         except OSError:
             reserved_socket.close()
             continue
--- a/src/ibisjunction/bench/profile.py
+++ b/src/ibisjunction/bench/profile.py
@@ -27,7 +27,7 @@
     ``download_bytes`` is the length of each answer; its content follows from
     the request's target. Above ``max_queue`` waiting requests the stand-in
     sheds load; 0 means no bound. ``announce_to`` are administration addresses,
-    tried in order. ``control_port`` 0 means that faults can't be switched. The
+    tried in order. without a ``control_address``, faults can't be switched. The
     start of a request whose target has the prefix ``crash_on`` kills the
     process; an empty prefix turns this off.
     """
@@ -43,5 +43,5 @@
     token: str
     record_file: Path
     max_queue: int = 0
-    control_port: int = 0
+    control_address: str = ''
     crash_on: str = ''
--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -34,6 +34,7 @@
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.limits import CHUNK_BYTES, MAX_BODY_BYTES
 from ibisjunction.mailbox import run_task
+from ibisjunction.settings.loader import parse_address
 from ibisjunction.upstreams.protocol import REQUEST_ID_HEADER, GrantCall
 from ibisjunction.verdict import VERDICT_HEADER, Verdict
 
@@ -174,9 +175,10 @@
         server.add_sockets(sockets)
         stack.push_async_callback(server.close_all_connections)
         stack.callback(server.stop)
-        if profile.control_port:
+        if profile.control_address:
             control_server = make_control_server(stand_in)
-            control_server.listen(profile.control_port, '127.0.0.1')
+            control = parse_address(profile.control_address)
+            control_server.listen(control.port, control.host)
             stack.callback(control_server.stop)
         address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
         for coroutine in (
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -1,5 +1,6 @@
 """Tests of the choice of addresses for local deployments."""
 
+import ipaddress
 import unittest
 from unittest.mock import patch
 
@@ -40,6 +41,17 @@
             found = deployment.find_addresses(1, {taken})
         self.assertEqual(found, [free])
 
+    @parameterized.expand([('neighbours', 1, 2), ('far', 77, 2**22)])
+    def test_processes_do_not_share_a_host(self, _name, pid, other_pid):
+        """Two deployments that started together chose the same port."""
+        hosts = set()
+        for process_id in (pid, other_pid):
+            with patch.object(deployment.os, 'getpid', return_value=process_id):
+                hosts.add(deployment.find_own_host())
+        self.assertEqual(len(hosts), 2)
+        for host in hosts:
+            self.assertTrue(ipaddress.ip_address(host).is_loopback)
+
 
 if __name__ == '__main__':
     unittest.main()
