Decide on requests at a cost that does not grow with what waits

With 400 requests waiting for 15 upstreams a new request took 20 ms, a tick 46 ms, and a freed slot with the next request 66 ms; choosing the dispatcher of a queue hashed all VMs for each request, 1.7 ms at 1,000 VMs. Under a flood a dispatcher spent more time on decisions than passes between ticks.

Waiting requests are now kept in order (entry/waiting.py), an event looks only at the queue that it concerns, quantiles of latencies are computed when a sample arrives, and the ranking of VMs for a queue is kept until it changes.

What differs from the earlier decisions, on purpose: - requests for one key take turns with those for other keys of its owner, so that the backlog of a busy key does not delay the others; - a request that became late stays behind the others; - late requests are compared with the time they have left every 100 ms instead of at each tick; - a request whose key moves is taken to the dispatcher of its new owner; the earlier one granted it beside that, and owners got more than they run.

DispatcherTest takes the decisions from finish(), which returns them now.

--- a/src/ibisjunction/entry/attempt_loop.py
+++ b/src/ibisjunction/entry/attempt_loop.py
@@ -17,7 +17,7 @@
     verdict_of,
 )
 from ibisjunction.entry.components import EntryComponents
-from ibisjunction.entry.dispatch import Grant, Refuse, TicketRequest
+from ibisjunction.entry.dispatch import Grant, Refuse
 from ibisjunction.entry.exchange import (
     ExchangeResult,
     NoAnswer,
@@ -35,6 +35,7 @@
 )
 from ibisjunction.entry.notices import read_notice
 from ibisjunction.entry.outgoing import make_upstream_request
+from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
 from ibisjunction.events import Event
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -2,23 +2,26 @@
 
 The dispatcher does no I/O and reads no clock. Each group of upstreams has one
 entry VM as its dispatcher, which therefore decides on all requests for the
-group. Waiting requests are served in this order: those that can still meet
-their target, by rank, then the late ones. A request that can't be served before
-it times out is refused at once.
+group. Requests that wait for the same upstreams form a queue, see
+:mod:`ibisjunction.entry.waiting`. A request that can't be served before it
+times out is refused at once.
 """
 
+import functools
 import operator
 import random
-from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
 
-from ibisjunction.entry.health import HealthReport
+from ibisjunction.entry.candidates import Candidates
+from ibisjunction.entry.health import HealthReport, UpstreamHealth
 from ibisjunction.entry.health_table import HealthTable
 from ibisjunction.entry.model import Reason
+from ibisjunction.entry.ticket_request import RequestId, TicketRequest
 from ibisjunction.entry.view import FleetView
-from ibisjunction.fleet.model import ProcessKey, Upstream
+from ibisjunction.entry.waiting import ParkedRequests, WaitingQueue
+from ibisjunction.fleet.model import Upstream
 
 #: An upstream in another failure domain costs more by this fraction of the time
 #: that the request has left until its target. A request may lose this much of
@@ -36,6 +39,15 @@
 #: now to its answer. A request that exceeds it is refused: the estimate is
 #: rough, and a refused caller can retry later.
 _MAX_DURATION_FRACTION: Final = 0.9
+#: Interval at which late requests are compared with the time that they have
+#: left, which takes as long as there are many of them.
+_REVIEW_INTERVAL_MS: Final = 100
+#: Time for which a request whose key has moved to another dispatcher waits for
+#: its VM to ask that one.
+_REDIRECT_WAIT_MS: Final = 200
+#: Requests at the front of a queue that are examined for a free slot. Each
+#: avoids upstreams of its own, so one of them may wait although a slot is free.
+_MAX_EXAMINED: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,28 +71,7 @@
 
 
 Decision = Grant | Wait | Refuse
-
-
-@dataclass(frozen=True, slots=True)
-class TicketRequest:
-    """A request for permission to send; times are on this VM's clock.
-
-    ``key`` is set if only the owner of the key may serve the request.
-    ``give_up_ms`` is when it times out. ``avoided`` are the processes of
-    upstreams that did not accept an earlier attempt of the request, or gave no
-    usable answer to it.
-    """
-
-    number: int
-    vm: str
-    service: str
-    key: int | None
-    rank: int
-    failure_domain: str
-    requested_ms: int
-    target_ms: int
-    give_up_ms: int
-    avoided: frozenset[ProcessKey] = frozenset()
+Decided = tuple[TicketRequest, Grant | Refuse]
 
 
 class Dispatcher:
@@ -90,79 +81,86 @@
         """Start without upstreams."""
         self._rng = rng
         self.health = HealthTable()
-        self._waiting: list[TicketRequest] = []
         self.view: FleetView | None = None
         #: Returns the share of an upstream's limit for a queue.
         self.find_share: Callable[[str], float] = _use_whole_limit
+        #: Returns whether this VM decides on the requests of a queue.
+        self.is_own_queue: Callable[[str, int], bool] = _own_all_queues
+        self._queues: dict[str, WaitingQueue] = {}
+        self._queue_names: dict[RequestId, str] = {}
+        self._candidates: dict[str, Candidates] = {}
+        self._parked = ParkedRequests()
 
     @property
     def waiting_count(self) -> int:
         """The number of waiting requests."""
-        return len(self._waiting)
+        return len(self._queue_names) + len(self._parked)
 
-    def update_view(self, view: FleetView) -> None:
-        """Replace the view and discard the health of removed processes."""
+    def update_view(self, view: FleetView, now: int) -> None:
+        """Replace the view; requests follow their keys to new owners."""
         self.view = view
         self.health.retain(view.list_all_upstreams())
+        self._candidates.clear()
+        for request_id, name in list(self._queue_names.items()):
+            request = self._queues[name].find(request_id)
+            if _find_queue_name(request, view) != name:
+                self.cancel(*request_id)
+                self._place_again(request, view, now)
+        for request in self._parked.list_requests():
+            if _find_queue_name(request, view) is not None:
+                self._parked.remove(request.request_id)
+                self._place_again(request, view, now)
+        for queue in self._queues.values():
+            queue.wake_ms = now
 
     def submit(self, request: TicketRequest, now: int) -> Decision:
         """Decide on a new request; queue it if it has to wait."""
-        decision = self._decide(request, now)
-        if not isinstance(decision, Wait):
-            return decision
-        if self._would_time_out(request, now):
-            return Refuse(Reason.OVERLOADED)
-        self._waiting.append(request)
+        if self.view is None:
+            return Refuse(Reason.NOT_READY)
+        name = _find_queue_name(request, self.view)
+        if name is None:
+            return self._park(request, now)
+        candidates = self._find_candidates(name, now)
+        if not candidates.upstreams:
+            return Refuse(Reason.NO_UPSTREAM)
+        decision = self._decide(request, candidates, now)
+        if isinstance(decision, Wait):
+            queue = self._queues.get(name)
+            ahead = 0
+            if queue is not None:
+                queue.mark_late(now + candidates.conservative_service_ms)
+                is_late = candidates.is_late(request, now)
+                ahead = queue.count_ahead(request, is_late=is_late)
+            if _exceeds_remaining_time(request, ahead, candidates, now):
+                return Refuse(Reason.OVERLOADED)
+            self._add(name, request, now)
         return decision
 
+    def _park(self, request: TicketRequest, now: int) -> Wait | Refuse:
+        """Let a request wait for an owner of its key."""
+        until_ms = min(
+            request.requested_ms + _OWNER_WAIT_MS, request.give_up_ms
+        )
+        if now >= until_ms:
+            return Refuse(Reason.NO_OWNER)
+        self._parked.add(request, until_ms)
+        return Wait()
+
     def is_waiting(self, vm: str, number: int) -> bool:
         """Return whether a request is queued here."""
-        return any(
-            (request.vm, request.number) == (vm, number)
-            for request in self._waiting
-        )
+        request_id = (vm, number)
+        return request_id in self._queue_names or request_id in self._parked
 
     def cancel(self, vm: str, number: int) -> None:
         """Remove a waiting request."""
-        self._waiting = [
-            request
-            for request in self._waiting
-            if (request.vm, request.number) != (vm, number)
-        ]
-
-    def decide_waiting(
-        self,
-        now: int,
-    ) -> list[tuple[TicketRequest, Grant | Refuse]]:
-        """Return the decisions on waiting requests that have become possible.
-
-        Requests that can still meet their target overtake late ones. A late
-        request is refused once those ahead of it would make it time out.
-        """
-        decided: list[tuple[TicketRequest, Grant | Refuse]] = []
-        still_waiting: list[TicketRequest] = []
-        ahead: Counter[str] = Counter()
-        ordered = [
-            (self._sort_key(request, now), request) for request in self._waiting
-        ]
-        ordered.sort(key=operator.itemgetter(0))
-        for (is_late, *_), request in ordered:
-            queue = self._find_queue_name(request)
-            decision = self._decide(request, now)
-            is_waiting_late = is_late and isinstance(decision, Wait)
-            if is_waiting_late and self._exceeds_remaining_time(
-                request,
-                ahead[queue],
-                now,
-            ):
-                decision = Refuse(Reason.OVERLOADED)
-            if isinstance(decision, Wait):
-                ahead[queue] += 1
-                still_waiting.append(request)
-            else:
-                decided.append((request, decision))
-        self._waiting = still_waiting
-        return decided
+        request_id = (vm, number)
+        self._parked.remove(request_id)
+        name = self._queue_names.pop(request_id, None)
+        if name is not None:
+            queue = self._queues[name]
+            queue.remove(request_id)
+            if not queue:
+                self._queues.pop(name)
 
     def finish(
         self,
@@ -170,79 +168,103 @@
         report: HealthReport,
         now: int,
         granted_ms: int = 0,
-    ) -> None:
-        """Free the slot of a granted request and record its result."""
+    ) -> list[Decided]:
+        """Free the slot of a granted request and record its result.
+
+        :return: the decisions on requests that waited for the upstream.
+        """
         health = self.health.get(upstream)
         health.in_flight = max(0, health.in_flight - 1)
         health.record(report, now, granted_ms)
+        names = () if self.view is None else self.view.list_queues(upstream)
+        decided: list[Decided] = []
+        for name in names:
+            if name in self._queues:
+                decided += self._decide_queue(name, now)
+        return decided
+
+    def decide_waiting(self, now: int) -> list[Decided]:
+        """Return the decisions that have become possible with time.
+
+        A late request is refused once those ahead of it would make it time
+        out.
+        """
+        decided = self._decide_parked(now)
+        for name, queue in list(self._queues.items()):
+            if now >= queue.wake_ms:
+                decided += self._decide_queue(name, now)
+        return decided
+
+    def _decide_parked(self, now: int) -> list[Decided]:
+        """Return the decisions on requests that have waited for an owner."""
+        decided: list[Decided] = []
+        for request in self._parked.pop_due(now):
+            decision = self.submit(request, now)
+            if not isinstance(decision, Wait):
+                decided.append((request, decision))
+        return decided
+
+    def _decide_queue(self, name: str, now: int) -> list[Decided]:
+        """Return the decisions on the requests of a queue."""
+        queue = self._queues[name]
+        candidates = self._find_candidates(name, now)
+        decided: list[Decided] = []
+        if candidates.upstreams:
+            decided += _refuse_timed_out(queue, candidates, now)
+            queue.mark_late(now + candidates.conservative_service_ms)
+            decided += self._grant_waiting(queue, candidates, now)
+            decided += _refuse_late(queue, candidates, now)
+        else:
+            refusal = Refuse(Reason.NO_UPSTREAM)
+            decided += [(request, refusal) for request in queue.iterate()]
+        for request, _ in decided:
+            queue.remove(request.request_id)
+            self._queue_names.pop(request.request_id, None)
+        if queue:
+            queue.wake_ms = _find_wake_ms(queue, candidates, now)
+        else:
+            self._queues.pop(name)
+        return decided
 
-    def _decide(self, request: TicketRequest, now: int) -> Decision:
+    def _grant_waiting(
+        self, queue: WaitingQueue, candidates: Candidates, now: int
+    ) -> Iterator[Decided]:
+        """Yield the grants of free slots, in the order of service."""
+        examined = 0
+        for request in queue.iterate():
+            if examined == _MAX_EXAMINED or not candidates.has_room(now):
+                return
+            decision = self._decide(request, candidates, now)
+            if isinstance(decision, Wait):
+                examined += 1
+            else:
+                queue.take(request)
+                yield request, decision
+
+    def _decide(
+        self, request: TicketRequest, candidates: Candidates, now: int
+    ) -> Decision:
         """Decide on a request; a grant occupies a slot of the upstream."""
-        view = self.view
-        if view is None:
-            return Refuse(Reason.NOT_READY)
-        candidates = self._find_candidates(request, view)
-        if candidates is None:
-            if now >= min(
-                request.requested_ms + _OWNER_WAIT_MS,
-                request.give_up_ms,
-            ):
-                return Refuse(Reason.NO_OWNER)
-            return Wait()
-        if not candidates:
-            return Refuse(Reason.NO_UPSTREAM)
-        for candidate in candidates:
-            health = self.health.get(candidate)
-            health.discard_old_samples(now)
-            if health.pacer.limit_per_s is not None:
-                queue = self._find_queue_name(request)
-                health.pacer.use_share(self.find_share(queue), now)
-        fastest_ms = min(
-            self.health.get(candidate).service_ms for candidate in candidates
-        )
+        preferred = candidates.without(request.avoided)
+        fastest_ms = preferred.service_ms
         if now + fastest_ms * _MIN_SERVICE_FRACTION >= request.give_up_ms:
             return Refuse(Reason.TIMED_OUT)
-        available = [
-            candidate
-            for candidate in candidates
-            if self.health.get(candidate).has_free_capacity(now)
+        costs = [
+            (self._cost(request, upstream, health, now), upstream, health)
+            for upstream, health in preferred.list_free(now)
         ]
-        if not available:
+        if not costs:
             return Wait()
-        chosen = min(
-            available,
-            key=lambda candidate: self._cost(request, candidate, now),
-        )
-        self.health.get(chosen).in_flight += 1
-        self.health.get(chosen).pacer.take(now)
+        _, chosen, health = min(costs, key=operator.itemgetter(0))
+        health.in_flight += 1
+        health.pacer.take(now)
         return Grant(chosen)
 
-    def _find_candidates(
-        self,
-        request: TicketRequest,
-        view: FleetView,
-    ) -> list[Upstream] | None:
-        """Return the upstreams that may serve a request.
-
-        Those to avoid are returned only if there are no others.
-
-        :return: ``None`` if the key of the request has no owner.
-        """
-        if request.key is not None:
-            owner = view.find_owner(request.service, request.key)
-            return None if owner is None else [owner]
-        upstreams = view.list_group(request.service, request.number)
-        preferred = [
-            upstream
-            for upstream in upstreams
-            if upstream.process_key not in request.avoided
-        ]
-        return preferred or upstreams
-
     def _cost(
         self,
         request: TicketRequest,
         upstream: Upstream,
+        health: UpstreamHealth,
         now: int,
     ) -> float:
         """Return the cost of an upstream for a request, as a latency.
@@ -251,7 +273,6 @@
         chosen only if no local one is likely to meet the target. The random
         factor spreads requests over upstreams of similar cost.
         """
-        health = self.health.get(upstream)
         cost = health.cost()
         if upstream.failure_domain != request.failure_domain:
             # An upstream that has not answered yet costs next to nothing, so
@@ -262,76 +283,105 @@
             cost += remaining_ms * _REMOTE_PENALTY_FRACTION
         return cost * (1 + self._rng.random() / 8)
 
-    def _sort_key(
-        self,
-        request: TicketRequest,
-        now: int,
-    ) -> tuple[bool, int, int]:
-        """Return the key by which waiting requests are ordered.
+    def _find_candidates(self, name: str, now: int) -> Candidates:
+        """Return the upstreams of a queue, with their health up to date."""
+        candidates = self._candidates.get(name)
+        if candidates is None:
+            upstreams = self.view.list_queue(name) if self.view else []
+            candidates = Candidates(
+                upstreams, [self.health.get(one) for one in upstreams]
+            )
+            self._candidates[name] = candidates
+        candidates.refresh(functools.partial(self.find_share, name), now)
+        return candidates
 
-        A request counts as late if the conservative service time exceeds the
-        time until its target. Under overload, requests are sent when they can
-        only just meet their target, and with the usual service time as the
-        limit most of them would end late.
+    def _place_again(
+        self, request: TicketRequest, view: FleetView, now: int
+    ) -> None:
+        """Queue a request whose key has another owner, or none.
+
+        If another VM decides on the new owner, the VM of the request asks that
+        one as soon as it knows the owner too. Deciding here at once would
+        exceed the slots of the owner.
         """
-        candidates = self._list_candidates(request)
-        conservative_service_ms = min(
-            (
-                self.health.get(candidate).conservative_service_ms
-                for candidate in candidates
-            ),
-            default=0,
-        )
-        is_late = now + conservative_service_ms > request.target_ms
-        return (is_late, request.rank, request.target_ms)
-
-    def _list_candidates(self, request: TicketRequest) -> list[Upstream]:
-        """Return the candidates; empty without a view or an owner."""
-        view = self.view
-        return (view and self._find_candidates(request, view)) or []
-
-    def _would_time_out(self, request: TicketRequest, now: int) -> bool:
-        """Return whether a new request would time out in the queue."""
-        queue = self._find_queue_name(request)
-        sort_key = self._sort_key(request, now)
-        ahead = sum(
-            1
-            for other in self._waiting
-            if self._find_queue_name(other) == queue
-            and self._sort_key(other, now) <= sort_key
-        )
-        return self._exceeds_remaining_time(request, ahead, now)
+        name = _find_queue_name(request, view)
+        if name is None:
+            until_ms = request.requested_ms + _OWNER_WAIT_MS
+            self._parked.add(request, min(until_ms, request.give_up_ms))
+        elif self.is_own_queue(name, now):
+            self._add(name, request, now)
+        else:
+            self._parked.add(request, now + _REDIRECT_WAIT_MS)
+
+    def _add(self, name: str, request: TicketRequest, now: int) -> None:
+        candidates = self._find_candidates(name, now)
+        queue = self._queues.setdefault(name, WaitingQueue())
+        queue.add(request, is_late=candidates.is_late(request, now))
+        queue.wake_ms = now
+        self._queue_names[request.request_id] = name
+
+
+def _find_queue_name(request: TicketRequest, view: FleetView) -> str | None:
+    """Return the queue of a request, or ``None`` if its key has no owner."""
+    is_unowned = (
+        request.key is not None
+        and view.find_owner(request.service, request.key) is None
+    )
+    if is_unowned:
+        return None
+    return view.find_queue_name(request.service, request.number, request.key)
+
+
+def _refuse_timed_out(
+    queue: WaitingQueue, candidates: Candidates, now: int
+) -> list[Decided]:
+    """Return the refusals of requests that no upstream can serve in time."""
+    refusal = Refuse(Reason.TIMED_OUT)
+    limit_ms = now + candidates.service_ms * _MIN_SERVICE_FRACTION
+    return [(request, refusal) for request in queue.pop_timed_out(limit_ms)]
+
+
+def _refuse_late(
+    queue: WaitingQueue, candidates: Candidates, now: int
+) -> list[Decided]:
+    """Return the refusals of late requests that others would delay too long."""
+    if now < queue.next_review_ms:
+        return []
+    queue.next_review_ms = now + _REVIEW_INTERVAL_MS
+    refused: list[Decided] = []
+    for ahead, request in queue.list_late():
+        ahead -= len(refused)
+        if _exceeds_remaining_time(request, ahead, candidates, now):
+            refused.append((request, Refuse(Reason.OVERLOADED)))
+    return refused
+
+
+def _exceeds_remaining_time(
+    request: TicketRequest, ahead: int, candidates: Candidates, now: int
+) -> bool:
+    """Return whether a request is expected to time out.
+
+    :param ahead: the number of requests served before this one.
+    """
+    wait_ms = (ahead + 1) / candidates.service_rate
+    expected_ms = wait_ms + candidates.service_ms
+    return expected_ms > (request.give_up_ms - now) * _MAX_DURATION_FRACTION
 
-    def _exceeds_remaining_time(
-        self,
-        request: TicketRequest,
-        ahead: int,
-        now: int,
-    ) -> bool:
-        """Return whether a request is expected to time out.
 
-        :param ahead: the number of requests served before this one.
-        """
-        candidates = self._list_candidates(request)
-        if not candidates:
-            return False
-        healths = [self.health.get(candidate) for candidate in candidates]
-        service_rate = sum(health.service_rate for health in healths)
-        service_ms = min(health.service_ms for health in healths)
-        expected_ms = (ahead + 1) / service_rate + service_ms
-        return expected_ms > (request.give_up_ms - now) * _MAX_DURATION_FRACTION
-
-    def _find_queue_name(self, request: TicketRequest) -> str:
-        """Return the name of the queue in which a request waits."""
-        if self.view is None:
-            return request.service
-        return self.view.find_queue_name(
-            request.service,
-            request.number,
-            request.key,
-        )
+def _find_wake_ms(queue: WaitingQueue, candidates: Candidates, now: int) -> int:
+    """Return when time alone may decide a request of a queue."""
+    if candidates.is_held_back(now):
+        return now
+    give_up_ms = queue.next_give_up_ms or now
+    reserve_ms = candidates.service_ms * _MIN_SERVICE_FRACTION
+    return min(queue.next_review_ms, int(give_up_ms - reserve_ms))
 
 
 def _use_whole_limit(queue: str) -> float:
     """Return the share of a dispatcher that is the only one."""
     return 1
+
+
+def _own_all_queues(queue: str, now: int) -> bool:
+    """Return that the only dispatcher decides on all queues."""
+    return True
--- a/src/ibisjunction/entry/granted.py
+++ b/src/ibisjunction/entry/granted.py
@@ -1,25 +1,24 @@
 """The tickets that one dispatcher has granted."""
 
+import heapq
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 from ibisjunction.entry.dispatch import (
+    Decided,
     Decision,
     Dispatcher,
     Grant,
     Refuse,
-    TicketRequest,
     Wait,
 )
 from ibisjunction.entry.health import HealthReport, HealthResult
+from ibisjunction.entry.ticket_request import RequestId, TicketRequest
 from ibisjunction.fleet.model import Upstream
 
 #: A ticket that was not returned expires this long after its request times out.
 _TICKET_GRACE_MS: Final = 500
-#: The VM of a request, and the number of its ticket request there.
-TicketId = tuple[str, int]
-Decided = tuple[TicketRequest, Grant | Refuse]
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +27,6 @@
 
     upstream: Upstream
     granted_ms: int
-    expires_ms: int
 
 
 class GrantedTickets:
@@ -37,7 +35,8 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         """Start without tickets."""
         self._dispatcher = dispatcher
-        self._tickets: dict[TicketId, _Ticket] = {}
+        self._tickets: dict[RequestId, _Ticket] = {}
+        self._by_expiry: list[tuple[int, RequestId]] = []
 
     def decide(self, request: TicketRequest, now: int) -> Decision | None:
         """Decide on a ticket request, which may be repeated.
@@ -46,7 +45,7 @@
 
         :return: ``None`` if it was repeated just before its ticket arrived.
         """
-        ticket_id = (request.vm, request.number)
+        ticket_id = request.request_id
         if ticket_id in self._tickets:
             return None
         if self._dispatcher.is_waiting(*ticket_id):
@@ -57,7 +56,7 @@
         return decision
 
     def end(
-        self, ticket_id: TicketId, report: HealthReport, now: int
+        self, ticket_id: RequestId, report: HealthReport, now: int
     ) -> list[Decided]:
         """End a ticket, or cancel a waiting request.
 
@@ -67,27 +66,33 @@
         if ticket is None:
             self._dispatcher.cancel(*ticket_id)
             return []
-        self._dispatcher.finish(ticket.upstream, report, now, ticket.granted_ms)
-        return self.decide_waiting(now)
+        decided = self._dispatcher.finish(
+            ticket.upstream, report, now, ticket.granted_ms
+        )
+        return self._record_all(decided, now)
 
     def decide_waiting(self, now: int) -> list[Decided]:
-        """Return the decisions on waiting requests that became possible."""
-        decided = self._dispatcher.decide_waiting(now)
-        for request, decision in decided:
-            self._record(request, decision, now)
-        return decided
+        """Return the decisions that have become possible with time."""
+        return self._record_all(self._dispatcher.decide_waiting(now), now)
 
     def expire(self, now: int) -> Iterator[Decided]:
         """End the tickets that were not returned; yield the decisions."""
         unused = HealthReport(HealthResult.UNUSED)
-        for ticket_id, ticket in list(self._tickets.items()):
-            if now >= ticket.expires_ms:
+        while self._by_expiry and self._by_expiry[0][0] <= now:
+            _, ticket_id = heapq.heappop(self._by_expiry)
+            if ticket_id in self._tickets:
                 yield from self.end(ticket_id, unused, now)
 
+    def _record_all(self, decided: list[Decided], now: int) -> list[Decided]:
+        for request, decision in decided:
+            self._record(request, decision, now)
+        return decided
+
     def _record(
         self, request: TicketRequest, decision: Grant | Refuse, now: int
     ) -> None:
         if isinstance(decision, Grant):
-            self._tickets[(request.vm, request.number)] = _Ticket(
-                decision.upstream, now, request.give_up_ms + _TICKET_GRACE_MS
-            )
+            ticket_id = request.request_id
+            self._tickets[ticket_id] = _Ticket(decision.upstream, now)
+            expires_ms = request.give_up_ms + _TICKET_GRACE_MS
+            heapq.heappush(self._by_expiry, (expires_ms, ticket_id))
--- a/src/ibisjunction/entry/health.py
+++ b/src/ibisjunction/entry/health.py
@@ -93,6 +93,8 @@
         default_factory=lambda: deque(maxlen=_MAX_SAMPLES),
     )
     _has_answered: bool = False
+    _service_ms: float = _INITIAL_SERVICE_MS
+    _conservative_service_ms: float = _INITIAL_SERVICE_MS
 
     @property
     def has_answered(self) -> bool:
@@ -102,17 +104,21 @@
     @property
     def service_ms(self) -> float:
         """The usual service time of the upstream."""
-        return self._quantile(_SERVICE_QUANTILE)
+        return self._service_ms
 
     @property
     def conservative_service_ms(self) -> float:
         """The service time that most requests do not exceed."""
-        return self._quantile(_CONSERVATIVE_QUANTILE)
+        return self._conservative_service_ms
 
     def discard_old_samples(self, now: int) -> None:
         """Discard latencies that are too old to be representative."""
-        while self._samples and self._samples[0][0] < now - _MAX_SAMPLE_AGE_MS:
+        oldest_ms = now - _MAX_SAMPLE_AGE_MS
+        if not self._samples or self._samples[0][0] >= oldest_ms:
+            return
+        while self._samples and self._samples[0][0] < oldest_ms:
             self._samples.popleft()
+        self._update_quantiles()
 
     @property
     def service_rate(self) -> float:
@@ -159,6 +165,7 @@
                 self.consecutive_failures = 0
                 self._has_answered = True
                 self._samples.append((now, report.latency_ms))
+                self._update_quantiles()
                 self._update_success_rate(1)
             case HealthResult.ERROR:
                 self._update_success_rate(0)
@@ -175,11 +182,12 @@
             case HealthResult.WRONG:
                 return
 
-    def _quantile(self, fraction: float) -> float:
-        if not self._samples:
-            return _INITIAL_SERVICE_MS
+    def _update_quantiles(self) -> None:
         latencies = sorted(latency_ms for _, latency_ms in self._samples)
-        return latencies[int(len(latencies) * fraction)]
+        self._service_ms = _find_quantile(latencies, _SERVICE_QUANTILE)
+        self._conservative_service_ms = _find_quantile(
+            latencies, _CONSERVATIVE_QUANTILE
+        )
 
     def _pause_after_failures(self, now: int) -> None:
         if self.consecutive_failures >= _PAUSE_THRESHOLD:
@@ -190,3 +198,10 @@
 
     def _update_success_rate(self, success: float) -> None:
         self.success_rate += _SMOOTHING_FACTOR * (success - self.success_rate)
+
+
+def _find_quantile(latencies: list[int], fraction: float) -> float:
+    """Return a quantile of sorted latencies."""
+    if not latencies:
+        return _INITIAL_SERVICE_MS
+    return latencies[int(len(latencies) * fraction)]
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -13,7 +13,6 @@
 )
 from ibisjunction.entry.attempt_loop import AttemptLoop
 from ibisjunction.entry.components import EntryComponents
-from ibisjunction.entry.dispatch import TicketRequest
 from ibisjunction.entry.health import HealthReport, HealthResult
 from ibisjunction.entry.model import (
     CallerRequest,
@@ -22,6 +21,7 @@
     Refused,
     RoutedRequest,
 )
+from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.model import LAST_KEY, ProcessKey, Upstream
--- /dev/null
+++ b/src/ibisjunction/entry/ticket_request.py
@@ -0,0 +1,35 @@
+"""Requests for tickets."""
+
+from dataclasses import dataclass
+
+from ibisjunction.fleet.model import ProcessKey
+
+#: The VM of a request, and the number of its ticket request there.
+RequestId = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class TicketRequest:
+    """A request for permission to send; times are on this VM's clock.
+
+    ``key`` is set if only the owner of the key may serve the request.
+    ``give_up_ms`` is when it times out. ``avoided`` are the processes of
+    upstreams that did not accept an earlier attempt of the request, or gave no
+    usable answer to it.
+    """
+
+    number: int
+    vm: str
+    service: str
+    key: int | None
+    rank: int
+    failure_domain: str
+    requested_ms: int
+    target_ms: int
+    give_up_ms: int
+    avoided: frozenset[ProcessKey] = frozenset()
+
+    @property
+    def request_id(self) -> RequestId:
+        """What tells the request from all others of the VMs."""
+        return (self.vm, self.number)
--- a/src/ibisjunction/entry/view.py
+++ b/src/ibisjunction/entry/view.py
@@ -1,6 +1,7 @@
 """A snapshot of the fleet state, indexed to serve requests."""
 
 import bisect
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -8,12 +9,18 @@
 
 from ibisjunction.catalogue.model import Limits, Service
 from ibisjunction.catalogue.routes import RouteTable
-from ibisjunction.fleet.model import FleetState, Shard, Upstream
+from ibisjunction.fleet.model import (
+    FleetState,
+    ProcessKey,
+    Shard,
+    Upstream,
+)
 
 #: The groups of upstreams that each have one dispatcher have fewer members than
 #: this on average. An upstream has 3 or 4 slots, so random differences in load
 #: even out within a group.
 _GROUP_UPSTREAMS: Final = 16
+_Groups = list[list[Upstream]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +54,7 @@
             service: _divide_into_groups(members)
             for service, members in self._upstreams.items()
         }
+        self._group_names = _list_group_names(self._groups)
         self._shards = {
             service: _ShardIndex([shard.first for shard in shards], shards)
             for service, shards in state.shards.items()
@@ -95,6 +103,19 @@
         groups = self._groups.get(service, [])
         return f'{service}/{number % len(groups)}' if groups else service
 
+    def list_queue(self, name: str) -> list[Upstream]:
+        """Return the upstreams that may serve the requests of a queue."""
+        service, _, index = name.rpartition('/')
+        if index.isdecimal() and service in self._groups:
+            return self._groups[service][int(index)]
+        owner = self.state.upstreams.get(name)
+        return [] if owner is None else [owner]
+
+    def list_queues(self, upstream: Upstream) -> list[str]:
+        """Return the names of the queues that an upstream serves."""
+        names = self._group_names.get(upstream.process_key, ())
+        return [upstream.upstream, *names]
+
     def list_all_upstreams(self) -> list[Upstream]:
         """Return all upstreams, draining ones included."""
         return list(self.state.upstreams.values())
@@ -142,6 +163,20 @@
     return [group or upstreams for group in groups]
 
 
+def _list_group_names(
+    groups: Mapping[str, _Groups],
+) -> dict[ProcessKey, list[str]]:
+    """Return the names of the groups of each upstream."""
+    names: dict[ProcessKey, list[str]] = {}
+    for service, service_groups in groups.items():
+        for index, members in enumerate(service_groups):
+            for upstream in members:
+                names.setdefault(upstream.process_key, []).append(
+                    f'{service}/{index}'
+                )
+    return names
+
+
 def _reuse_routes(state: FleetState, previous: FleetView | None) -> RouteTable:
     """Return the previous routes if the catalogue is unchanged, or new ones."""
     if previous is not None and previous.state.catalogue is state.catalogue:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -256,6 +256,7 @@
 
     async def test_caller_that_never_reads(self):
         """Its answers must not be held for ever."""
+        asyncio.get_running_loop().set_debug(False)
         limits = Limits(256, 64, 10_000, idle_timeout_ms=50)
         processor = _Processor()
         async with (
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -12,7 +12,6 @@
     Dispatcher,
     Grant,
     Refuse,
-    TicketRequest,
     Wait,
 )
 from ibisjunction.entry.dispatchers import Dispatchers
@@ -24,6 +23,7 @@
     TicketDone,
 )
 from ibisjunction.entry.model import Reason
+from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.entry.tickets import TicketTask
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.commands import (
@@ -85,7 +85,7 @@
 def make_dispatcher(*commands):
     """Return a dispatcher for two upstreams with one slot each."""
     dispatcher = Dispatcher(random.Random(1))
-    dispatcher.update_view(make_view(*commands))
+    dispatcher.update_view(make_view(*commands), 0)
     return dispatcher
 
 
@@ -157,8 +157,7 @@
             waiting = make_request(number, **changes)
             self.assertEqual(dispatcher.submit(waiting, 0), Wait())
         report = HealthReport(HealthResult.ANSWERED, 100)
-        dispatcher.finish(grants[0].upstream, report, 100)
-        decided = dispatcher.decide_waiting(100)
+        decided = dispatcher.finish(grants[0].upstream, report, 100)
         self.assertEqual([request.number for request, _ in decided], [4])
 
     def test_request_that_would_time_out_is_refused_at_once(self):
@@ -196,8 +195,7 @@
             request = make_request(number, key=1, target_ms=target_ms)
             self.assertEqual(dispatcher.submit(request, 0), Wait())
         report = HealthReport(HealthResult.ANSWERED, 100)
-        dispatcher.finish(grant.upstream, report, 250)
-        decided = dispatcher.decide_waiting(250)
+        decided = dispatcher.finish(grant.upstream, report, 250)
         self.assertEqual([request.number for request, _ in decided], [22])
 
     def test_upstream_that_was_slow_is_tried_again(self):
