Measure what a decision of an entry VM costs

ibisjunction-bench decisions prints the median times of a new request, a freed slot and a tick by upstreams and waiting requests, and of the choice of a dispatcher by VMs.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -14,6 +14,7 @@
     project_again,
     report_capacity,
 )
+from ibisjunction.bench.capacity.decision_costs import report_decisions
 from ibisjunction.bench.capacity.distribution_costs import report_distribution
 from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
@@ -186,6 +187,16 @@
         return report_distribution(sys.stdout)
 
 
+@cappa.command(name='decisions')
+@dataclass
+class DecisionsCommand:
+    """Measure what one decision on a request costs an entry VM."""
+
+    def __call__(self) -> int:
+        """Print tables by waiting requests and by VMs."""
+        return report_decisions(sys.stdout)
+
+
 @cappa.command(name='soak')
 @dataclass
 class SoakCommand:
@@ -221,6 +232,7 @@
         | CapacityCommand
         | PolicyCommand
         | ControlCommand
+        | DecisionsCommand
         | DistributionCommand
         | SoakCommand
     ]
