Move keys only from upstreams that are busy

An upstream gave up keys from 0.3 of its capacity on if it had a fifth more than the mean. Below 0.7 hardly a request waits for a slot, while all requests for a moving key wait for half a second.

A shard that makes up half of its owner's load, mostly a single busy key, is no reason any more to move the others away: dispatchers let the requests for other keys pass. It moves itself if another member would be a quarter less busy with it. Load over the longer horizon counts only while the upstream is busy at the moment too; after a busy key cooled down it caused moves for ten seconds.

--- a/src/ibisjunction/coordination/balance.py
+++ b/src/ibisjunction/coordination/balance.py
@@ -78,7 +78,7 @@
 
 def find_shards_to_split(view: ServiceView, owner: Member) -> list[Shard]:
     """Return an owner's shards that are too busy to be moved undivided."""
-    if not view.is_overloaded(owner):
+    if not view.is_busy(owner):
         return []
     limit = find_split_limit(view, owner)
     return [
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -219,7 +219,7 @@
         now: int,
     ) -> Iterator[PlannedCommand]:
         moves = plan_moves(view, source, now)
-        if not moves and view.is_above_mean(source):
+        if not moves and view.may_be_busy(source):
             # A lasting difference that is small beside the random variation
             # over a short time shows over a longer one.
             view = self._make_view(state, view.service, now, Horizon.LONG)
--- a/src/ibisjunction/coordination/moves.py
+++ b/src/ibisjunction/coordination/moves.py
@@ -13,12 +13,15 @@
     Member,
     ServiceView,
 )
-from ibisjunction.fleet.model import ProcessKey
+from ibisjunction.fleet.model import BUCKET_KEYS, ProcessKey
 
 #: The target's utilisation after a move is at most this part of the source's
 #: before it, so that a shard that is busy by itself does not move back and
 #: forth.
 _MAX_TARGET_RATIO: Final = 0.9
+#: The same for a shard that dominates its owner. Its requests wait during the
+#: move, and it may be busy for some seconds only.
+_MAX_RELOCATION_RATIO: Final = 0.75
 #: Part of a service's requests that may be without an owner because of moves.
 _MAX_UNSERVED_SHARE: Final = 0.3
 #: A shard whose requests exceed that bound is moved only as the first one of a
@@ -46,9 +49,13 @@
     initial_move = _find_move_to_empty(view, source, now)
     if initial_move is not None:
         return [initial_move]
+    targets = _list_targets(view, source, now)
+    relocation = _find_relocation(view, source, targets)
+    if relocation is not None:
+        return [relocation]
     if not view.is_overloaded(source):
         return []
-    plan = _MovePlan(view, source, _list_targets(view, source, now))
+    plan = _MovePlan(view, source, targets)
     # Shards that fit into the excess go first, the busiest ones first: moves
     # are few, and a shard that is busy by itself stays where it is if other
     # shards of its owner can move instead.
@@ -91,9 +98,10 @@
         self._source = source
         self._targets = targets
         self._loads = {
-            member.process_key: view.load_on(member)
-            for member in (source, *targets)
+            member.process_key: view.load_on(member) for member in targets
         }
+        self._loads[source.process_key] = view.other_load_on(source)
+        self._dominating = view.find_dominating(source)
         self._unserved_budget = (
             view.rate * _MAX_UNSERVED_SHARE - view.unserved_rate
         )
@@ -145,7 +153,11 @@
         is_recently_moved = (
             self._view.shards[position].first in self._view.recently_moved
         )
-        is_available = position not in self._moved and not is_recently_moved
+        is_available = (
+            position not in self._moved
+            and position != self._dominating
+            and not is_recently_moved
+        )
         # The load of a single key may exceed the budget. It may move as the
         # first shard of a plan, while hardly any keys are without an owner.
         may_exceed_budget = (
@@ -163,6 +175,34 @@
         return (self._loads[member.process_key] + rate) / member.capacity
 
 
+def _find_relocation(
+    view: ServiceView, source: Member, targets: list[Member]
+) -> Move | None:
+    """Return the move of a busy shard to a much faster or idler member.
+
+    Other shards of its owner stay: they are many more keys, and dispatchers let
+    their requests pass.
+    """
+    position = view.find_dominating(source)
+    if position is None or not targets or not view.is_busy(source):
+        return None
+    shard = view.shards[position]
+    is_movable = (
+        shard.last - shard.first < BUCKET_KEYS
+        and shard.first not in view.recently_moved
+    )
+    rate = view.rates[position]
+    target = min(
+        targets,
+        key=lambda member: (view.load_on(member) + rate) / member.capacity,
+    )
+    utilisation = (view.load_on(target) + rate) / target.capacity
+    limit = view.utilisation(source) * _MAX_RELOCATION_RATIO
+    if not is_movable or utilisation > limit:
+        return None
+    return Move((shard.first,), target)
+
+
 def _find_move_to_empty(
     view: ServiceView,
     source: Member,
--- a/src/ibisjunction/coordination/service_view.py
+++ b/src/ibisjunction/coordination/service_view.py
@@ -12,9 +12,14 @@
 #: Assignments and moves aim at up to this multiple of an upstream's share of
 #: the load.
 MAX_SHARE_RATIO: Final = 1.05
-#: Utilisation below which an upstream keeps its shards, since its requests
-#: rarely wait.
-_LOW_UTILISATION: Final = 0.3
+#: Utilisation below which an upstream keeps its shards. Its requests wait less
+#: than those for a shard that moves: with 3 slots at this utilisation half of
+#: them wait, for half of their service time.
+_BUSY_UTILISATION: Final = 0.7
+#: Part of the load of an upstream from which on one shard dominates it.
+_DOMINATING_SHARE: Final = 0.5
+#: Part of that utilisation from which on the load over a longer time counts.
+_NEARLY_BUSY_RATIO: Final = 0.75
 #: Utilisation from which an upstream gives shards away, as a multiple of the
 #: mean.
 _OVERLOAD_RATIO: Final = 1.2
@@ -103,19 +108,53 @@
         """Return the part of a member's capacity that is used."""
         return self.load_on(member) / member.capacity
 
+    def find_dominating(self, member: Member) -> int | None:
+        """Return the shard that makes up most of a member's load, if any.
+
+        Dispatchers let the requests for other keys pass those for a busy key,
+        so such a shard is no reason to move the others.
+        """
+        owned = self.owned_by(member)
+        busiest = max(owned, key=self.rates.__getitem__, default=None)
+        if busiest is None:
+            return None
+        limit = self.load_on(member) * _DOMINATING_SHARE
+        return busiest if self.rates[busiest] >= limit else None
+
+    def other_load_on(self, member: Member) -> float:
+        """Return the load of a member without a shard that dominates it."""
+        dominating = self.find_dominating(member)
+        load = self.load_on(member)
+        return load if dominating is None else load - self.rates[dominating]
+
+    def is_busy(self, member: Member) -> bool:
+        """Return whether a member has more than its share of the load."""
+        return self._exceeds_share(member, self.load_on(member))
+
     def is_overloaded(self, member: Member) -> bool:
-        """Return whether a member has more than its share of the load.
+        """Return whether a member should give up shards.
+
+        That is so if it is busy without the shard that dominates it.
+        """
+        return self._exceeds_share(member, self.other_load_on(member))
+
+    def may_be_busy(self, member: Member) -> bool:
+        """Return whether a member is close to the load at which it is busy."""
+        limit = _BUSY_UTILISATION * _NEARLY_BUSY_RATIO
+        return self.utilisation(member) >= limit and self.is_above_mean(member)
+
+    def _exceeds_share(self, member: Member, load: float) -> bool:
+        """Return whether a load is more than a member's share.
 
         The limit allows for random variation of a small number of requests. Of
         more members, the one that chance loads most is further from the mean:
         ``sqrt(2 ln n)`` standard deviations for ``n`` members.
         """
         mean = self.rate / self.capacity
-        load = self.load_on(member)
         deviation = math.sqrt(max(0, load) / self.window_s) / member.capacity
         margin = deviation * self._count_deviations()
-        limit = max(_LOW_UTILISATION, mean * _OVERLOAD_RATIO, mean + margin)
-        return self.utilisation(member) >= limit
+        limit = max(_BUSY_UTILISATION, mean * _OVERLOAD_RATIO, mean + margin)
+        return load / member.capacity >= limit
 
     def _count_deviations(self) -> float:
         return math.sqrt(2 * math.log(max(2, len(self.members))))
