Estimate what a busy upstream processes by the answers it gives

The capacity of an upstream followed from its latencies. The answers a second now bound the estimate from below. Quantiles are computed when a report arrives instead of at each check-in, and processes that are gone are forgotten.

--- a/src/ibisjunction/bench/soak/machines.py
+++ b/src/ibisjunction/bench/soak/machines.py
@@ -12,7 +12,8 @@
 
 from ibisjunction.bench.soak.network import Network, Peers
 from ibisjunction.control.effects import Tick
-from ibisjunction.coordination.loads import KeyLoad, UpstreamSpeed
+from ibisjunction.coordination.loads import KeyLoad
+from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.task import FleetTask, ReplicaOptions
 from ibisjunction.entry.budget import BudgetTerms
 from ibisjunction.entry.membership import EntryMembership
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -26,12 +26,9 @@
 )
 from ibisjunction.coordination.keys import KeyPlanner
 from ibisjunction.coordination.liveness import Liveness
-from ibisjunction.coordination.loads import (
-    KeyLoad,
-    LoadTracker,
-    UpstreamSpeed,
-)
+from ibisjunction.coordination.loads import KeyLoad, LoadTracker
 from ibisjunction.coordination.planned import PlannedCommand
+from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.spread import (
     CommittedChange,
     is_confirmable,
@@ -209,7 +206,7 @@
         for load in loads:
             self._load_tracker.record_load(load, now)
         for speed in speeds:
-            self._load_tracker.record_speed(speed)
+            self._load_tracker.speeds.record(speed, now)
 
     def handle_tick(self, now: int) -> list[Effect]:
         """Answer calls that became ready, and do the periodic work."""
@@ -217,6 +214,9 @@
         if now < self._next_periodic_ms or self._periodic_proposals:
             return effects
         self._next_periodic_ms = now + _PERIODIC_INTERVAL_MS
+        self._load_tracker.speeds.retain(
+            {one.process_key for one in self.state.upstreams.values()}
+        )
         for planned in self._plan_periodic(now):
             proposal = self._propose(planned)
             self._periodic_proposals.add(proposal.proposal_id)
--- a/src/ibisjunction/coordination/keys.py
+++ b/src/ibisjunction/coordination/keys.py
@@ -323,7 +323,7 @@
             silent_ms = self._liveness.silent_ms(upstream, now)
             if upstream.is_draining or silent_ms > limit_ms:
                 continue
-            capacity = self._load_tracker.capacity_of(upstream)
+            capacity = self._load_tracker.speeds.capacity_of(upstream, now)
             next_check_in_ms = now - silent_ms + self._timing.check_in_ms
             members.append(Member(upstream, capacity, next_check_in_ms))
         shards = state.shards.get(service, ())
--- a/src/ibisjunction/coordination/loads.py
+++ b/src/ibisjunction/coordination/loads.py
@@ -1,32 +1,23 @@
-"""Estimates load of keys and speed of upstreams from entry VMs' reports."""
+"""Estimates the load of keys from entry VMs' reports."""
 
 import enum
 import itertools
-from collections import defaultdict, deque
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import Final
 
-from ibisjunction.clock import MS_PER_S
 from ibisjunction.coordination.decay import DecayedCounts
-from ibisjunction.fleet.model import BUCKET_KEYS, ProcessKey, Shard, Upstream
+from ibisjunction.coordination.speeds import SpeedTracker
+from ibisjunction.fleet.model import BUCKET_KEYS, Shard
 
 #: Rate that is added for each key, in requests per second, so that idle keys
 #: are distributed over the upstreams too.
 _IDLE_RATE: Final = 0.00002
-#: Latest answers of an upstream from which its service time is estimated.
-_MAX_LATENCY_SAMPLES: Final = 24
-#: Quantile of the latencies that estimates the service time; the latencies of
-#: slower answers include time in the upstream's queue.
-_SERVICE_TIME_QUANTILE: Final = 0.35
 #: Lower bound of the decayed requests at which a part ends; fewer don't show
 #: where a busy range begins or ends.
 _MIN_PART_REQUESTS: Final = 3
 #: Lower bound of the window of rates, in seconds; no report covers less.
 _MIN_WINDOW_S: Final = 0.1
-#: Requests a second of an upstream that names a lower limit.
-_MIN_CAPACITY: Final = 0.1
-#: Service time of an upstream that has not answered yet, in milliseconds.
-_DEFAULT_SERVICE_MS: Final = 200
 
 
 class Horizon(enum.Enum):
@@ -49,62 +40,27 @@
     requests: dict[int, int]
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamSpeed:
-    """Latencies in ms of a process's answers since the previous report.
-
-    ``limit_per_s`` is the limit on requests that its latest answer named.
-    """
-
-    upstream: str
-    born: int
-    latencies: tuple[int, ...]
-    limit_per_s: float | None = None
-
-
 def bucket_of(key: int) -> int:
     """Return the bucket in which requests for a key are counted."""
     return key // BUCKET_KEYS
 
 
 class LoadTracker:
-    """Tracks decayed requests by bucket, and latencies of upstreams."""
+    """Tracks decayed requests by bucket, and the speed of upstreams."""
 
     def __init__(self) -> None:
         """Start without reports."""
         self._loads: defaultdict[tuple[str, Horizon], DecayedCounts] = (
             _LoadsByHorizon()
         )
-        self._latencies: defaultdict[tuple[str, int], deque[int]] = defaultdict(
-            _make_samples,
-        )
-        self._limits: dict[ProcessKey, float] = {}
+        #: What upstreams can process.
+        self.speeds = SpeedTracker()
 
     def record_load(self, report: KeyLoad, now: int) -> None:
         """Add a VM's report on keys."""
         for horizon in Horizon:
             self._loads[(report.service, horizon)].add(report.requests, now)
 
-    def record_speed(self, report: UpstreamSpeed) -> None:
-        """Add a VM's report on an upstream."""
-        process_key = (report.upstream, report.born)
-        self._latencies[process_key].extend(report.latencies)
-        if report.limit_per_s is None:
-            self._limits.pop(process_key, None)
-        else:
-            self._limits[process_key] = report.limit_per_s
-
-    def capacity_of(self, upstream: Upstream) -> float:
-        """Return the requests per second that an upstream can process."""
-        samples = self._latencies.get((upstream.upstream, upstream.born))
-        service_ms = float(_DEFAULT_SERVICE_MS)
-        if samples:
-            ranked = sorted(samples)
-            service_ms = ranked[int(len(ranked) * _SERVICE_TIME_QUANTILE)]
-        capacity = upstream.slots * MS_PER_S / max(1, service_ms)
-        limit = self._limits.get(upstream.process_key, capacity)
-        return max(_MIN_CAPACITY, min(capacity, limit))
-
     def rates_of(
         self,
         service: str,
@@ -170,9 +126,5 @@
         return counts
 
 
-def _make_samples() -> deque[int]:
-    return deque(maxlen=_MAX_LATENCY_SAMPLES)
-
-
 def _idle_rate(shard: Shard) -> float:
     return (shard.last - shard.first + 1) * _IDLE_RATE
--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -6,7 +6,8 @@
 from ibisjunction.compression import CompressionError, compress, decompress
 from ibisjunction.control.messages import CommittedEntries, StateSnapshot
 from ibisjunction.coordination.calls import Call, CallAnswer
-from ibisjunction.coordination.loads import KeyLoad, UpstreamSpeed
+from ibisjunction.coordination.loads import KeyLoad
+from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat, LeaseRenewal
 from ibisjunction.peers.codec import Codec, CodecError
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -6,11 +6,8 @@
 
 from ibisjunction.catalogue.model import Limits, RequestKind
 from ibisjunction.clock import in_seconds
-from ibisjunction.coordination.loads import (
-    KeyLoad,
-    UpstreamSpeed,
-    bucket_of,
-)
+from ibisjunction.coordination.loads import KeyLoad, bucket_of
+from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.entry.attempt_loop import AttemptLoop
 from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.health import HealthReport, HealthResult
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,7 +12,7 @@
 
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.effects import Tick
-from ibisjunction.coordination.loads import LoadTracker, UpstreamSpeed
+from ibisjunction.coordination.speeds import SpeedTracker, UpstreamSpeed
 from ibisjunction.entry.dispatch import Dispatcher, Grant, Refuse
 from ibisjunction.entry.exchange import NoAnswer, UpstreamAnswer
 from ibisjunction.entry.health import HealthReport, HealthResult
@@ -316,12 +316,12 @@
         [('no limit', None, 15), ('below its speed', 4, 4), ('none', 0, 0.1)]
     )
     def test_capacity(self, _name, limit, expected):
-        tracker = LoadTracker()
+        tracker = SpeedTracker()
         upstream = Upstream('u1', 1, 'reads', 'u1:80', 'a', 3)
-        tracker.record_speed(UpstreamSpeed('u1', 1, (200, 200), limit))
-        self.assertEqual(tracker.capacity_of(upstream), expected)
-        tracker.record_speed(UpstreamSpeed('u1', 1, (200, 200)))
-        self.assertEqual(tracker.capacity_of(upstream), 15)
+        tracker.record(UpstreamSpeed('u1', 1, (200, 200), limit), 0)
+        self.assertEqual(tracker.capacity_of(upstream, 0), expected)
+        tracker.record(UpstreamSpeed('u1', 1, (200, 200)), 0)
+        self.assertEqual(tracker.capacity_of(upstream, 0), 15)
 
 
 if __name__ == '__main__':
