Do not pass on what the end of a planned stop would cut off

Reported by other operators: requests that came late in the grace period of a stopping VM were passed on, and cut with no answer at its end.

A stopping VM now tells upstreams to stop 100 ms before it cuts off, sends nothing in the last second, and then refuses what still waits for a ticket as not run, so that its caller goes to another VM.

--- a/src/ibisjunction/entry/attempt_loop.py
+++ b/src/ibisjunction/entry/attempt_loop.py
@@ -35,6 +35,7 @@
 )
 from ibisjunction.entry.notices import read_notice
 from ibisjunction.entry.outgoing import make_upstream_request
+from ibisjunction.entry.shutdown import REFUSED_BY_SHUTDOWN
 from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
@@ -62,6 +63,13 @@
     """What an attempt needs from the processor of its request."""
 
     view: FleetView | None
+    waiting: set[Mailbox[Grant | Refuse]]
+
+    def may_send(self, now: int) -> bool:
+        """Return whether requests may still be sent to upstreams."""
+
+    def find_give_up_ms(self, routed: RoutedRequest) -> int:
+        """Return when a request times out at this VM."""
 
     def make_ticket_request(
         self,
@@ -100,6 +108,8 @@
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
         while True:
+            if not self._processor.may_send(self._components.clock.now()):
+                return self._make_refusal_outcome(REFUSED_BY_SHUTDOWN)
             pause_ms = self._find_pause_ms()
             if pause_ms:
                 refusal = Refuse(Reason.NOT_ACCEPTED, pause_ms)
@@ -144,10 +154,13 @@
         reply: Mailbox[Grant | Refuse] = Mailbox()
         self._report = HealthReport(HealthResult.UNUSED)
         self._components.tickets.post(LocalTicketRequest(ticket_request, reply))
+        self._processor.waiting.add(reply)
         try:
             decision = await reply.get()
+            self._processor.waiting.discard(reply)
             return await self._apply_decision(decision)
         finally:
+            self._processor.waiting.discard(reply)
             self._components.tickets.post(
                 LocalTicketDone(ticket_request.number, self._report),
             )
@@ -200,7 +213,8 @@
             attempts=self._attempts,
             max_attempts=route.max_attempts,
             is_idempotent=route.kind.is_idempotent,
-            has_time=now + _MIN_REMAINING_MS < self._routed.give_up_ms,
+            has_time=now + _MIN_REMAINING_MS
+            < self._processor.find_give_up_ms(self._routed),
             verdict=self._verdict,
         )
         if not may_retry(result, progress):
@@ -273,8 +287,11 @@
             return NotSent('the upstream is draining or was removed')
         if self._components.notices.is_unwanted(upstream.process_key, now):
             return NotSent('the upstream leaves or asked to wait')
-        if now + _MIN_REMAINING_MS >= self._routed.give_up_ms:
+        give_up_ms = self._processor.find_give_up_ms(self._routed)
+        if now + _MIN_REMAINING_MS >= give_up_ms:
             return NotSent('too little time is left')
+        if not self._processor.may_send(now):
+            return NotSent('this VM is shutting down')
         return None
 
     async def _perform(
@@ -297,7 +314,7 @@
                     self._routed,
                     upstream,
                     components.names,
-                    now,
+                    self._processor.find_give_up_ms(self._routed) - now,
                 ),
                 components.names.request_id,
                 request.request_id,
--- a/src/ibisjunction/entry/outgoing.py
+++ b/src/ibisjunction/entry/outgoing.py
@@ -10,11 +10,13 @@
     routed: RoutedRequest,
     upstream: Upstream,
     names: HeaderNames,
-    now: int,
+    remaining_ms: int,
 ) -> UpstreamRequest:
     """Return the request to send to an upstream for a caller's request.
 
     Hop-by-hop headers are removed, and the headers of this system are set.
+
+    :param remaining_ms: time after which the upstream may stop.
     """
     request = routed.request
     removed = {
@@ -34,8 +36,7 @@
         for name, text in request.headers
         if name.lower() not in removed | HOP_BY_HOP_HEADERS | connection_headers
     ]
-    remaining_ms = max(1, routed.give_up_ms - now)
-    headers.append((names.deadline, str(remaining_ms)))
+    headers.append((names.deadline, str(max(1, remaining_ms))))
     headers.append((names.expected_upstream, upstream.upstream))
     if request.has_body:
         headers.append(('Content-Length', str(len(request.body))))
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -10,6 +10,7 @@
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.entry.attempt_loop import AttemptLoop
 from ibisjunction.entry.components import EntryComponents
+from ibisjunction.entry.dispatch import Grant, Refuse
 from ibisjunction.entry.health import HealthReport, HealthResult
 from ibisjunction.entry.model import (
     CallerRequest,
@@ -18,10 +19,12 @@
     Refused,
     RoutedRequest,
 )
+from ibisjunction.entry.shutdown import REFUSED_BY_SHUTDOWN, Shutdown
 from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.entry.trail import Trail
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.model import LAST_KEY, ProcessKey, Upstream
+from ibisjunction.mailbox import Mailbox
 
 #: Retry time given to callers while this VM is not ready.
 _RETRY_AFTER_MS: Final = 500
@@ -41,7 +44,9 @@
         self._latencies: dict[ProcessKey, list[int]] = {}
         self._limits: dict[ProcessKey, float | None] = {}
         self.view: FleetView | None = None
-        self.is_draining = False
+        self._shutdown: Shutdown | None = None
+        #: Where requests that wait for a ticket get the decision.
+        self.waiting: set[Mailbox[Grant | Refuse]] = set()
         #: Called with the limits on requests at each update to a view that has
         #: limits.
         self.on_limits_changed: Callable[[Limits], None] = _ignore_limits
@@ -52,7 +57,38 @@
         view = self.view
         is_configured = view is not None and not view.is_empty
         is_leased = self._components.lease.is_held(self._components.clock.now())
-        return is_configured and is_leased and not self.is_draining
+        return is_configured and is_leased and self._shutdown is None
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of requests that wait for a ticket."""
+        return len(self.waiting)
+
+    def begin_shutdown(self, end_ms: int) -> None:
+        """Stop being ready; what is still sent has to be answered in time.
+
+        :param end_ms: when requests in flight are cut off.
+        """
+        self._shutdown = Shutdown(end_ms)
+
+    def refuse_unsent(self) -> None:
+        """Refuse the requests that wait for a ticket.
+
+        It is called once nothing more is sent, so that callers go to other VMs
+        instead of waiting until they are cut off.
+        """
+        for reply in self.waiting:
+            reply.post(REFUSED_BY_SHUTDOWN)
+
+    def find_give_up_ms(self, routed: RoutedRequest) -> int:
+        """Return when a request times out at this VM."""
+        if self._shutdown is None:
+            return routed.give_up_ms
+        return min(routed.give_up_ms, self._shutdown.answer_by_ms)
+
+    def may_send(self, now: int) -> bool:
+        """Return whether requests may still be sent to upstreams."""
+        return self._shutdown is None or now < self._shutdown.last_send_ms
 
     def update_view(self, view: FleetView) -> None:
         """Replace the view of the fleet, here and in the ticket task."""
@@ -151,7 +187,7 @@
             failure_domain=self._components.failure_domain,
             requested_ms=self._components.clock.now(),
             target_ms=routed.target_ms,
-            give_up_ms=routed.give_up_ms,
+            give_up_ms=self.find_give_up_ms(routed),
             avoided=avoided,
             is_bulky=routed.named_route.route.kind is RequestKind.DOWNLOAD,
         )
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 from ibisjunction.catalogue.routes import Splitter
-from ibisjunction.clock import SystemClock
+from ibisjunction.clock import Clock, SystemClock, in_seconds
 from ibisjunction.entry.budget import RetryBudget
 from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.dispatch import Dispatcher
@@ -34,6 +34,7 @@
 #: Time for which connections are accepted after the VM reports that it is not
 #: ready: the balancer checks once per second and stops after two such answers.
 _ACCEPT_AFTER_UNREADY_MS: Final = 2600
+_SHUTDOWN_POLL_MS: Final = 50
 #: Time reserved to close connections and exit within the grace period.
 _SHUTDOWN_RESERVE_MS: Final = 400
 #: An upstream that leaves gets the last request this long before the end of the
@@ -46,6 +47,7 @@
     """A running entry process."""
 
     settings: NodeSettings
+    clock: Clock
     processor: RequestProcessor
     server: EntryServer
     membership: EntryMembership
@@ -59,16 +61,15 @@
         period.
         """
         log_event(_logger, Event.DAEMON_DRAINING, vm=self.settings.vm)
-        self.processor.is_draining = True
+        drain_ms = self.settings.grace_ms - _SHUTDOWN_RESERVE_MS
+        end_ms = self.clock.now() + drain_ms
+        self.processor.begin_shutdown(end_ms)
         self.membership.is_serving = False
-        finish_ms = (
-            self.settings.grace_ms
-            - _ACCEPT_AFTER_UNREADY_MS
-            - _SHUTDOWN_RESERVE_MS
-        )
-        cut_off_count = await self.server.drain(
-            _ACCEPT_AFTER_UNREADY_MS, max(0, finish_ms)
-        )
+        finish_ms = max(0, drain_ms - _ACCEPT_AFTER_UNREADY_MS)
+        async with run_task(self._refuse_unsent(), 'end of sending'):
+            cut_off_count = await self.server.drain(
+                _ACCEPT_AFTER_UNREADY_MS, finish_ms
+            )
         self.membership.leave()
         log_event(
             _logger,
@@ -77,6 +78,12 @@
             requests_cut_off=cut_off_count,
         )
 
+    async def _refuse_unsent(self) -> None:
+        """Refuse what waits for a ticket once nothing more is sent."""
+        while self.processor.may_send(self.clock.now()):
+            await asyncio.sleep(in_seconds(_SHUTDOWN_POLL_MS))
+        self.processor.refuse_unsent()
+
 
 @contextlib.asynccontextmanager
 async def run_entry(
@@ -138,7 +145,7 @@
         stack.push_async_callback(server.close)
         log_event(_logger, Event.DAEMON_STARTED, vm=settings.vm)
         yield EntryNode(
-            settings, processor, server, membership, metrics.mailbox
+            settings, clock, processor, server, membership, metrics.mailbox
         )
 
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -24,7 +24,7 @@
 from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.exchange import NoAnswer, UpstreamAnswer
-from ibisjunction.entry.messages import DispatchersChanged
+from ibisjunction.entry.messages import DispatchersChanged, TicketAsk
 from ibisjunction.entry.model import Answered, CallerRequest, Refused
 from ibisjunction.entry.notices import Notice, UpstreamNotices, read_notice
 from ibisjunction.entry.pool import ConnectionPool
@@ -41,6 +41,7 @@
 from ibisjunction.fleet.model import FleetState, Upstream
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.mailbox import run_task
+from ibisjunction.peers.link import Received
 from ibisjunction.platform.bodies import HEADERS
 from tests.scripted import ScriptedUpstream
 
@@ -203,6 +204,13 @@
             yield self
             self.components.pool.close()
 
+    def occupy_slots(self):
+        """Let another VM occupy the slots of the only upstream of a group."""
+        self.tickets.handle(self.processor.view)
+        for number in range(UPSTREAM.slots):
+            ask = TicketAsk(number, 'reads', None, 0, 'a', 60_000, 60_000)
+            self.tickets.handle(Received('e2', ask))
+
     async def send(self):
         """Send a request of a caller; return its outcome."""
         self._count += 1
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,70 @@
+"""Tests of requests that come late in a planned stop of an entry VM."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from ibisjunction.entry.model import Answered, Reason, Refused
+from tests.scripted import ScriptedUpstream
+from tests.test_notices import EntryVm, reply
+
+_SIGNED = b'Response-Signature: s'
+_END_MS = 3000
+
+
+class LateRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that the end of the grace period cuts off.
+
+    Report of other operators: in a planned stop of one VM, in calm, requests
+    that came late in the grace period were passed on, and at its end they were
+    cut with no answer, among them requests that may not be repeated.
+    """
+
+    @parameterized.expand(
+        [
+            ('before the stop', None, 0, 4000, Answered),
+            ('early in the stop', _END_MS, 0, 2900, Answered),
+            ('late', _END_MS, 1900, 1000, Answered),
+            ('too late to be answered', _END_MS, 2100, None, Refused),
+            ('at the end', _END_MS, 3000, None, Refused),
+        ]
+    )
+    async def test_request(self, _name, end_ms, at_ms, deadline_ms, outcome):
+        """A request is not passed on, or its upstream stops before the end."""
+        upstream = ScriptedUpstream(reply(200, _SIGNED))
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=True)
+            async with vm.run():
+                if end_ms is not None:
+                    vm.processor.begin_shutdown(vm.clock.now() + end_ms)
+                vm.clock.advance(at_ms)
+                found = await vm.send()
+        self.assertIsInstance(found, outcome)
+        told = [
+            int(head.split(b'Deadline-Ms: ')[1].split(b'\r\n')[0])
+            for head in upstream.requests
+        ]
+        self.assertEqual(told, [] if deadline_ms is None else [deadline_ms])
+
+    async def test_request_that_waits_is_refused_in_time(self):
+        """A request that waits for a slot must not wait until the end."""
+        upstream = ScriptedUpstream(reply(200, _SIGNED))
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False)
+            async with vm.run():
+                vm.occupy_slots()
+                waiting = asyncio.create_task(vm.send())
+                while not vm.processor.waiting_count:
+                    await asyncio.sleep(0)
+                vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                await asyncio.sleep(0)
+                self.assertFalse(waiting.done())
+                vm.processor.refuse_unsent()
+                found = await waiting
+        self.assertEqual(found, Refused(Reason.SHUTTING_DOWN, 50))
+        self.assertEqual(upstream.requests, [])
+
+
+if __name__ == '__main__':
+    unittest.main()
