Test that an answer cut in its head never passes as whole

Reported by other operators: an upstream stopped in the middle of an answer's head and closed, and callers got a 200 with an empty or short body. It can't happen here: answers with a length, in chunks, without a length and behind an interim answer, cut at every byte by a close or a reset, are all reported as lost in both forms of the deployment. The tests keep it so.

--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -184,6 +184,42 @@
         self.assertEqual(opened, connections)
 
 
+class BrokenHeadTest(unittest.TestCase):
+    """Guards against an answer that breaks off in its head and passes as whole.
+
+    Report of other operators: an upstream stopped in the middle of the head and
+    closed; callers got a 200 with an empty or short body, framed as whole.
+    """
+
+    @parameterized.expand(
+        [
+            (f'{name}, {end.__name__}', text, end)
+            for name, text in (
+                ('length', _WHOLE),
+                ('chunks', _CHUNKED),
+                ('interim answer', _EARLY_HINTS + _WHOLE),
+            )
+            for end in (answer_and_close, answer_and_reset)
+        ]
+    )
+    def test_cut_at_every_byte(self, _name, text, end):
+        async def send_all():
+            found = []
+            for position in range(text.index(b'ok')):
+                upstream = ScriptedUpstream(end(text[:position]))
+                pool = ConnectionPool(ManualClock())
+                async with upstream.run() as address:
+                    parts = await _send(pool, address, _exchange())
+                    await pool.close()
+                found.append((position, _describe(parts)))
+            return found
+
+        end_of_head = text.index(b'\r\n\r\n', text.index(b'200')) + 4
+        for position, (status, body, ending) in asyncio.run(send_all()):
+            self.assertEqual(status, 200 if position >= end_of_head else 0)
+            self.assertEqual((body, ending), (b'', _LOST))
+
+
 class NothingWrittenTest(unittest.TestCase):
     """Guards against a false ``not-run``, and against bytes after the lease.
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -130,6 +130,37 @@
 _NO_ID = b'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
 
 
+class BrokenHeadTest(unittest.TestCase):
+    """Guards against an answer that breaks off in its head and passes as whole.
+
+    Report of other operators: an upstream stopped in the middle of the head and
+    closed; callers got a 200 with an empty or short body, framed as whole.
+    """
+
+    @parameterized.expand(
+        [
+            (f'{name}, {end.__name__}', text, end)
+            for name, text in (
+                ('length', _ANSWER),
+                ('chunks', _CHUNKED),
+                ('no length', _OK + b'\r\n'),
+                ('empty', _OK + b'Content-Length: 0\r\n\r\n'),
+                ('interim answer', b'HTTP/1.1 100 Go\r\n\r\n' + _ANSWER),
+            )
+            for end in (answer_and_close, answer_and_reset)
+        ]
+    )
+    def test_cut_at_every_byte(self, _name, text, end):
+        async def perform_all():
+            return [
+                (await _perform(end(text[:position])))[0][0]
+                for position in range(len(text))
+            ]
+
+        for result in asyncio.run(perform_all()):
+            self.assertIsInstance(result, NoAnswer)
+
+
 class RepeatedAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against an earlier refusal that is taken for that of a later run.
 
