--- a/src/ibisjunction/entry/tickets.py
+++ b/src/ibisjunction/entry/tickets.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import itertools
+import contextlib
 from collections.abc import Iterable
 from typing import Any, Final
 
@@ -34,9 +34,9 @@
 from ibisjunction.peers.link import PeerNetwork, Received
 
 _TICK_MS: Final = 10
-#: Ticks of which one is posted while no request waits; it only ends tickets
-#: that were not returned.
-_IDLE_TICKS: Final = 10
+#: Interval while no request waits. A tick then only ends tickets that were not
+#: returned, and each wake-up costs a small VM processor time.
+_IDLE_TICK_MS: Final = 100
 
 
 class TicketTask:
@@ -61,6 +61,7 @@
         self._own = OwnTickets(
             vm, peers, dispatcher, self._dispatchers, self._decide
         )
+        self._has_waiting = asyncio.Event()
         self.mailbox: Mailbox[Any] = Mailbox()
         peers.subscribe(
             self.mailbox,
@@ -78,11 +79,24 @@
 
     async def run_timer(self) -> None:
         """Post ticks until cancelled; fewer while no request waits."""
-        for number in itertools.count():
-            await asyncio.sleep(in_seconds(_TICK_MS))
-            is_waiting = self._own.is_waiting or self._dispatcher.waiting_count
-            if is_waiting or not number % _IDLE_TICKS:
-                self.mailbox.post(Tick())
+        while True:
+            if self._is_waiting:
+                await asyncio.sleep(in_seconds(_TICK_MS))
+            else:
+                await self._wait_for_requests()
+            self.mailbox.post(Tick())
+
+    async def _wait_for_requests(self) -> None:
+        """Return once a request waits, or after the longer interval."""
+        self._has_waiting.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(in_seconds(_IDLE_TICK_MS)):
+                await self._has_waiting.wait()
+
+    @property
+    def _is_waiting(self) -> bool:
+        """Whether a request waits that time alone may decide."""
+        return self._own.is_waiting or self._dispatcher.waiting_count > 0
 
     def handle(self, message: Any) -> None:
         """Process one message."""
@@ -102,6 +116,8 @@
                 self._dispatchers.replace_vms(vms, capacities)
             case Tick():
                 self._handle_tick(now)
+        if self._is_waiting:
+            self._has_waiting.set()
 
     def _handle_received(self, sender: str, message: Any, now: int) -> None:
         match message:
--- a/src/ibisjunction/peers/delivery.py
+++ b/src/ibisjunction/peers/delivery.py
@@ -315,6 +315,11 @@
         self._unacknowledged_size = 0
         return self.received
 
+    @property
+    def is_ack_pending(self) -> bool:
+        """Whether an acknowledgement has to be sent now or later."""
+        return self._ack_due_ms is not None
+
     def is_ack_due(self, now: int) -> bool:
         """Return whether to send an acknowledgement without a message."""
         if self._unacknowledged_size >= _ACK_AFTER_BYTES:
--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -42,6 +42,8 @@
 #: :class:`OutboundLink` buffers each until it is acknowledged.
 _SEND_QUEUE_LENGTH: Final = 256
 _TIMER_INTERVAL_MS: Final = 50
+#: A message without a payload, whose number is not used.
+_ACKNOWLEDGEMENT: Final = NumberedMessage(0, b'')
 _MIN_RECONNECT_MS: Final = 50
 _MAX_RECONNECT_MS: Final = 200
 #: Interval at which the traffic is logged and reported.
@@ -111,6 +113,9 @@
         self._codec = codec
         self._authenticator = authenticator
         self._peers: dict[str, _Peer] = {}
+        # Links with something to resend or to acknowledge. Most links of a
+        # large deployment are idle most of the time.
+        self._active: set[str] = set()
         self._subscribers: dict[type, _Mailboxes] = {}
         self._budget = ByteBudget(MAX_IN_FLIGHT_BYTES)
         self._traffic = TrafficCounter()
@@ -143,6 +148,7 @@
         self._traffic.record_sent(kind, len(payload))
         now = self._clock.now()
         peer.outbound.append(payload, now, kind)
+        self._active.add(vm)
         self._transmit_sendable(vm, peer, now)
 
     @contextlib.asynccontextmanager
@@ -173,17 +179,23 @@
         while True:
             await asyncio.sleep(in_seconds(_TIMER_INTERVAL_MS))
             now = self._clock.now()
-            for vm, peer in self._peers.items():
-                # Most links of a large deployment are idle most of the time.
-                if not peer.outbound.is_empty:
-                    self._resend(vm, peer, now)
-                    # Messages may wait for other links to leave the budget.
-                    self._transmit_sendable(vm, peer, now)
-                self._acknowledge_if_due(vm, peer, now)
+            for vm in list(self._active):
+                self._check_link(vm, self._peers[vm], now)
             if now >= self._next_traffic_ms:
                 self._next_traffic_ms = now + _TRAFFIC_INTERVAL_MS
                 self._report_traffic()
 
+    def _check_link(self, vm: str, peer: _Peer, now: int) -> None:
+        """Resend and acknowledge what is due on a link."""
+        if not peer.outbound.is_empty:
+            self._resend(vm, peer, now)
+            # Messages may wait for other links to leave the budget.
+            self._transmit_sendable(vm, peer, now)
+        if peer.inbound.is_ack_due(now):
+            self._transmit(vm, peer, _ACKNOWLEDGEMENT)
+        if peer.outbound.is_empty and not peer.inbound.is_ack_pending:
+            self._active.discard(vm)
+
     def _report_traffic(self) -> None:
         """Log the traffic, and deliver it to the mailboxes subscribed to it."""
         links = [peer.outbound for peer in self._peers.values()]
@@ -207,11 +219,6 @@
         for numbered in peer.outbound.take_sendable(now):
             self._transmit(vm, peer, numbered)
 
-    def _acknowledge_if_due(self, vm: str, peer: _Peer, now: int) -> None:
-        if peer.inbound.is_ack_due(now):
-            # Without a payload, the number is not used.
-            self._transmit(vm, peer, NumberedMessage(0, b''))
-
     def _resend(self, vm: str, peer: _Peer, now: int) -> None:
         discarded = peer.outbound.discard_undeliverable(now)
         if discarded:
@@ -261,10 +268,12 @@
         if not envelope.payload:
             return None
         payload = envelope.payload
+        self._active.add(envelope.sender)
         is_next = peer.inbound.accept(
             envelope.sequence, envelope.oldest, now, len(payload)
         )
-        self._acknowledge_if_due(envelope.sender, peer, now)
+        if peer.inbound.is_ack_due(now):
+            self._transmit(envelope.sender, peer, _ACKNOWLEDGEMENT)
         if not is_next:
             return None
         return peer.inbound.add_part(
