Hand the vote of a stopped control VM to its successor

No control VM answered any more, a confirmed change could not be read back, all requests got 503.

Cause: a voter was replaced 6 s after its last answer, a fixed time, while the settings (CatchUpS) say when a replaced VM stops counting; a process that was stopped did not say so. Its vote still counted when two disks were lost, and two of five voters elect nobody.

Fix: a control process that is stopped asks the leader to be replaced, and exits once another replica votes in its place or none can. A silent voter is replaced after a third of CatchUpS. The successor is added, with all that was committed, before the other voter is removed, and both changes follow each other at once, so they end before the successor counts. A voter that was replaced while it was frozen gets no entries, so a voter without a leader now asks to join and forwards calls by recent hints.

--- a/src/ibisjunction/bench/soak/machines.py
+++ b/src/ibisjunction/bench/soak/machines.py
@@ -35,6 +35,7 @@
 DRAIN_MS: Final = 2000
 CHECK_IN_MS: Final = 1000
 _HOLD_MAX_MS: Final = 9000
+_CATCH_UP_MS: Final = 4000
 _GRACE_MS: Final = 6000
 _BUDGET_WINDOW_MS: Final = 10_000
 
@@ -61,6 +62,7 @@
         is_first_start=True,
         data_folder=None,
         check_in_ms=CHECK_IN_MS,
+        catch_up_ms=_CATCH_UP_MS,
         drain_ms=DRAIN_MS,
         hold_max_ms=_HOLD_MAX_MS,
         grace_ms=_GRACE_MS,
--- a/src/ibisjunction/coordination/log.py
+++ b/src/ibisjunction/coordination/log.py
@@ -51,6 +51,11 @@
     entries: tuple[Entry, ...]
     outcomes: dict[str, UpdateOutcome]
 
+    @property
+    def changes_voters(self) -> bool:
+        """Whether an entry changes the voters."""
+        return any(entry.voters is not None for entry in self.entries)
+
 
 class FleetLog:
     """Executes the effects of the consensus protocol.
@@ -110,6 +115,11 @@
         """The voters in force."""
         return self._consensus.replica_log.voters
 
+    @property
+    def committed_voters(self) -> Voters:
+        """The voters after the last committed change."""
+        return self.replica_log.voters_at(self._consensus.commit_index)
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica votes."""
--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -39,6 +39,31 @@
     vm: str
 
 
+@dataclass(frozen=True, slots=True)
+class AskToLeave:
+    """Sent by a voter that is to stop, until :class:`LeaveAnswered` arrives."""
+
+    node: str
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveAnswered:
+    """Tells a voter that it may stop.
+
+    Either another replica has taken its vote, or none can.
+    """
+
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareToStop:
+    """Posted inside a process that is to stop; answered once it may."""
+
+    reply: Mailbox[None]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Loads and speeds that an entry VM measured since its last report."""
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -27,13 +27,17 @@
 )
 from ibisjunction.coordination.forwarding import CallForwarder
 from ibisjunction.coordination.log import AppliedEntries, FleetLog
+from ibisjunction.coordination.membership import VoterMembership
 from ibisjunction.coordination.messages import (
     AskToJoin,
+    AskToLeave,
     CallAnswered,
     ForgetVm,
     ForwardedCall,
+    LeaveAnswered,
     LoadReport,
     LocalCall,
+    PrepareToStop,
     RelayedAnswer,
     RelayedHeartbeat,
     SeedsChanged,
@@ -42,10 +46,8 @@
 )
 from ibisjunction.coordination.metrics import LogMetrics
 from ibisjunction.coordination.timing import FleetTiming
-from ibisjunction.coordination.voters import Joiner, plan_voters
 from ibisjunction.events import Event, log_event
 from ibisjunction.fleet.codec import encode_fleet
-from ibisjunction.fleet.commands import ReplaceVoters
 from ibisjunction.fleet.report import ReadState, VmSummary, encode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat
@@ -56,16 +58,11 @@
 _logger = logging.getLogger(__name__)
 
 _TICK_MS: Final = 20
-#: Interval at which a replica that does not vote requests to become a voter,
-#: and at which the leader changes the voters if needed.
-_JOIN_INTERVAL_MS: Final = 300
-#: A joiner that has sent no request for this long is not made a voter.
-_JOINER_TIMEOUT_MS: Final = 1500
+#: A voter uses a hint of the leader for this long.
+_HINT_TIMEOUT_MS: Final = 1000
 #: Messages with new entries to all entry VMs in a second. It bounds the
 #: leader's processor time and traffic as VMs are added.
 MAX_UPDATES_PER_S: Final = 600
-#: A voter that has not answered for this long is replaced if possible.
-_VOTER_TIMEOUT_MS: Final = 6000
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,10 +120,16 @@
         self._leader_state: _LeaderState | None = None
         self._forwarding = CallForwarder(options.prefix)
         self._hinted_leader: str | None = None
-        # Joiners and the times of their latest requests, by VM.
-        self._joiners: dict[str, tuple[Joiner, int]] = {}
-        self._next_join_ms = now
-        self._voter_change_count = 0
+        self._hinted_ms = now
+        self._membership = VoterMembership(
+            options.vm,
+            options.prefix,
+            self.log,
+            peers,
+            options.election,
+            options.timing,
+            now,
+        )
         peers.subscribe(
             self.mailbox,
             ReplicaMessage,
@@ -135,6 +138,8 @@
             ForwardedCall,
             CallAnswered,
             AskToJoin,
+            AskToLeave,
+            LeaveAnswered,
             LeaderHint,
             ForgetVm,
             RelayedHeartbeat,
@@ -143,10 +148,19 @@
 
     @property
     def leader(self) -> str | None:
-        """The VM of the leader, or ``None`` if it is unknown."""
-        if self.log.is_voter:
-            return self.log.find_leader()
-        return self.log.find_leader() or self._hinted_leader
+        """The VM of the leader, or ``None`` if it is unknown.
+
+        A voter without a leader relies on recent hints only: in an election
+        there is none, but a voter that was replaced has no other source.
+        """
+        leader = self.log.find_leader()
+        is_hint_usable = (
+            not self.log.is_voter
+            or self._clock.now() < self._hinted_ms + _HINT_TIMEOUT_MS
+        )
+        if leader is None and is_hint_usable:
+            return self._hinted_leader
+        return leader
 
     async def run(self) -> None:
         """Handle messages until cancelled or until the storage fails."""
@@ -180,6 +194,8 @@
                 self._handle_applied(self.log.handle_event(message, now), now)
             case SeedsChanged(seeds=seeds):
                 self._seeds = seeds
+            case PrepareToStop(reply=reply):
+                self._membership.prepare_to_stop(reply, now)
             case PeerTraffic():
                 self._metrics.traffic = message
             case ReadMetrics(reply=reply):
@@ -209,18 +225,21 @@
         match message:
             case CallAnswered(call_id=call_id, answer=encoded):
                 self._forwarding.answer(call_id, decode_call(encoded))
-            case AskToJoin(node=node, vm=vm):
-                # A later process on the VM replaces the one before.
-                self._joiners[vm] = (Joiner(node, vm), now)
+            case AskToJoin():
+                self._membership.record_joiner(message, now)
                 self._send_hint(sender)
+            case LeaveAnswered():
+                self._membership.handle_answer(message)
             case LeaderHint(vm=vm):
                 self._hinted_leader = vm
+                self._hinted_ms = now
             case (
                 Heartbeat()
                 | RelayedHeartbeat()
                 | ForwardedCall()
                 | LoadReport()
                 | ForgetVm()
+                | AskToLeave()
             ):
                 leader_state = self._leader_state
                 if leader_state is None or not self.log.is_acting(now):
@@ -238,7 +257,8 @@
         | RelayedHeartbeat
         | ForwardedCall
         | LoadReport
-        | ForgetVm,
+        | ForgetVm
+        | AskToLeave,
         now: int,
     ) -> None:
         """Process a message to the leader."""
@@ -265,6 +285,9 @@
                 coordinator.record_loads(message.loads, message.speeds, now)
             case ForgetVm(vm=vm, incarnation=incarnation):
                 coordinator.leases.remove(vm, incarnation)
+            case AskToLeave():
+                change = self._membership.handle_leave_request(message, now)
+                self._propose(change, now)
 
     def _answer_heartbeat(
         self,
@@ -292,40 +315,19 @@
             self._execute_effects(leader_state, effects)
             _push_entries(leader_state, now)
         self._forward_calls(now)
-        if now < self._next_join_ms:
-            return
-        self._next_join_ms = now + _JOIN_INTERVAL_MS
-        if self._leader_state is not None:
-            self._change_voters(now)
-        elif not self.log.is_voter:
-            self._request_to_join()
-
-    def _request_to_join(self) -> None:
-        request = AskToJoin(self.log.node, self._options.vm)
-        voters = {voter.vm for voter in self.log.voters}
-        recipients = {*self._seeds, *voters, self._hinted_leader or ''}
-        for vm in recipients - {self._options.vm, ''}:
-            self._peers.send(vm, request)
-
-    def _change_voters(self, now: int) -> None:
-        joiners = [
-            joiner
-            for joiner, received_ms in self._joiners.values()
-            if now < received_ms + _JOINER_TIMEOUT_MS
-        ]
-        new_voters = plan_voters(
-            self.log.voters,
-            joiners,
-            self.log.find_unresponsive_replicas(now, _VOTER_TIMEOUT_MS),
-            self._options.timing.voter_count,
+        change = self._membership.handle_tick(
+            self.leader,
+            self._seeds,
+            now,
+            is_leading=self._leader_state is not None,
         )
-        if new_voters is not None:
-            self._voter_change_count += 1
-            number = self._voter_change_count
-            proposal_id = f'{self._options.prefix}.voters.{number}'
-            command = ReplaceVoters(new_voters)
-            why = 'a voter is silent, or a disk has joined'
-            applied = self.log.propose(proposal_id, command, now, why)
+        self._propose(change, now)
+
+    def _propose(self, proposal: Propose | None, now: int) -> None:
+        if proposal is not None:
+            applied = self.log.propose(
+                proposal.proposal_id, proposal.command, now, proposal.why
+            )
             self._handle_applied(applied, now)
 
     def _forward_calls(self, now: int) -> None:
@@ -335,13 +337,17 @@
             self._peers.send(leader or '', forwarded)
 
     def _send_hint(self, vm: str) -> None:
-        leader = self.leader
+        # Voters that pass hints on would renew each other's after the leader is
+        # lost.
+        leader = self.log.find_leader() if self.log.is_voter else self.leader
         if leader is not None and leader != self._options.vm:
             self._peers.send(vm, LeaderHint(leader, self.log.term))
 
     def _handle_applied(self, applied: list[AppliedEntries], now: int) -> None:
         """Process committed entries and a change of leadership."""
         leader_state = self._leader_state
+        if any(batch.changes_voters for batch in applied):
+            self._membership.record_change(now)
         if leader_state is not None:
             for batch in applied:
                 leader_state.subscribers.add_entries(
@@ -402,10 +408,8 @@
     ) -> None:
         for effect in effects:
             match effect:
-                case Propose(proposal_id=proposal_id, command=command, why=why):
-                    now = self._clock.now()
-                    applied = self.log.propose(proposal_id, command, now, why)
-                    self._handle_applied(applied, now)
+                case Propose():
+                    self._propose(effect, self._clock.now())
                 case Reply(call_id=call_id, answer=answer):
                     _log_confirmation(effect)
                     sender = leader_state.call_senders.pop(call_id, '')
--- a/src/ibisjunction/coordination/timing.py
+++ b/src/ibisjunction/coordination/timing.py
@@ -7,6 +7,8 @@
 #: The clock with which an upstream measures a hold may run slow by at most this
 #: part of the measured time.
 _UPSTREAM_CLOCK_ERROR: Final = 0.02
+#: A silent voter is replaced after this part of the time to catch up.
+_CATCH_UP_PARTS: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,14 +19,16 @@
     ``lease_ms`` is how long an entry VM may send requests without a renewal by
     the leader. ``drain_ms`` is the time within which a confirmed departure must
     have stopped all requests to the upstream. ``check_in_ms`` is the interval
-    of check-ins. ``tolerated_losses`` is the number of control VMs that may
-    lose their disks at once.
+    of check-ins. ``catch_up_ms`` is the time after its start from which a
+    control VM no longer counts as lost. ``tolerated_losses`` is the number of
+    control VMs that may lose their disks at once.
     """
 
     hold_ms: int
     lease_ms: int
     drain_ms: int
     check_in_ms: int
+    catch_up_ms: int
     clock_error: float
     tolerated_losses: int
 
@@ -33,6 +37,16 @@
         """Longest duration of a hold on the leader's clock."""
         return math.ceil(self.hold_ms * (1 + _UPSTREAM_CLOCK_ERROR))
 
+    @property
+    def voter_timeout_ms(self) -> int:
+        """Silence after which a voter is replaced by a waiting replica.
+
+        The rest of ``catch_up_ms`` is left for an election and for both changes
+        of the voters, so that the replacement ends before the successor counts
+        and further disks may be lost.
+        """
+        return self.catch_up_ms // _CATCH_UP_PARTS
+
     @property
     def voter_count(self) -> int:
         """Number of voters whose majority survives the tolerated losses."""
--- a/src/ibisjunction/nodes/control.py
+++ b/src/ibisjunction/nodes/control.py
@@ -6,10 +6,11 @@
 import random
 import shutil
 from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
-from ibisjunction.clock import SystemClock
+from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.control.frames import FolderInUseError, StorageError
 from ibisjunction.control.protocol import Voters
 from ibisjunction.control.records import VoterRecord
@@ -21,9 +22,10 @@
     open_log,
 )
 from ibisjunction.control.task import OpenedLog
+from ibisjunction.coordination.messages import PrepareToStop
 from ibisjunction.coordination.task import FleetTask, ReplicaOptions
 from ibisjunction.events import Event, log_event
-from ibisjunction.mailbox import run_task
+from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.nodes.links import make_peers, read_incarnation
 from ibisjunction.nodes.settings import NodeSettings
 
@@ -33,13 +35,39 @@
 #: Random bits in the prefix of proposal ids. They keep the ids unique if the
 #: wall clock was set back and a start gets the incarnation of an earlier start.
 _RANDOM_BITS: Final = 32
+#: Part of the grace period in which a process that is stopped waits until
+#: another replica votes in its place.
+_LEAVE_PART: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ControlNode:
+    """A running control process."""
+
+    settings: NodeSettings
+    mailbox: Mailbox[Any]
+
+    async def leave(self) -> None:
+        """Give up the vote of this replica if another one can take its place.
+
+        A process that is stopped may never come back. Without this its vote
+        would still count until the leader notices its silence, and fewer of the
+        other disks could be lost meanwhile.
+        """
+        log_event(_logger, Event.DAEMON_DRAINING, vm=self.settings.vm)
+        reply: Mailbox[None] = Mailbox()
+        self.mailbox.post(PrepareToStop(reply))
+        wait_ms = round(self.settings.grace_ms * _LEAVE_PART)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(in_seconds(wait_ms)):
+                await reply.get()
 
 
 @contextlib.asynccontextmanager
 async def run_control(
     settings: NodeSettings,
     failed: asyncio.Event,
-) -> AsyncIterator[FleetTask]:
+) -> AsyncIterator[ControlNode]:
     """Run a replica for the duration of the block.
 
     ``failed`` is set when one of its tasks ends with an error.
@@ -71,7 +99,7 @@
             vm=settings.vm,
             replica=opened.node,
         )
-        yield task
+        yield ControlNode(settings, task.mailbox)
         log_event(_logger, Event.DAEMON_STOPPED, vm=settings.vm)
 
 
--- a/src/ibisjunction/nodes/links.py
+++ b/src/ibisjunction/nodes/links.py
@@ -12,9 +12,11 @@
 )
 from ibisjunction.coordination.messages import (
     AskToJoin,
+    AskToLeave,
     CallAnswered,
     ForgetVm,
     ForwardedCall,
+    LeaveAnswered,
     LoadReport,
     RelayedAnswer,
     RelayedHeartbeat,
@@ -44,6 +46,8 @@
     | RelayedHeartbeat
     | RelayedAnswer
     | AskToJoin
+    | AskToLeave
+    | LeaveAnswered
 )
 _CallMessage = ForwardedCall | CallAnswered | LoadReport | ForgetVm
 _TicketMessage = (
--- a/src/ibisjunction/nodes/settings.py
+++ b/src/ibisjunction/nodes/settings.py
@@ -43,7 +43,8 @@
 
     Upstreams check in every ``check_in_ms`` and hold their keys for at most
     ``hold_max_ms`` after that. Requests to an upstream have to stop within
-    ``drain_ms`` of its confirmed departure. The process has to exit within
+    ``drain_ms`` of its confirmed departure. A control VM counts as lost until
+    ``catch_up_ms`` after its start. The process has to exit within
     ``grace_ms`` of the signal to stop. ``tolerated_losses`` is the number of
     control VMs that may lose their disks at once. ``capacity`` compares entry
     VMs: one with twice the capacity decides on twice as many requests.
@@ -57,6 +58,7 @@
     is_first_start: bool
     data_folder: Path | None
     check_in_ms: int
+    catch_up_ms: int
     drain_ms: int
     hold_max_ms: int
     grace_ms: int
@@ -74,6 +76,7 @@
             lease_ms=max(LEASE_MS, self.drain_ms),
             drain_ms=self.drain_ms,
             check_in_ms=self.check_in_ms,
+            catch_up_ms=self.catch_up_ms,
             clock_error=CLOCK_ERROR,
             tolerated_losses=self.tolerated_losses,
         )
--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -72,18 +72,20 @@
     failed = asyncio.Event()
     stop, reload = _catch_signals(failed)
     address = parse_address(settings.control_address)
-    async with run_control(settings.node, failed) as task:
+    async with run_control(settings.node, failed) as node:
         control_server = HTTPServer(
-            make_control_app(task.mailbox, address.port)
+            make_control_app(node.mailbox, address.port)
         )
         control_server.listen(address.port, address.host)
         metrics_server = HTTPServer(
-            make_metrics_app(task.mailbox, task.mailbox)
+            make_metrics_app(node.mailbox, node.mailbox)
         )
         metrics_server.listen(CONTROL_METRICS_PORT, address.host)
-        seed_watcher = watch_seeds(settings, reload, task.mailbox)
+        seed_watcher = watch_seeds(settings, reload, node.mailbox)
         async with run_task(seed_watcher, 'settings', failed):
             await stop.wait()
+        if not failed.is_set():
+            await node.leave()
         control_server.stop()
     return failed.is_set()
 
--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -130,6 +130,7 @@
         is_first_start=model.process.bootstrap,
         data_folder=Path(data_dir) if data_dir else None,
         check_in_ms=max(1, _seconds_to_ms(model.platform.heartbeat_interval_s)),
+        catch_up_ms=_seconds_to_ms(bounds.catch_up_s),
         drain_ms=_seconds_to_ms(bounds.drain_period_s),
         hold_max_ms=_seconds_to_ms(bounds.max_hold_s),
         grace_ms=_seconds_to_ms(bounds.grace_period_s),
--- a/src/ibisjunction/platform/settings_file.py
+++ b/src/ibisjunction/platform/settings_file.py
@@ -68,6 +68,8 @@
 
 
 class _Bounds(_Model, frozen=True):
+    #: Time until a machine that is back, or new, no longer counts as lost.
+    catch_up_s: _Bound = 4
     drain_period_s: _Bound = 2
     grace_period_s: _Bound = 6
     max_hold_s: _Bound = 10
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -48,6 +48,7 @@
     lease_ms=5000,
     drain_ms=2000,
     check_in_ms=1000,
+    catch_up_ms=4000,
     clock_error=0.02,
     tolerated_losses=2,
 )
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -57,6 +57,7 @@
         self.assertEqual(settings.node.vm, Address('10.1.0.34', 7540))
         self.assertEqual(settings.node.seeds[1], Address('10.2.0.36', 7540))
         self.assertEqual(settings.node.check_in_ms, 870)
+        self.assertEqual(settings.node.catch_up_ms, 4000)
         self.assertEqual(settings.node.tolerated_losses, 2)
         self.assertTrue(settings.node.is_first_start)
 
