Do not use a ticket of a killed process for another request

Cause: ticket requests were numbered from 1 at each start, but dispatchers and links still hold requests and grants of the process before. A request with a number in use counted as a repeat, and a grant was accepted by its number and sender alone.

Fix: each process numbers from a random start of 62 bits, so no number has two meanings, and a grant for an upstream of another service is returned unused and asked for again.

--- a/src/ibisjunction/entry/messages.py
+++ b/src/ibisjunction/entry/messages.py
@@ -12,9 +12,10 @@
 class TicketAsk:
     """Requests permission from a dispatcher to send a request.
 
-    ``number`` is unique for the sender. Times are in milliseconds from now.
-    ``avoided`` are the processes of upstreams that did not accept an earlier
-    attempt of the request, or gave no usable answer to it.
+    ``number`` is unique among all processes of the sender. Times are in
+    milliseconds from now. ``avoided`` are the processes of upstreams that did
+    not accept an earlier attempt of the request, or gave no usable answer to
+    it.
     """
 
     number: int
--- a/src/ibisjunction/entry/own_tickets.py
+++ b/src/ibisjunction/entry/own_tickets.py
@@ -18,6 +18,7 @@
     decode_decision,
     encode_request,
     find_unkept_limit,
+    is_for_service,
 )
 from ibisjunction.entry.ticket_request import TicketRequest
 from ibisjunction.events import Event, log_event
@@ -148,7 +149,8 @@
     ) -> None:
         """Deliver the decision of another VM to its request.
 
-        A grant that is not needed any more is returned unused.
+        A grant that is not needed any more is returned unused, and so is one
+        for an upstream of another service, to which the request must not go.
         """
         pending = self._pending.get(message.number)
         if pending is None or pending.dispatcher_vm != sender:
@@ -158,7 +160,7 @@
         self._record_answer(pending, now)
         decision = decode_decision(message, self._dispatcher.view)
         limit = find_unkept_limit(message, decision, self._dispatcher)
-        if limit is None:
+        if limit is None and is_for_service(decision, pending.request.service):
             self.deliver(sender, message.number, decision, now)
         else:
             self._return_unused(sender, message.number, limit)
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -1,6 +1,7 @@
 """Routes requests on an entry VM, and measures loads and latencies."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -31,15 +32,22 @@
 #: A request times out this long before its deadline: the caller counts the
 #: deadline from when it sent the request, and the answer takes time to arrive.
 _ANSWER_MARGIN_MS: Final = 40
+#: Random bits in the number of the first ticket request. Numbers must fit into
+#: 64 bits on the wire.
+_NUMBER_BITS: Final = 62
 
 
 class RequestProcessor:
     """Routes and serves requests, and measures loads and latencies."""
 
-    def __init__(self, components: EntryComponents) -> None:
-        """Start without a view of the fleet; no request is accepted yet."""
+    def __init__(self, components: EntryComponents, rng: random.Random) -> None:
+        """Start without a view of the fleet; no request is accepted yet.
+
+        Other VMs may still know ticket requests of an earlier process of this
+        VM, so each process numbers its own from a random start.
+        """
         self._components = components
-        self._last_number = 0
+        self._last_number = rng.getrandbits(_NUMBER_BITS)
         self._loads: dict[str, dict[int, int]] = {}
         self._latencies: dict[ProcessKey, list[int]] = {}
         self._limits: dict[ProcessKey, float | None] = {}
--- a/src/ibisjunction/entry/ticket_messages.py
+++ b/src/ibisjunction/entry/ticket_messages.py
@@ -71,6 +71,15 @@
             return Grant(upstream) if upstream else Refuse(Reason.NO_UPSTREAM)
 
 
+def is_for_service(decision: Grant | Refuse, service: str) -> bool:
+    """Return whether a decision sends no request to another service."""
+    match decision:
+        case Grant(upstream=upstream):
+            return upstream.service == service
+        case Refuse():
+            return True
+
+
 def find_unkept_limit(
     message: TicketGranted | TicketRefused,
     decision: Grant | Refuse,
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -110,7 +110,7 @@
     components = _make_components(
         settings, header_names, incarnation, tickets.mailbox
     )
-    processor = RequestProcessor(components)
+    processor = RequestProcessor(components, random.Random())
     membership = EntryMembership(
         str(settings.vm),
         incarnation,
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -192,7 +192,7 @@
             ConnectionPool(self.clock),
             UpstreamNotices(LEAVE_MS),
         )
-        self.processor = RequestProcessor(self.components)
+        self.processor = RequestProcessor(self.components, random.Random(1))
         self.tickets.handle(DispatchersChanged(('e1',)))
         self.processor.update_view(make_view(addresses, is_sharded=is_sharded))
         self._count = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,9 @@
 FAULTS_MS = 10_000
 #: Seeds with which both replaced functions of ``test_finds_mistake`` caused
 #: violations, with this form of the messages between VMs or an earlier one.
-#: Names of new disks differ from run to run, so the run of a seed may not repeat
-#: exactly; that test tries the seeds in turn.
-SEEDS = (14, 17, 40, 47, 53)
+#: Names of new disks differ from run to run, so the run of a seed may not
+#: repeat exactly; that test tries the seeds in turn.
+SEEDS = (14, 17, 27, 40, 47, 53)
 
 
 class SoakTest(unittest.TestCase):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -44,6 +44,8 @@
     Upstream('u1', 1, 'reads', '10.0.0.1:80', 'a', 1),
     Upstream('u2', 1, 'reads', '10.0.0.2:80', 'b', 1),
 )
+#: ``e2`` decides on the requests for it, as on those for the others.
+OTHER_UPSTREAM = Upstream('u3', 1, 'files', '10.0.0.3:80', 'a', 1)
 _SERVICE = Item(
     ItemType.SERVICE,
     'reads',
@@ -371,6 +373,7 @@
         self.clock = ManualClock(1000)
         self.network = _Network()
         vms = ('e1', 'e2', 'e3')
+        self.view = make_view(AdmitUpstream(OTHER_UPSTREAM))
         for vm in vms:
             task = TicketTask(
                 vm,
@@ -379,15 +382,16 @@
                 Dispatcher(random.Random(1)),
             )
             self.network.tasks[vm] = task
-            task.handle(make_view())
+            task.handle(self.view)
             task.handle(DispatchersChanged(vms))
 
-    def request_ticket(self, vm, number):
+    def request_ticket(self, vm, number, service='reads'):
         """Request a ticket on a VM; return the mailbox for the decision."""
         reply = Mailbox()
         request = make_request(
             number,
             vm=vm,
+            service=service,
             requested_ms=self.clock.now(),
             target_ms=self.clock.now() + 500,
             give_up_ms=self.clock.now() + 1000,
@@ -446,6 +450,32 @@
         reply = self.request_ticket('e3', 1)
         self.assertFalse(reply.is_empty)
 
+    def restart(self, vm):
+        """Replace the process of a VM; messages to it are still delivered."""
+        task = TicketTask(
+            vm, self.clock, self.network.link(vm), Dispatcher(random.Random(2))
+        )
+        self.network.tasks[vm] = task
+        task.handle(self.view)
+        task.handle(DispatchersChanged(('e1', 'e2', 'e3')))
+
+    @parameterized.expand([('e1',), ('e3',)])
+    def test_grant_of_an_earlier_process(self, vm):
+        """Guards against a request that a foreign service runs.
+
+        Review, case 2: an entry process was killed twice. Grants to the earlier
+        process were taken for those of new requests with the same numbers.
+        """
+        self.network.is_held = True
+        self.request_ticket(vm, 1)
+        self.restart(vm)
+        reply = self.request_ticket(vm, 1, service='files')
+        for _ in range(20):
+            self.network.release()
+            self.tick(10)
+        services = [one.upstream.service for one in reply.take_queued()]
+        self.assertEqual(services, ['files'])
+
     @parameterized.expand([('e1',), ('e2',), ('e3',)])
     def test_slow_link_to_the_dispatcher(self, requester):
         """Guards against VMs that decide past a dispatcher on a slow link.
