Refuse what waits as the last upstream of a service leaves

Cause: requests that wait are queued again under the name of the service, which has no upstreams, and Candidates took the minimum of no service times. The error ended the task of the tickets, and so the process. Only new requests were checked for a service without upstreams.

Fix: without upstreams, service times are infinite and no request is expected to end in time. The requests are refused (503) by the decision that follows each update of the view.

--- a/src/ibisjunction/entry/candidates.py
+++ b/src/ibisjunction/entry/candidates.py
@@ -1,5 +1,6 @@
 """The upstreams that may serve the requests of one queue."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,7 +11,11 @@
 
 @dataclass(slots=True)
 class Candidates:
-    """Upstreams with their health, in the same order; times are in ms."""
+    """Upstreams with their health, in the same order; times are in ms.
+
+    There may be none, as after the last upstream of a service has left. No
+    request ends in time then.
+    """
 
     upstreams: list[Upstream]
     healths: list[UpstreamHealth]
@@ -18,12 +23,17 @@
     @property
     def service_ms(self) -> float:
         """The usual service time of the fastest one."""
-        return min(health.service_ms for health in self.healths)
+        return min(
+            (health.service_ms for health in self.healths), default=math.inf
+        )
 
     @property
     def conservative_service_ms(self) -> float:
         """The shortest service time that most requests do not exceed."""
-        return min(health.conservative_service_ms for health in self.healths)
+        return min(
+            (health.conservative_service_ms for health in self.healths),
+            default=math.inf,
+        )
 
     @property
     def service_rate(self) -> float:
--- a/src/ibisjunction/entry/dispatch.py
+++ b/src/ibisjunction/entry/dispatch.py
@@ -366,6 +366,8 @@
 
     :param ahead: the number of requests served before this one.
     """
+    if not candidates.upstreams:
+        return True
     wait_ms = (ahead + 1) / candidates.service_rate
     expected_ms = wait_ms + candidates.service_ms
     return expected_ms > (request.give_up_ms - now) * _MAX_DURATION_FRACTION
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -8,6 +8,7 @@
 from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
 from ibisjunction.clock import ManualClock
 from ibisjunction.control.effects import Tick
+from ibisjunction.entry.candidates import Candidates
 from ibisjunction.entry.dispatch import (
     Dispatcher,
     Grant,
@@ -103,6 +104,48 @@
         self.assertEqual(granted, {'u1', 'u2'})
         self.assertEqual(dispatcher.submit(make_request(3), 0), Wait())
 
+    @parameterized.expand(
+        [
+            ('one leaves after the other', ('u1', 'u2'), 0),
+            ('both leave at once', ('u1 u2',), 0),
+            ('late requests wait', ('u1 u2',), 400),
+            ('requests are about to time out', ('u1 u2',), 999),
+        ]
+    )
+    def test_last_upstream_leaves(self, _name, leaving, now):
+        """Guards against an entry process that ends as a service empties.
+
+        Review, case 3: the last upstream of a service left while requests
+        waited, and a minimum of no service times ended the process.
+        """
+        dispatcher = make_dispatcher()
+        for number in range(6):
+            dispatcher.submit(make_request(number), 0)
+        left = []
+        for names in leaving:
+            left += names.split()
+            commands = [MarkDraining(name, 1) for name in left]
+            dispatcher.update_view(make_view(*commands), now)
+        decided = dispatcher.decide_waiting(now)
+        self.assertEqual(
+            {
+                (request.number, decision.reason)
+                for request, decision in decided
+            },
+            {(number, Reason.NO_UPSTREAM) for number in range(2, 6)},
+        )
+        self.assertEqual(dispatcher.waiting_count, 0)
+        decision = dispatcher.submit(make_request(7), now)
+        self.assertEqual(decision, Refuse(Reason.NO_UPSTREAM))
+
+    def test_no_candidates(self):
+        """Guards against an error in a choice among no upstreams."""
+        candidates = Candidates([], [])
+        self.assertTrue(candidates.is_late(make_request(1), 0))
+        self.assertEqual(candidates.service_rate, 0)
+        self.assertFalse(candidates.has_room(0))
+        self.assertFalse(candidates.is_held_back(0))
+
     def test_local_upstream_first(self):
         """Guards against needless traffic between failure domains."""
         dispatcher = make_dispatcher()
