Refuse a request that has crashed several upstreams

Cause: entry VMs kept no record of what an upstream ran when it was lost. Each attempt was a first one, at each VM.

Fix: an entry VM reports a run whose connection was closed before the answer, if its upstream then refuses connections. The leader counts the processes by a hash of method, host, path and body; after three, two of which ran the request one after the other, it commits BlockRequest, which reaches each VM as part of the state: VMs that start later, too. The request gets 503 before it is sent, so it is true that it has not run, for 10 minutes. A request that was answered since its last crash is excused, and upstreams that crash together count as one in the series, so that a popular request is not refused beside crashes of another cause.

--- a/src/ibisjunction/bench/soak/machines.py
+++ b/src/ibisjunction/bench/soak/machines.py
@@ -16,6 +16,7 @@
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.task import FleetTask, ReplicaOptions
 from ibisjunction.entry.budget import BudgetTerms
+from ibisjunction.entry.crashes import CrashSuspects
 from ibisjunction.entry.membership import EntryMembership
 from ibisjunction.entry.view import FleetView
 from ibisjunction.fleet.model import FleetState
@@ -177,6 +178,7 @@
             lease=self.lease,
             budget=SimpleNamespace(vms=1),
             tickets=Mailbox(),
+            suspects=CrashSuspects(),
         )
         self._membership = EntryMembership(
             self.name,
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -24,6 +24,7 @@
     ReadItems,
     Unavailable,
 )
+from ibisjunction.coordination.crashes import CrashCounter, CrashReport
 from ibisjunction.coordination.keys import KeyPlanner
 from ibisjunction.coordination.liveness import Liveness
 from ibisjunction.coordination.loads import KeyLoad, LoadTracker
@@ -37,6 +38,8 @@
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AdmitUpstream,
+    AllowRequests,
+    BlockRequest,
     FleetCommand,
     ForgetUpstream,
     MarkDraining,
@@ -137,6 +140,7 @@
         self._liveness = Liveness(now, timing.hold_limit_ms)
         self._load_tracker = LoadTracker()
         self._keys = KeyPlanner(timing, self._liveness, self._load_tracker)
+        self._crashes = CrashCounter(state.blocked, now)
         self._proposal_count = 0
         self._calls_in_progress: dict[str, _CallInProgress] = {}
         self._recent_changes: dict[str, CommittedChange] = {}
@@ -208,6 +212,21 @@
         for speed in speeds:
             self._load_tracker.speeds.record(speed, now)
 
+    def record_crashes(
+        self, reports: Iterable[CrashReport], now: int
+    ) -> list[Effect]:
+        """Record crashes of upstreams; block requests that cause them."""
+        return [
+            self._propose(
+                PlannedCommand(
+                    BlockRequest(report.fingerprint),
+                    f'it has crashed upstreams, the last was {report.upstream}',
+                )
+            )
+            for report in reports
+            if self._crashes.record(report, now)
+        ]
+
     def handle_tick(self, now: int) -> list[Effect]:
         """Answer calls that became ready, and do the periodic work."""
         effects = self.answer_ready_calls(now)
@@ -288,22 +307,14 @@
             answer = self._find_answer(call_state, now)
             if answer is not None:
                 self._calls_in_progress.pop(call_id)
-                wait = self._describe_wait(call_state, now)
+                change = self._find_required_change(call_state)
+                wait = None
+                if change is not None:
+                    behind = list_behind(change, self.leases, now)
+                    wait = _describe_wait(call_state, behind, now)
                 replies.append(Reply(call_id, answer, wait))
         return replies
 
-    def _describe_wait(
-        self, call_state: _CallInProgress, now: int
-    ) -> ConfirmationWait | None:
-        change = self._find_required_change(call_state)
-        if change is None:
-            return None
-        return ConfirmationWait(
-            type(call_state.call).__name__,
-            now - call_state.started_ms,
-            tuple(list_behind(change, self.leases, now)),
-        )
-
     def _find_answer(
         self, call_state: _CallInProgress, now: int
     ) -> CallAnswer | None:
@@ -394,6 +405,9 @@
         )
 
     def _plan_periodic(self, now: int) -> Iterator[PlannedCommand]:
+        allowed = tuple(self._crashes.expire(now))
+        if allowed:
+            yield PlannedCommand(AllowRequests(allowed), 'blocked for long')
         for item in self.state.catalogue.list_items(ItemType.SERVICE):
             if item.service is not None and item.service.is_sharded:
                 yield from self._keys.plan_periodic(
@@ -407,6 +421,16 @@
                 yield PlannedCommand(command, 'silent for long')
 
 
+def _describe_wait(
+    call_state: _CallInProgress, behind: Iterable[str], now: int
+) -> ConfirmationWait:
+    return ConfirmationWait(
+        type(call_state.call).__name__,
+        now - call_state.started_ms,
+        tuple(behind),
+    )
+
+
 def _find_same_proposals(
     call_state: _CallInProgress, others: Iterable[_CallInProgress]
 ) -> set[str]:
--- a/src/ibisjunction/coordination/messages.py
+++ b/src/ibisjunction/coordination/messages.py
@@ -6,6 +6,7 @@
 from ibisjunction.compression import CompressionError, compress, decompress
 from ibisjunction.control.messages import CommittedEntries, StateSnapshot
 from ibisjunction.coordination.calls import Call, CallAnswer
+from ibisjunction.coordination.crashes import CrashReport
 from ibisjunction.coordination.loads import KeyLoad
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.mailbox import Mailbox
@@ -66,10 +67,20 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Loads and speeds that an entry VM measured since its last report."""
+    """What an entry VM measured since its last report.
+
+    ``crashes`` are those of upstreams that ran a request of the VM; each is
+    reported several times.
+    """
 
     loads: tuple[KeyLoad, ...]
     speeds: tuple[UpstreamSpeed, ...]
+    crashes: tuple[CrashReport, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to report."""
+        return not (self.loads or self.speeds or self.crashes)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -271,7 +271,7 @@
                     leader_state, self.log, heartbeat, now
                 )
                 self._peers.send(sender, answer)
-                coordinator.record_loads(report.loads, report.speeds, now)
+                self._handle_report(leader_state, report, now)
                 self._execute_effects(
                     leader_state, coordinator.answer_ready_calls(now)
                 )
@@ -282,13 +282,21 @@
                     effects = coordinator.handle_call(call_id, call, now)
                     self._execute_effects(leader_state, effects)
             case LoadReport():
-                coordinator.record_loads(message.loads, message.speeds, now)
+                self._handle_report(leader_state, message, now)
             case ForgetVm(vm=vm, incarnation=incarnation):
                 coordinator.leases.remove(vm, incarnation)
             case AskToLeave():
                 change = self._membership.handle_leave_request(message, now)
                 self._propose(change, now)
 
+    def _handle_report(
+        self, leader_state: _LeaderState, report: LoadReport, now: int
+    ) -> None:
+        coordinator = leader_state.coordinator
+        coordinator.record_loads(report.loads, report.speeds, now)
+        effects = coordinator.record_crashes(report.crashes, now)
+        self._execute_effects(leader_state, effects)
+
     def _answer_heartbeat(
         self,
         leader_state: _LeaderState,
--- a/src/ibisjunction/entry/attempt_loop.py
+++ b/src/ibisjunction/entry/attempt_loop.py
@@ -9,6 +9,7 @@
     Declined,
     Lost,
     Progress,
+    Ran,
     Unsent,
     classify,
     health_result_of,
@@ -17,11 +18,13 @@
     verdict_of,
 )
 from ibisjunction.entry.components import EntryComponents
+from ibisjunction.entry.crashes import LostRun, make_fingerprint
 from ibisjunction.entry.dispatch import Grant, Refuse
 from ibisjunction.entry.exchange import (
     ExchangeResult,
     NoAnswer,
     NotSent,
+    UpstreamAnswer,
     UpstreamConnection,
 )
 from ibisjunction.entry.health import HealthReport, HealthResult
@@ -49,6 +52,9 @@
 #: Retry time given to callers after a timeout of a request that has not
 #: run.
 _RETRY_AFTER_MS: Final = 500
+#: Retry time given to callers whose request crashes upstreams.
+_BLOCKED_RETRY_AFTER_MS: Final = 60_000
+_REFUSED_FOR_CRASHES: Final = Refuse(Reason.CRASHES, _BLOCKED_RETRY_AFTER_MS)
 #: A request with less time left than this is not sent.
 _MIN_REMAINING_MS: Final = 20
 #: Delay before a retry to the only upstream that may serve the request; it is
@@ -104,15 +110,14 @@
         self._is_in_flight = False
         self._report = HealthReport(HealthResult.UNUSED)
         self._limit_per_s: float | None = None
+        self._fingerprint = make_fingerprint(routed.request)
+        self._ticket_number = 0
 
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
         while True:
-            if not self._processor.may_send(self._components.clock.now()):
-                return self._make_refusal_outcome(REFUSED_BY_SHUTDOWN)
-            pause_ms = self._find_pause_ms()
-            if pause_ms:
-                refusal = Refuse(Reason.NOT_ACCEPTED, pause_ms)
+            refusal = self._find_refusal()
+            if refusal is not None:
                 return self._make_refusal_outcome(refusal)
             result = await self._attempt()
             if isinstance(result, Refuse):
@@ -124,6 +129,25 @@
                     in_seconds(_SAME_UPSTREAM_DELAY_MS * self._failed_attempts),
                 )
 
+    def _find_refusal(self) -> Refuse | None:
+        """Return why the request must not be sent now, if it must not."""
+        if not self._processor.may_send(self._components.clock.now()):
+            return REFUSED_BY_SHUTDOWN
+        if self._is_blocked:
+            return _REFUSED_FOR_CRASHES
+        pause_ms = self._find_pause_ms()
+        return Refuse(Reason.NOT_ACCEPTED, pause_ms) if pause_ms else None
+
+    @property
+    def _is_blocked(self) -> bool:
+        """Whether equal requests have crashed upstreams of late."""
+        view = self._processor.view
+        return (
+            view is not None
+            and self._fingerprint in view.blocked
+            and self._components.suspects.is_suspect(self._fingerprint)
+        )
+
     def _find_pause_ms(self) -> int:
         """Return how long the only upstream for the request wants nothing."""
         view = self._processor.view
@@ -153,6 +177,7 @@
         )
         reply: Mailbox[Grant | Refuse] = Mailbox()
         self._report = HealthReport(HealthResult.UNUSED)
+        self._ticket_number = ticket_request.number
         self._components.tickets.post(LocalTicketRequest(ticket_request, reply))
         self._processor.waiting.add(reply)
         try:
@@ -230,6 +255,7 @@
 
     async def _send(self, upstream: Upstream) -> AttemptResult:
         address = parse_address(upstream.address)
+        started_ms = self._components.clock.now()
         result = await self._exchange(upstream, address)
         notice = read_notice(result, self._components.names)
         self._limit_per_s = notice.limit_per_s
@@ -237,6 +263,7 @@
             upstream, notice, self._components.clock.now()
         )
         attempt_result = classify(result, self._components.names)
+        self._record_run(upstream, result, attempt_result, started_ms)
         if isinstance(attempt_result, Declined | Unsent | Lost):
             self._failed_attempts += 1
             self._avoided |= {upstream.process_key}
@@ -251,6 +278,31 @@
         )
         return attempt_result
 
+    def _record_run(
+        self,
+        upstream: Upstream,
+        result: ExchangeResult,
+        attempt_result: AttemptResult,
+        started_ms: int,
+    ) -> None:
+        """Record whether the upstream may have crashed, or has answered."""
+        now = self._components.clock.now()
+        suspects = self._components.suspects
+        match result:
+            case NoAnswer(is_closed=True):
+                lost = LostRun(
+                    self._ticket_number,
+                    self._fingerprint,
+                    upstream,
+                    started_ms,
+                    now,
+                )
+                self._components.crashes.post(lost)
+            case UpstreamAnswer():
+                suspects.record_answer(upstream, now)
+                if isinstance(attempt_result, Ran):
+                    suspects.record_run(self._fingerprint)
+
     async def _exchange(
         self,
         upstream: Upstream,
@@ -290,6 +342,8 @@
         give_up_ms = self._processor.find_give_up_ms(self._routed)
         if now + _MIN_REMAINING_MS >= give_up_ms:
             return NotSent('too little time is left')
+        if self._is_blocked:
+            return NotSent('equal requests have crashed upstreams')
         if not self._processor.may_send(now):
             return NotSent('this VM is shutting down')
         return None
--- a/src/ibisjunction/entry/components.py
+++ b/src/ibisjunction/entry/components.py
@@ -6,6 +6,7 @@
 from ibisjunction.catalogue.routes import Splitter
 from ibisjunction.clock import Clock
 from ibisjunction.entry.budget import RetryBudget
+from ibisjunction.entry.crashes import CrashSuspects, LostRun
 from ibisjunction.entry.model import HeaderNames
 from ibisjunction.entry.notices import UpstreamNotices
 from ibisjunction.entry.pool import ConnectionPool
@@ -27,3 +28,5 @@
     budget: RetryBudget
     pool: ConnectionPool
     notices: UpstreamNotices
+    suspects: CrashSuspects
+    crashes: Mailbox[LostRun]
--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -87,9 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """The request was sent, at least in part, without a complete answer."""
+    """The request was sent, at least in part, without a complete answer.
+
+    ``is_closed`` is set if the upstream closed the connection.
+    """
 
     detail: str
+    is_closed: bool = False
 
 
 ExchangeResult = UpstreamAnswer | NotSent | NoAnswer
@@ -168,7 +172,10 @@
         except (OSError, StreamClosedError, RecursionError) as error:
             # Tornado calls itself for each interim answer, so that an endless
             # series of them ends in a recursion error.
-            return NoAnswer(f'{type(error).__name__}: {error}')
+            return NoAnswer(
+                f'{type(error).__name__}: {error}',
+                is_closed=not isinstance(error, RecursionError),
+            )
         finally:
             stream.release_received()
             if not stream.is_clean:
@@ -203,8 +210,12 @@
             receiver = _AnswerReceiver()
             await connection.read_response(receiver)
             if not receiver.is_complete(stream):
+                is_closed = stream.closed()
                 stream.close()
-                return NoAnswer(f'{stream.error or "the answer is incomplete"}')
+                return NoAnswer(
+                    f'{stream.error or "the answer is incomplete"}',
+                    is_closed=is_closed,
+                )
             echoed = receiver.headers.get(id_header, first_id)
             if echoed == request_id:
                 return self._make_answer(stream, receiver, id_header)
--- a/src/ibisjunction/entry/membership.py
+++ b/src/ibisjunction/entry/membership.py
@@ -20,7 +20,7 @@
 from ibisjunction.coordination.replica import FleetReplica
 from ibisjunction.entry.components import EntryComponents
 from ibisjunction.entry.heartbeats import HEARTBEAT_MS, HeartbeatSchedule
-from ibisjunction.entry.messages import DispatchersChanged
+from ibisjunction.entry.messages import CrashRecorded, DispatchersChanged
 from ibisjunction.entry.relay import RelayChooser
 from ibisjunction.entry.requests import RequestProcessor
 from ibisjunction.entry.view import FleetView
@@ -140,6 +140,8 @@
         match message:
             case HeartbeatDue():
                 self._handle_heartbeat_due(now)
+            case CrashRecorded():
+                self._send_report()
             case SeedsChanged(seeds=seeds):
                 self._seeds = seeds
             case Received(message=LeaderHint(vm=vm, term=term)):
@@ -209,7 +211,7 @@
             self._send_report()
 
     def _send_report(self) -> None:
-        """Report what this VM has applied without waiting for the interval."""
+        """Send a heartbeat and a report without waiting for the interval."""
         now = self._clock.now()
         self._schedule.request_report()
         if self._schedule.is_report_due(now):
@@ -279,14 +281,17 @@
         targets = self._tracker.choose_targets(self._list_control_vms(), now)
         for vm in targets:
             self._peers.send(vm, heartbeat)
+        relay = self._choose_relay(now)
+        has_recipient = bool(relay) or len(targets) == 1
+        suspects = self._components.suspects
         report = LoadReport(
             self._processor.take_loads(),
             self._processor.take_speeds(),
+            suspects.take_reports(now) if has_recipient else (),
         )
-        relay = self._choose_relay(now)
         if relay:
             self._peers.send(relay, RelayedHeartbeat(heartbeat, report))
-        elif len(targets) == 1 and (report.loads or report.speeds):
+        elif len(targets) == 1 and not report.is_empty:
             self._peers.send(targets.pop(), report)
 
     def _choose_relay(self, now: int) -> str:
--- a/src/ibisjunction/entry/messages.py
+++ b/src/ibisjunction/entry/messages.py
@@ -83,6 +83,11 @@
     report: HealthReport
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecorded:
+    """Posted when there are crashes of upstreams to report."""
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchersChanged:
     """Posted when the set of entry VMs changes; each is a dispatcher.
--- a/src/ibisjunction/entry/model.py
+++ b/src/ibisjunction/entry/model.py
@@ -75,6 +75,7 @@
     TIMED_OUT = 'the time for this request has passed'
     BROKEN = 'the upstream broke off the exchange'
     CALLER_GONE = 'the caller closed the connection'
+    CRASHES = 'upstreams crashed each time that they ran this request'
     BEHIND_LAST = 'an earlier answer closed the connection'
 
 
--- a/src/ibisjunction/entry/requests.py
+++ b/src/ibisjunction/entry/requests.py
@@ -104,6 +104,7 @@
         self._components.notices.retain(
             upstream.process_key for upstream in view.list_all_upstreams()
         )
+        self._components.suspects.retain(view.process_keys)
         self._components.tickets.post(view)
         if view.limits is not None:
             self.on_limits_changed(view.limits)
--- a/src/ibisjunction/entry/view.py
+++ b/src/ibisjunction/entry/view.py
@@ -44,6 +44,7 @@
         #: Log index of the last entry that the state includes.
         self.index = index
         self.state = state
+        self.blocked = frozenset(state.blocked)
         self.routes = _reuse_routes(state, previous)
         self._upstreams: dict[str, list[Upstream]] = {}
         for upstream in state.upstreams.values():
--- a/src/ibisjunction/fleet/commands.py
+++ b/src/ibisjunction/fleet/commands.py
@@ -113,6 +113,20 @@
     voters: Voters
 
 
+@dataclass(frozen=True, slots=True)
+class BlockRequest:
+    """Refuses a request that has crashed several upstreams."""
+
+    fingerprint: int
+
+
+@dataclass(frozen=True, slots=True)
+class AllowRequests:
+    """Ends the refusal of requests."""
+
+    fingerprints: tuple[int, ...]
+
+
 FleetCommand = (
     UpdateItems
     | AdmitUpstream
@@ -124,4 +138,6 @@
     | FreeShards
     | AssignShards
     | ReplaceVoters
+    | BlockRequest
+    | AllowRequests
 )
--- a/src/ibisjunction/fleet/model.py
+++ b/src/ibisjunction/fleet/model.py
@@ -96,7 +96,8 @@
     """The state built from the replicated log; never changed in place.
 
     ``shards`` lists the shards of each sharded service, ordered by first key;
-    together they cover all keys. ``last_fence`` only grows.
+    together they cover all keys. ``last_fence`` only grows. ``blocked`` are the
+    fingerprints of requests that crash upstreams, the oldest first.
     """
 
     catalogue: Catalogue = field(default_factory=Catalogue)
@@ -104,6 +105,7 @@
     shards: dict[str, Shards] = field(default_factory=dict)
     last_fence: int = 0
     voters: tuple[VoterRecord, ...] = ()
+    blocked: tuple[int, ...] = ()
 
     def list_upstreams(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service, draining ones included."""
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -7,11 +7,14 @@
 import functools
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from typing import Final
 
 from ibisjunction.catalogue.model import Accepted, UpdateOutcome
 from ibisjunction.fleet.commands import (
     AdmitUpstream,
+    AllowRequests,
     AssignShards,
+    BlockRequest,
     DivideKeys,
     FleetCommand,
     ForgetUpstream,
@@ -33,6 +36,9 @@
 )
 
 _NO_ITEMS_CHANGED = Accepted(0)
+#: Requests that are refused at the same time; each takes 9 bytes in messages.
+#: The oldest is allowed again if there are more.
+_MAX_BLOCKED: Final = 1024
 
 Applied = tuple[FleetState, UpdateOutcome]
 
@@ -61,10 +67,31 @@
             return _change_owners(state, command)
         case ReplaceVoters(voters=voters):
             return replace(state, voters=voters)
+        case BlockRequest() | AllowRequests():
+            return _change_blocked(state, command)
         case _:
             return state
 
 
+def _change_blocked(
+    state: FleetState, command: BlockRequest | AllowRequests
+) -> FleetState:
+    match command:
+        case BlockRequest(fingerprint=fingerprint):
+            others = _without_requests(state.blocked, (fingerprint,))
+            blocked = (*others, fingerprint)[-_MAX_BLOCKED:]
+        case AllowRequests(fingerprints=fingerprints):
+            blocked = _without_requests(state.blocked, fingerprints)
+    return replace(state, blocked=blocked)
+
+
+def _without_requests(
+    blocked: tuple[int, ...], removed: Iterable[int]
+) -> tuple[int, ...]:
+    removed_set = frozenset(removed)
+    return tuple(one for one in blocked if one not in removed_set)
+
+
 def _admit(state: FleetState, upstream: Upstream) -> FleetState:
     """Add a process; one that it replaces has ended and holds no shards."""
     conflicting = [
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -12,6 +12,8 @@
 from ibisjunction.clock import Clock, SystemClock, in_seconds
 from ibisjunction.entry.budget import RetryBudget
 from ibisjunction.entry.components import EntryComponents
+from ibisjunction.entry.crash_task import CrashTask
+from ibisjunction.entry.crashes import CrashSuspects
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.membership import EntryMembership
 from ibisjunction.entry.model import HeaderNames
@@ -138,6 +140,11 @@
             run_task(membership.run_timer(), 'membership timer', failed),
             run_task(tickets.run(), 'tickets', failed),
             run_task(tickets.run_timer(), 'tickets timer', failed),
+            run_task(
+                _run_crash_task(components, membership.mailbox),
+                'crashes',
+                failed,
+            ),
             run_task(metrics.run(), 'metrics', failed),
         ):
             await stack.enter_async_context(task)
@@ -149,6 +156,13 @@
         )
 
 
+async def _run_crash_task(
+    components: EntryComponents, reporter: Mailbox[Any]
+) -> None:
+    """Run the task that finds crashes until cancelled."""
+    await CrashTask(components.suspects, components.crashes, reporter).run()
+
+
 def _make_components(
     settings: NodeSettings,
     header_names: HeaderNames,
@@ -170,4 +184,6 @@
         notices=UpstreamNotices(
             max(0, settings.drain_ms - _LEAVE_RESERVE_MS),
         ),
+        suspects=CrashSuspects(),
+        crashes=Mailbox(),
     )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -22,6 +22,7 @@
 from ibisjunction.clock import ManualClock
 from ibisjunction.entry.budget import BudgetTerms, RetryBudget
 from ibisjunction.entry.components import EntryComponents
+from ibisjunction.entry.crashes import CrashSuspects
 from ibisjunction.entry.dispatch import Dispatcher
 from ibisjunction.entry.exchange import NoAnswer, UpstreamAnswer
 from ibisjunction.entry.messages import DispatchersChanged, TicketAsk
@@ -40,7 +41,7 @@
 )
 from ibisjunction.fleet.model import FleetState, Upstream
 from ibisjunction.fleet.rules import apply_fleet_command
-from ibisjunction.mailbox import run_task
+from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.peers.link import Received
 from ibisjunction.platform.bodies import HEADERS
 from tests.scripted import ScriptedUpstream
@@ -191,6 +192,8 @@
             RetryBudget(BudgetTerms(1, 100, 10_000)),
             ConnectionPool(self.clock),
             UpstreamNotices(LEAVE_MS),
+            CrashSuspects(),
+            Mailbox(),
         )
         self.processor = RequestProcessor(self.components, random.Random(1))
         self.tickets.handle(DispatchersChanged(('e1',)))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,6 +13,7 @@
     RelayedAnswer,
     RelayedHeartbeat,
 )
+from ibisjunction.entry.crashes import CrashSuspects
 from ibisjunction.entry.membership import EntryMembership
 from ibisjunction.entry.relay import RelayChooser
 from ibisjunction.fleet.codec import encode_fleet_command
@@ -123,6 +124,7 @@
             lease=self.leases[vm],
             budget=SimpleNamespace(vm_count=1),
             tickets=Mailbox(),
+            suspects=CrashSuspects(),
         )
         return EntryMembership(
             vm,
