Read the control log back after its disk was full

Cause: a refused write was tried again behind what it had left. If a part of a frame was written and the disk refuses to cut it off, or a sync was refused that lost a part of the frame, the next frame follows a damaged one. The entry is acknowledged, but at the next start the log is damaged in its middle, and the replica gives up its vote and its entries.

Fix: the length of the durable frames is kept in memory; each write cuts off what lies behind it first, and fails while that is refused.

--- a/src/ibisjunction/control/storage.py
+++ b/src/ibisjunction/control/storage.py
@@ -130,6 +130,8 @@
         self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
         os.ftruncate(self._log, complete_bytes)
         os.fsync(self._log)
+        # Length of the frames that are durable.
+        self._durable_bytes = complete_bytes
         self._remove_other_generations()
 
     def load(self) -> StoredState:
@@ -170,6 +172,7 @@
         )
         os.close(self._log)
         self._log = os.open(log, os.O_WRONLY | os.O_APPEND)
+        self._durable_bytes = os.fstat(self._log).st_size
         self._remove_other_generations()
 
     def close(self) -> None:
@@ -179,20 +182,20 @@
     def _flush(self, batch: _Batch) -> None:
         """Write a batch as one frame, so it is read back whole or not at all.
 
-        If the frame can't be written, the file gets its previous length back,
-        so that the caller may try again. A failed sync does not restore it.
+        The caller may try again if that fails. What the attempt left behind is
+        cut off first: a frame after an unfinished one could not be read back,
+        and a refused sync may have lost a part of its frame.
         """
         if not batch:
             return
-        length = os.fstat(self._log).st_size
-        remaining = make_frame(msgspec.msgpack.encode(batch))
-        try:
-            while remaining:
-                remaining = remaining[os.write(self._log, remaining) :]
-        except OSError:
-            os.ftruncate(self._log, length)
-            raise
+        frame = make_frame(msgspec.msgpack.encode(batch))
+        if os.fstat(self._log).st_size > self._durable_bytes:
+            os.ftruncate(self._log, self._durable_bytes)
+        remaining = frame
+        while remaining:
+            remaining = remaining[os.write(self._log, remaining) :]
         os.fsync(self._log)
+        self._durable_bytes += len(frame)
 
     def _remove_other_generations(self) -> None:
         for path in self._folder.iterdir():
--- a/src/ibisjunction/control/writer.py
+++ b/src/ibisjunction/control/writer.py
@@ -127,8 +127,8 @@
     async def _persist(self, write: Callable[[Any], None], data: Any) -> None:
         """Repeat a write while the disk is full.
 
-        A write that failed for a full disk has changed nothing, so repeating it
-        is safe.
+        A write that failed for a full disk is not acknowledged, and a repeat
+        replaces what it left behind.
         """
         while not await self._try_write(write, data):
             await asyncio.sleep(in_seconds(_DISK_FULL_RETRY_MS))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -1,10 +1,13 @@
 """Tests of control VMs that are replaced before further disks are lost."""
 
 import asyncio
+import contextlib
+import errno
 import logging
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -16,6 +19,8 @@
 )
 from ibisjunction.bench.soak.network import Network
 from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
+from ibisjunction.control import writer
+from ibisjunction.coordination import log
 from ibisjunction.coordination.calls import ChangeItems, Confirmed
 from ibisjunction.coordination.messages import LocalCall, PrepareToStop
 from ibisjunction.mailbox import Mailbox
@@ -146,13 +151,8 @@
             vm.kill(loses_disk=False)
 
 
-class ReplacementTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against a lost quorum after a control VM was replaced.
-
-    Review, case 1: two disks were lost as soon as the successor of a stopped
-    VM counted, but the stopped VM still had a vote. Two of five voters were
-    left, and no confirmed change could be read any more.
-    """
+class DeploymentTest(unittest.IsolatedAsyncioTestCase):
+    """Starts deployments; it has no tests of its own."""
 
     async def asyncSetUp(self):
         logging.disable(logging.CRITICAL)
@@ -169,6 +169,15 @@
         self.assertTrue(await deployment.confirm_change())
         return deployment
 
+
+class ReplacementTest(DeploymentTest):
+    """Guards against a lost quorum after a control VM was replaced.
+
+    Review, case 1: two disks were lost as soon as the successor of a stopped
+    VM counted, but the stopped VM still had a vote. Two of five voters were
+    left, and no confirmed change could be read any more.
+    """
+
     def choose(self, deployment, role):
         """Return the number of the VM with a role, and the other voters."""
         leader = deployment.leader
@@ -277,5 +286,84 @@
         self.assertEqual([type(one) for one in answers], [Confirmed])
 
 
+class _LimitedDisk:
+    """The files of a replica on a disk that refuses writes while it is full."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_full = False
+
+    def write(self, writes):
+        self._check_room()
+        self._store.write(writes)
+
+    def replace(self, change):
+        self._check_room()
+        self._store.replace(change)
+
+    def _check_room(self):
+        if self.is_full:
+            raise OSError(errno.ENOSPC, 'no space left on the device')
+
+
+class FullDisksTest(DeploymentTest):
+    """Guards against changes that stay unanswered after disks were full.
+
+    Reports of other operators: the disks of counted machines were full for a
+    few seconds each, one after another. Changes were refused or not answered
+    until the end of the day, while all processes ran.
+    """
+
+    @contextlib.contextmanager
+    def fill_disk(self, vm):
+        """Let a VM's disk refuse writes for the duration of the block."""
+        storage = vm.task.log.storage
+        disk = _LimitedDisk(storage._store)
+        storage._store = disk
+        disk.is_full = True
+        try:
+            yield
+        finally:
+            disk.is_full = False
+
+    @parameterized.expand(
+        [
+            ('five VMs', 5, 1000, 1),
+            ('five VMs, another seed', 5, 1000, 2),
+            ('with a spare', 6, 1000, 3),
+            ('with a spare, another seed', 6, 1000, 4),
+            ('snapshots', 5, 4, 5),
+            ('snapshots, with a spare', 6, 4, 6),
+        ]
+    )
+    async def test_disks_are_full_one_after_the_other(
+        self, _name, vm_count, entries_per_snapshot, seed
+    ):
+        self.enterContext(
+            patch.object(writer, 'in_seconds', lambda _milliseconds: 0)
+        )
+        self.enterContext(
+            patch.object(log, '_ENTRIES_PER_SNAPSHOT', entries_per_snapshot)
+        )
+        deployment = await self.start(seed)
+        if vm_count > VOTER_COUNT:
+            deployment.add(6, is_first=False)
+            await deployment.run(1000)
+        leader = deployment.leader
+        for number in (leader, *deployment.voters - {leader}):
+            with self.fill_disk(deployment.vms[number]):
+                for _ in range(3):
+                    await deployment.confirm_change(1000)
+            await deployment.run(500)
+        for _ in range(10):
+            self.assertTrue(await deployment.confirm_change(2000))
+        self.assertEqual(len(deployment.voters), VOTER_COUNT)
+        names = {vm.task.log.node for vm in deployment.vms.values()}
+        await deployment.restart(list(deployment.vms), loses_disk=False)
+        self.assertTrue(await deployment.confirm_change())
+        restarted = {vm.task.log.node for vm in deployment.vms.values()}
+        self.assertEqual(restarted, names)
+
+
 if __name__ == '__main__':
     unittest.main()
