--- a/src/ibisjunction/control/storage.py
+++ b/src/ibisjunction/control/storage.py
@@ -158,10 +158,10 @@
         """Start a new pair of files.
 
         The log is written first: once the snapshot exists, a restart uses this
-        pair and needs both files.
+        pair and needs both files. If that fails, another attempt replaces the
+        files of this one.
         """
-        self._generation += 1
-        generation = self._generation
+        generation = self._generation + 1
         first_index = change.snapshot.index + 1
         batch = [self._restorer.vote, _Append(first_index, change.entries)]
         log = self._folder / f'log-{generation}'
@@ -170,6 +170,7 @@
             self._folder / f'snapshot-{generation}',
             msgspec.msgpack.encode(change.snapshot),
         )
+        self._generation = generation
         os.close(self._log)
         self._log = os.open(log, os.O_WRONLY | os.O_APPEND)
         self._durable_bytes = os.fstat(self._log).st_size
--- a/tests/test_full_disk.py
+++ b/tests/test_full_disk.py
@@ -13,7 +13,7 @@
 
 from ibisjunction.control import storage
 from ibisjunction.control.effects import AppendLog
-from ibisjunction.control.protocol import Entry
+from ibisjunction.control.protocol import Entry, Snapshot
 from tests import test_storage
 
 #: A whole frame and more.
@@ -134,6 +134,34 @@
         expected = tuple(_make_entry(number) for number in range(3))
         self.assertEqual(self.load().entries, expected)
 
+    def test_refused_snapshots_leave_no_files(self):
+        """Guards against a disk that the retries of a snapshot fill."""
+        snapshot = Snapshot(4, 1, test_storage._VOTERS, b'machine')
+        change = storage.ReplaceLog(snapshot, test_storage._ENTRIES[4:])
+        self.fill()
+        with _Disk().mount() as disk, storage.open_log(self.folder) as log:
+            disk.fill(0, refuses_cuts=False, refuses_syncs=False)
+            with patch.object(storage, '_sync_folder', self.refuse_second()):
+                for _ in range(20):
+                    self.assertRaises(OSError, log.replace, change)
+            names = {path.name for path in self.files.iterdir()}
+            disk.is_full = False
+            log.replace(change)
+        self.assertLessEqual(len(names), 7)
+        self.assertEqual(self.load().snapshot, snapshot)
+        self.assertEqual(self.load().entries, test_storage._ENTRIES[4:])
+
+    def refuse_second(self):
+        """Return a sync of a folder that each second call refuses."""
+        calls = []
+
+        def sync(_folder):
+            calls.append(_folder)
+            if len(calls) % 2 == 0:
+                raise OSError(errno.ENOSPC, 'no space left on the device')
+
+        return sync
+
     @settings(max_examples=150, derandomize=True, database=None)
     @given(
         st.lists(
