Hear a process whose clock is behind that of its predecessor

What callers would see: after the clock of a VM was set back and its process started again, an entry VM gets no lease and refuses everything until its next start; a control VM takes no part.

Cause: a process is told from its predecessor by the wall clock at its start. Recipients dropped messages with a lower incarnation than the known one without an answer, as if they were late ones of an earlier process.

Fix: such a message is answered with an acknowledgement, which names the known incarnation. The sender uses a higher one on that link from then on; nothing that it sent was accepted before.

Evidence: test_restarted_process_is_heard; both cases with a clock that was set back time out (30 s) without the change to peers/link.py, all three pass with it.

--- a/src/ibisjunction/peers/link.py
+++ b/src/ibisjunction/peers/link.py
@@ -80,10 +80,14 @@
 
 @dataclass(slots=True)
 class _Peer:
-    """Both directions of the link to one VM, and the sending socket."""
+    """Both directions of the link to one VM, and the sending socket.
+
+    ``incarnation`` is that of this VM on the link.
+    """
 
     outbound: OutboundLink
     inbound: InboundLink
+    incarnation: int
     address: Address | None = None
     socket: pynng.Push0 | None = None
 
@@ -255,14 +259,22 @@
             self._decode_and_deliver(envelope.sender, payload)
 
     def _update_link(self, envelope: Envelope) -> bytes | None:
-        """Record an envelope; return the message that it completes, if any."""
+        """Record an envelope; return the message that it completes, if any.
+
+        A process whose wall clock is behind that of its predecessor starts with
+        a lower incarnation. It learns from the acknowledgement which one it has
+        to exceed; none of its messages was accepted before.
+        """
         now = self._clock.now()
         peer = self._get_or_add_peer(envelope.sender)
         if envelope.incarnation < peer.inbound.incarnation:
+            self._transmit(envelope.sender, peer, _ACKNOWLEDGEMENT)
             return None
         if envelope.incarnation > peer.inbound.incarnation:
             peer.inbound = InboundLink(envelope.incarnation)
-        if envelope.received_incarnation == self._incarnation:
+        if envelope.received_incarnation > peer.incarnation:
+            peer.incarnation = envelope.received_incarnation + 1
+        elif envelope.received_incarnation == peer.incarnation:
             peer.outbound.acknowledge(envelope.received, now)
             self._transmit_sendable(envelope.sender, peer, now)
         if not envelope.payload:
@@ -306,7 +318,7 @@
     def _seal(self, vm: str, peer: _Peer, numbered: NumberedMessage) -> bytes:
         envelope = Envelope(
             sender=self._vm,
-            incarnation=self._incarnation,
+            incarnation=peer.incarnation,
             recipient=vm,
             sequence=numbered.sequence,
             oldest=peer.outbound.oldest,
@@ -322,7 +334,12 @@
         peer = self._peers.get(vm)
         if peer is None:
             address = None if self._resolve is None else self._resolve(vm)
-            peer = _Peer(OutboundLink(self._budget), InboundLink(0), address)
+            peer = _Peer(
+                OutboundLink(self._budget),
+                InboundLink(0),
+                self._incarnation,
+                address,
+            )
             self._peers[vm] = peer
         return peer
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -126,10 +126,10 @@
         return Address('127.0.0.1', probe.getsockname()[1])
 
 
-def _make_peer(vm, address, key=_OLD) -> PeerTask:
+def _make_peer(vm, address, key=_OLD, incarnation=1) -> PeerTask:
     return PeerTask(
         vm,
-        1,
+        incarnation,
         SystemClock(),
         address,
         Codec([Ping, Note]),
@@ -207,6 +207,36 @@
             await self._expect(inbox, 2)
             await self._expect(inbox, 3)
 
+    @parameterized.expand(
+        [
+            ('the clock goes on', (100, 200)),
+            ('the clock was set back', (200, 100)),
+            ('it was set back twice', (300, 200, 100)),
+        ]
+    )
+    async def test_restarted_process_is_heard(self, _name, incarnations):
+        """Guards against a VM that all others ignore until its next start.
+
+        Its process started while its clock was behind that of the process
+        before, so its incarnation was lower than the one that they knew.
+        """
+        addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2')}
+        receiver = _make_peer('vm-2', addresses['vm-2'])
+        receiver.set_address('vm-1', addresses['vm-1'])
+        inbox: Mailbox = Mailbox()
+        receiver.subscribe(inbox, Ping)
+        async with receiver.run():
+            for incarnation in incarnations:
+                sender = _make_peer(
+                    'vm-1', addresses['vm-1'], incarnation=incarnation
+                )
+                sender.set_address('vm-2', addresses['vm-2'])
+                async with sender.run():
+                    sender.send('vm-2', Ping(incarnation))
+                    sender.send('vm-2', Ping(incarnation + 1))
+                    await self._expect(inbox, incarnation)
+                    await self._expect(inbox, incarnation + 1)
+
     async def test_large_message_arrives_over_a_slow_receiver(self):
         """Guards against parts of a message that are lost or out of order."""
         addresses = {vm: _free_address() for vm in ('vm-1', 'vm-2')}
