Number the proposals of a leader anew each time it starts to lead

What callers would see: a change of an operator or a check-in that is never answered, and the next ones neither, as many as were proposed before.

Cause: the ids of proposals were unique for each term. A leader whose majority lapses and returns within a tick starts a second coordinator in its term, which numbers from 1, and the log drops ids that it has.

Fix: the prefix counts how often the process began to lead.

Evidence: test_leader_that_starts_again_in_its_term; "not reached in time" without the change.

--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -121,6 +121,7 @@
         self._forwarding = CallForwarder(options.prefix)
         self._hinted_leader: str | None = None
         self._hinted_ms = now
+        self._leadership_count = 0
         self._membership = VoterMembership(
             options.vm,
             options.prefix,
@@ -376,9 +377,12 @@
             self._stop_leading(self._leader_state)
 
     def _start_leading(self, now: int) -> None:
+        # A leader may stop and start again in one term, so the term does not
+        # tell its proposals apart.
+        self._leadership_count += 1
         coordinator = Coordinator(
             self._options.vm,
-            f'{self._options.prefix}.{self.log.term}',
+            f'{self._options.prefix}.{self._leadership_count}',
             self._options.timing,
             self.log.replica.state,
             self.log.replica.index,
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -7,13 +7,14 @@
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from parameterized import parameterized
 
 from ibisjunction.bench.soak.machines import make_settings
 from ibisjunction.catalogue.model import Item, ItemType, ItemUpdate, Service
 from ibisjunction.clock import ManualClock
-from ibisjunction.control.effects import Tick
+from ibisjunction.control.effects import Tick, WritesCompleted
 from ibisjunction.control.messages import (
     CommittedEntries,
     LeaderHint,
@@ -101,6 +102,24 @@
         self.task.handle(LocalCall(ChangeItems(ITEMS), reply))
         await self.run_until(lambda: self.read_state().items)
 
+    async def test_leader_that_starts_again_in_its_term(self):
+        """Guards against a change that is dropped as a repeated proposal.
+
+        A leader whose majority lapses for a moment starts again in the same
+        term, and the log has the ids of its earlier proposals.
+        """
+        await self.lead_with_items()
+        with patch.object(self.task.log, 'is_acting', return_value=False):
+            self.task.handle(WritesCompleted(0))
+        self.assertEqual(self.read_state().duty, 'voting')
+        await self.run_until(lambda: self.read_state().duty == 'leading')
+        reply = Mailbox()
+        update = ItemUpdate((replace(ITEMS.items[0], version=4),))
+        self.task.handle(LocalCall(ChangeItems(update), reply))
+        await self.run_until(
+            lambda: [item.version for item in self.read_state().items] == [4]
+        )
+
     def read_state(self):
         """Return the report of the task."""
         reply = Mailbox()
