Bound the wait for a new voter by CatchUpS

What callers would see: a control VM is replaced, the successor ends before it has caught up, and a second successor does not vote for 20 s. Two disks that are lost meanwhile, when the settings allow it, leave no quorum.

Cause: the change of voters that waits for a new one blocks all others for a fixed time, which is longer than CatchUpS.

Fix: the wait is CatchUpS in deployments whose settings give it; the other form of deployment keeps 20 s.

--- a/src/ibisjunction/control/leader.py
+++ b/src/ibisjunction/control/leader.py
@@ -1,17 +1,11 @@
 """Decisions of a leader: replication, commits and changes of voters."""
 
-from typing import Final
-
 from ibisjunction.control.effects import CommandProposed, Declined, Elected
 from ibisjunction.control.protocol import AppendAnswer, Entry
 from ibisjunction.control.replica_core import ReplicaCore
 from ibisjunction.control.replication import Replication
 from ibisjunction.control.roles import Leader
 
-#: Time for a new voter to catch up; its change is then declined, so that a
-#: voter that is slow or down does not block other changes.
-_CATCH_UP_LIMIT_MS: Final = 20_000
-
 
 class LeaderHandler:
     """Replicates, commits and changes voters while this replica leads."""
@@ -150,7 +144,7 @@
             self._decline(proposal, 'another change of voters is in progress')
         else:
             leader.pending_change = proposal
-            leader.change_deadline = now + _CATCH_UP_LIMIT_MS
+            leader.change_deadline = now + core.timing.catch_up_ms
             self._replicate(leader, now)
             self._finish_pending_change(leader, now)
 
--- a/src/ibisjunction/control/roles.py
+++ b/src/ibisjunction/control/roles.py
@@ -10,6 +10,7 @@
 
 #: A leader sends this many heartbeats within the shortest election timeout.
 _HEARTBEATS_PER_TIMEOUT: Final = 5
+_DEFAULT_CATCH_UP_MS: Final = 20_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,12 +30,15 @@
 class ElectionTiming:
     """Election timeouts, and the relative clock-rate error.
 
-    The timeout is random between ``min_ms`` and ``max_ms``.
+    The timeout is random between ``min_ms`` and ``max_ms``. A new voter has
+    ``catch_up_ms`` to catch up; its change is then declined, so that a voter
+    that is slow or down does not block other changes.
     """
 
     min_ms: int
     max_ms: int
     clock_error: float
+    catch_up_ms: int = _DEFAULT_CATCH_UP_MS
 
     @property
     def leader_lease_ms(self) -> int:
--- a/src/ibisjunction/nodes/settings.py
+++ b/src/ibisjunction/nodes/settings.py
@@ -83,8 +83,10 @@
 
     @property
     def election(self) -> ElectionTiming:
-        """The range of election timeouts, and the clock error."""
-        return ElectionTiming(ELECTION_MIN_MS, ELECTION_MAX_MS, CLOCK_ERROR)
+        """The times of elections and of changes of the voters."""
+        return ElectionTiming(
+            ELECTION_MIN_MS, ELECTION_MAX_MS, CLOCK_ERROR, self.catch_up_ms
+        )
 
     @property
     def max_answer_bytes(self) -> int:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -230,6 +230,24 @@
         await deployment.restart(others[:2], loses_disk=True)
         self.assertTrue(await deployment.confirm_change())
 
+    async def test_successor_ends_before_it_has_caught_up(self):
+        """Guards against a successor that is gone and blocks the next one.
+
+        The change of voters that waited for it blocked all others for 20 s.
+        """
+        deployment = await self.start(7)
+        replaced, others = self.choose(deployment, 'follower')
+        leader = deployment.vms[deployment.leader].name
+        successor = deployment.add(6, is_first=False)
+        deployment.network.cut([(leader, successor.name)])
+        await deployment.run(1000)
+        deployment.kill(replaced)
+        await deployment.run(CATCH_UP_MS // 2)
+        deployment.kill(6)
+        deployment.add(7, is_first=False)
+        await deployment.run(2 * CATCH_UP_MS)
+        self.assertEqual(deployment.voters, {*others, 7})
+
     async def test_rolling_restart_without_a_spare_is_not_delayed(self):
         """Guards against a stop that waits for a replica that can't exist."""
         deployment = await self.start(4)
