Drop old requests from the retry budget without a retry

What callers would see: the memory of an entry process grows by 40 bytes a request until the process is killed, and what it has in flight is cut.

Cause: the times of requests were dropped only when a retry was asked for. Suspected by the review.

Fix: each request drops those that are older than the window.

--- a/src/ibisjunction/entry/budget.py
+++ b/src/ibisjunction/entry/budget.py
@@ -29,6 +29,12 @@
     requests: deque[int] = field(default_factory=deque)
     retries: deque[int] = field(default_factory=deque)
 
+    def discard_until(self, window_start_ms: int) -> None:
+        """Discard what is older than the window."""
+        for timestamps in (self.requests, self.retries):
+            while timestamps and timestamps[0] <= window_start_ms:
+                timestamps.popleft()
+
 
 class RetryBudget:
     """Counts requests and retries by service in a sliding window."""
@@ -42,15 +48,14 @@
 
     def count_request(self, service: str, now: int) -> None:
         """Count a request at its first attempt."""
-        self._usage[service].requests.append(now)
+        usage = self._usage[service]
+        usage.requests.append(now)
+        usage.discard_until(now - self._terms.window_ms)
 
     def try_acquire(self, service: str, now: int) -> bool:
         """Spend one retry if the budget allows it; return whether it did."""
         usage = self._usage[service]
-        window_start_ms = now - self._terms.window_ms
-        for timestamps in (usage.requests, usage.retries):
-            while timestamps and timestamps[0] <= window_start_ms:
-                timestamps.popleft()
+        usage.discard_until(now - self._terms.window_ms)
         slack = self._terms.slack / self.vm_count
         allowed = self._terms.ratio * len(usage.requests) + slack
         if len(usage.retries) + 1 > allowed * _USABLE_FRACTION:
