Let a leader that has removed itself stop at once

What callers see: the planned stop of a leading control VM with a spare takes half of the grace period, 3 s, instead of a round trip.

Cause: the stop waits for an answer of the leader. A leader that removes itself stops leading, gets no entries any more, and hears of no later one.

Fix: a replica that the last committed change does not list as a voter answers itself.

Evidence: the cases "stopped leader" of tests.test_replacement took 3,000 ms with the bound of 1,000 ms that they have now.

--- a/src/ibisjunction/coordination/membership.py
+++ b/src/ibisjunction/coordination/membership.py
@@ -54,7 +54,7 @@
         self._change_count = 0
 
     def prepare_to_stop(self, reply: Mailbox[None], now: int) -> None:
-        """Answer once this replica may stop; requests are sent at each tick."""
+        """Answer once this replica may stop; it is checked at each tick."""
         self._stop_reply = reply
         self._next_leave_ms = now
 
@@ -104,7 +104,8 @@
         if self._stop_reply is not None and now >= self._next_leave_ms:
             self._next_leave_ms = now + _LEAVE_INTERVAL_MS
             request = AskToLeave(self._log.node, self._vm)
-            if is_leading:
+            # A leader that has removed itself hears of no later leader.
+            if is_leading or not self._is_committed_voter:
                 return self.handle_leave_request(request, now)
             if leader is not None:
                 self._peers.send(leader, request)
@@ -117,6 +118,11 @@
             self._request_to_join(leader, seeds)
         return None
 
+    @property
+    def _is_committed_voter(self) -> bool:
+        voters = self._log.committed_voters
+        return any(voter.node == self._log.node for voter in voters)
+
     @property
     def _may_be_replaced(self) -> bool:
         """Whether this replica does not vote, or may not know that it doesn't.
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -28,6 +28,8 @@
 
 CATCH_UP_MS = 4000
 GRACE_MS = 6000
+#: A stop waits for a tick, two changes of voters and an answer.
+MAX_STOP_MS = 1000
 #: A machine that loses its disk or is killed is back after this time.
 DOWN_MS = 1000
 #: Time from a fault to a confirmed change.
@@ -209,7 +211,7 @@
         await deployment.run(gap_ms)
         if how == 'stopped':
             stop_ms = await deployment.stop(replaced)
-            self.assertLess(stop_ms, GRACE_MS)
+            self.assertLess(stop_ms, MAX_STOP_MS)
             await deployment.run(max(0, CATCH_UP_MS - gap_ms - stop_ms))
         else:
             deployment.kill(replaced)
