Tell callers truly when a blocked request is allowed again

It now names the time for which requests stay blocked.

The number in reports of crashes is gone: the leader tells repeated reports by the process that crashed.

--- a/src/ibisjunction/coordination/crashes.py
+++ b/src/ibisjunction/coordination/crashes.py
@@ -23,12 +23,10 @@
 class CrashReport:
     """An entry VM's report that an upstream crashed while it ran a request.
 
-    ``number`` is unique, so that a repeated report does not count again.
     ``fingerprint`` is shared by equal requests. The request was sent
     ``sent_ago_ms`` before the report, and lost ``lost_ago_ms`` before it.
     """
 
-    number: int
     fingerprint: int
     upstream: str
     born: int
--- a/src/ibisjunction/entry/attempt_loop.py
+++ b/src/ibisjunction/entry/attempt_loop.py
@@ -4,6 +4,7 @@
 from typing import Final, Protocol
 
 from ibisjunction.clock import in_seconds
+from ibisjunction.coordination.crashes import RETENTION_MS
 from ibisjunction.entry.attempts import (
     AttemptResult,
     Declined,
@@ -52,9 +53,7 @@
 #: Retry time given to callers after a timeout of a request that has not
 #: run.
 _RETRY_AFTER_MS: Final = 500
-#: Retry time given to callers whose request crashes upstreams.
-_BLOCKED_RETRY_AFTER_MS: Final = 60_000
-_REFUSED_FOR_CRASHES: Final = Refuse(Reason.CRASHES, _BLOCKED_RETRY_AFTER_MS)
+_REFUSED_FOR_CRASHES: Final = Refuse(Reason.CRASHES, RETENTION_MS)
 #: A request with less time left than this is not sent.
 _MIN_REMAINING_MS: Final = 20
 #: Delay before a retry to the only upstream that may serve the request; it is
@@ -111,7 +110,6 @@
         self._report = HealthReport(HealthResult.UNUSED)
         self._limit_per_s: float | None = None
         self._fingerprint = make_fingerprint(routed.request)
-        self._ticket_number = 0
 
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
@@ -177,7 +175,6 @@
         )
         reply: Mailbox[Grant | Refuse] = Mailbox()
         self._report = HealthReport(HealthResult.UNUSED)
-        self._ticket_number = ticket_request.number
         self._components.tickets.post(LocalTicketRequest(ticket_request, reply))
         self._processor.waiting.add(reply)
         try:
@@ -290,13 +287,7 @@
         suspects = self._components.suspects
         match result:
             case NoAnswer(is_closed=True):
-                lost = LostRun(
-                    self._ticket_number,
-                    self._fingerprint,
-                    upstream,
-                    started_ms,
-                    now,
-                )
+                lost = LostRun(self._fingerprint, upstream, started_ms, now)
                 self._components.crashes.post(lost)
             case UpstreamAnswer():
                 suspects.record_answer(upstream, now)
--- a/src/ibisjunction/entry/crashes.py
+++ b/src/ibisjunction/entry/crashes.py
@@ -28,12 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class LostRun:
-    """A run of a request whose connection was closed before the answer.
+    """A run of a request whose connection was closed before the answer."""
 
-    ``number`` is that of its ticket request, which no other run has.
-    """
-
-    number: int
     fingerprint: int
     upstream: Upstream
     sent_ms: int
@@ -70,7 +66,7 @@
         # Until when a run must have been sent to be excused from a crash.
         self._excused_ms: OrderedDict[int, float] = OrderedDict()
         self._answered_ms: dict[ProcessKey, int] = {}
-        self._pending: dict[int, _Pending] = {}
+        self._pending: list[_Pending] = []
 
     def record_run(self, fingerprint: int) -> None:
         """Record that a run of a request has ended with an answer."""
@@ -98,7 +94,7 @@
         if lost.sent_ms <= excused_ms:
             self._excused_ms[lost.fingerprint] = min(excused_ms, lost.lost_ms)
         elif len(self._pending) < _MAX_PENDING:
-            self._pending[lost.number] = _Pending(lost)
+            self._pending.append(_Pending(lost))
 
     def retain(self, processes: frozenset[ProcessKey]) -> None:
         """Forget the processes that are gone."""
@@ -113,18 +109,17 @@
         """Return the crashes to report; each is returned a few times."""
         reports = tuple(
             CrashReport(
-                number=number,
                 fingerprint=pending.lost.fingerprint,
                 upstream=pending.lost.upstream.upstream,
                 born=pending.lost.upstream.born,
                 sent_ago_ms=now - pending.lost.sent_ms,
                 lost_ago_ms=now - pending.lost.lost_ms,
             )
-            for number, pending in self._pending.items()
+            for pending in self._pending
         )
-        for report in reports:
-            pending = self._pending[report.number]
+        for pending in self._pending:
             pending.sends_left -= 1
-            if not pending.sends_left:
-                self._pending.pop(report.number)
+        self._pending = [
+            pending for pending in self._pending if pending.sends_left
+        ]
         return reports
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -47,14 +47,14 @@
 MAX_BLOCKED_BYTES = 10_240
 
 
-def make_report(number, upstream, sent_ms, lost_ms, now):
+def make_report(upstream, sent_ms, lost_ms, now):
     """Return a report of a crash of a process."""
-    return CrashReport(number, 9, upstream, 7, now - sent_ms, now - lost_ms)
+    return CrashReport(9, upstream, 7, now - sent_ms, now - lost_ms)
 
 
-def make_lost(number, sent_ms, lost_ms, fingerprint=9):
+def make_lost(sent_ms, lost_ms, fingerprint=9):
     """Return a lost run of a request."""
-    return LostRun(number, fingerprint, UPSTREAM, sent_ms, lost_ms)
+    return LostRun(fingerprint, UPSTREAM, sent_ms, lost_ms)
 
 
 class FingerprintTest(unittest.TestCase):
@@ -116,22 +116,22 @@
     def test_when_a_request_is_blocked(self, _name, crashes, expected):
         counter = CrashCounter((), 0)
         blocked = [
-            counter.record(make_report(number, *crash, crash[2]), crash[2])
-            for number, crash in enumerate(crashes)
+            counter.record(make_report(*crash, crash[2]), crash[2])
+            for crash in crashes
         ]
         self.assertEqual(blocked, expected)
 
     def test_repeated_reports_count_once(self):
         counter = CrashCounter((), 0)
         for now in (10, 200, 400, 600):
-            report = make_report(1, 'a', 0, 10, now)
+            report = make_report('a', 0, 10, now)
             self.assertFalse(counter.record(report, now))
 
     def test_requests_are_allowed_again(self):
         counter = CrashCounter((5,), 0)
         for number, name in enumerate('abc'):
             sent_ms = 100 * number
-            report = make_report(number, name, sent_ms, sent_ms + 50, sent_ms)
+            report = make_report(name, sent_ms, sent_ms + 50, sent_ms)
             counter.record(report, sent_ms)
         self.assertEqual(list(counter.expire(RETENTION_MS)), [])
         self.assertEqual(list(counter.expire(RETENTION_MS + 1000)), [5, 9])
@@ -141,7 +141,7 @@
         """Guards against memory that grows with the crashes of upstreams."""
         counter = CrashCounter((), 0)
         for number in range(10_000):
-            report = make_report(number, 'a', 0, 10, 10)
+            report = make_report('a', 0, 10, 10)
             counter.record(replace(report, fingerprint=number), 10)
         self.assertLessEqual(len(counter._suspects), 4096)
 
@@ -158,15 +158,15 @@
 
     def test_each_crash_is_reported_three_times(self):
         """Guards against a report that is lost with the leader."""
-        self.suspects.record_crash(make_lost(1, 0, 10))
+        self.suspects.record_crash(make_lost(0, 10))
         counts = [self.count_reports() for _ in range(5)]
         self.assertEqual(counts, [1, 1, 1, 0, 0])
 
     @parameterized.expand(
         [
-            ('answered before', [(1, 20, 30)], 0),
-            ('several runs at one crash', [(1, 20, 30), (2, 25, 30)], 0),
-            ('again without an answer', [(1, 20, 30), (2, 40, 50)], 1),
+            ('answered before', [(20, 30)], 0),
+            ('several runs at one crash', [(20, 30), (25, 30)], 0),
+            ('again without an answer', [(20, 30), (40, 50)], 1),
         ]
     )
     def test_answered_request(self, _name, crashes, expected):
@@ -180,7 +180,7 @@
 
     def test_answer_after_the_loss(self):
         """Guards against a lost connection that is taken for a crash."""
-        lost = make_lost(1, 0, 10)
+        lost = make_lost(0, 10)
         self.assertTrue(self.suspects.may_have_crashed(lost))
         self.suspects.record_answer(UPSTREAM, 11)
         self.assertFalse(self.suspects.may_have_crashed(lost))
@@ -190,7 +190,7 @@
     def test_memory_is_bounded(self):
         for number in range(10_000):
             self.suspects.record_run(number)
-            self.suspects.record_crash(make_lost(number, 0, 10, -number))
+            self.suspects.record_crash(make_lost(0, 10, -number))
         self.assertLessEqual(len(self.suspects._excused_ms), 4096)
         self.assertLessEqual(self.count_reports(), 256)
 
@@ -202,9 +202,7 @@
         """Report crashes of processes, each of a run after the one before."""
         for name in crashes:
             leader.now += 1000
-            report = make_report(
-                leader.now, name, leader.now - 50, leader.now, leader.now
-            )
+            report = make_report(name, leader.now - 50, leader.now, leader.now)
             leader.run(leader.coordinator.record_crashes([report], leader.now))
 
     def test_block_outlives_the_leader(self):
