Count an upstream as not reached when no socket is left

What callers would see: on a VM without file descriptors, a request gets no answer, and its connection is closed. Suspected by the review.

Cause: the socket of a new connection was created outside of the error handling of the connect.

Fix: the error counts as not sent, so that the request is tried again or refused as not run.

Evidence: test_no_descriptor_is_left; OSError without the change.

--- a/src/ibisjunction/entry/exchange.py
+++ b/src/ibisjunction/entry/exchange.py
@@ -143,7 +143,10 @@
 
     async def connect(self) -> NotSent | None:
         """Open the connection; return the error if that fails."""
-        stream = make_stream(self._address, self._budget, _MAX_ANSWER_BYTES)
+        try:
+            stream = make_stream(self._address, self._budget, _MAX_ANSWER_BYTES)
+        except OSError as error:
+            return NotSent(f'{type(error).__name__}: {error}')
         self._stream = stream
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,8 +1,11 @@
 """Tests of one exchange with an upstream over real sockets."""
 
 import asyncio
+import errno
+import socket
 import tracemalloc
 import unittest
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -256,6 +259,17 @@
     return script
 
 
+class DescriptorTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a request without an answer on a VM without sockets."""
+
+    async def test_no_descriptor_is_left(self):
+        pool = ConnectionPool(SystemClock())
+        failure = OSError(errno.EMFILE, 'too many open files')
+        with patch.object(socket, 'socket', side_effect=failure):
+            found = await pool.open(Address('127.0.0.1', 1))
+        self.assertIsInstance(found, NotSent)
+
+
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against memory that an upstream fills by sending without end."""
 
