Name the entry VM that a confirmation waited for last

Callers saw departures confirmed late or not at all, and event 210 told only which VMs had not applied the change at the end: none, after 1.8 s. Change: the event names the VM that reported last or is silent longest, the time between its reports, how many entries it lacked, the time since the commit and the proposals of the call that were not committed. So a slow link, a VM that was not asked for a report, a commit that moved and a lost proposal can be told apart. Changes to existing tests: WaitTest expects the new fields, with a second VM and the order of the reports.

--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -52,6 +52,7 @@
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.spread import (
     CommittedChange,
+    find_slowest,
     list_behind,
 )
 from ibisjunction.coordination.timing import FleetTiming
@@ -289,8 +290,7 @@
                 self._calls.remove(call_id)
                 wait = None
                 if change is not None:
-                    behind = list_behind(change, self.leases, now)
-                    wait = _describe_wait(call_state, behind, now)
+                    wait = _describe_wait(call_state, change, self.leases, now)
                 replies.append(Reply(call_id, answer, wait))
         return replies
 
@@ -376,12 +376,18 @@
 
 
 def _describe_wait(
-    call_state: CallInProgress, behind: Iterable[str], now: int
+    call_state: CallInProgress,
+    change: CommittedChange,
+    leases: LeaseTable,
+    now: int,
 ) -> ConfirmationWait:
     return ConfirmationWait(
         type(call_state.call).__name__,
         now - call_state.started_ms,
-        tuple(behind),
+        tuple(list_behind(change, leases, now)),
+        now - change.committed_ms,
+        find_slowest(change, leases, now),
+        tuple(sorted(call_state.pending_proposals)),
     )
 
 
--- a/src/ibisjunction/coordination/effects.py
+++ b/src/ibisjunction/coordination/effects.py
@@ -4,6 +4,7 @@
 
 from ibisjunction.coordination.calls import CallAnswer
 from ibisjunction.coordination.planned import PlannedCommand
+from ibisjunction.coordination.spread import SlowVm
 from ibisjunction.fleet.commands import FleetCommand
 
 
@@ -30,11 +31,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmationWait:
-    """How long a call waited, and the VMs that had not applied its change."""
+    """How long a call waited, and the VMs that had not applied its change.
+
+    ``committed_ms`` is the time since the change was committed, in which
+    ``slowest`` was the last VM to report it. ``uncommitted`` are the proposals
+    of the call that were not committed.
+    """
 
     call: str
     waited_ms: int
     behind: tuple[str, ...]
+    committed_ms: int = 0
+    slowest: SlowVm | None = None
+    uncommitted: tuple[str, ...] = ()
 
 
 Effect = Propose | Reply
--- a/src/ibisjunction/coordination/spread.py
+++ b/src/ibisjunction/coordination/spread.py
@@ -49,3 +49,39 @@
         for vm in sorted(leases.live_vms(now))
         if leases.records[vm].applied_index < change.index
     ]
+
+
+@dataclass(frozen=True, slots=True)
+class SlowVm:
+    """The entry VM that a change waits for, or waited for last.
+
+    ``gap_ms`` is the time between its last two reports, or since its last one
+    if it has not applied the change. ``missing`` is the number of entries that
+    it had not applied by the earlier one, or has not applied now.
+    """
+
+    vm: str
+    gap_ms: int
+    missing: int
+
+
+def find_slowest(
+    change: CommittedChange, leases: LeaseTable, now: int
+) -> SlowVm | None:
+    """Return the VM that has been silent longest, or that reported last."""
+    behind = list_behind(change, leases, now)
+    if behind:
+        vm = min(behind, key=lambda one: leases.records[one].received_ms)
+        record = leases.records[vm]
+        missing = change.index - record.applied_index
+        return SlowVm(vm, now - record.received_ms, missing)
+    late = [
+        vm
+        for vm in leases.live_vms(now)
+        if leases.records[vm].earlier_index < change.index
+    ]
+    if not late:
+        return None
+    vm = max(late, key=lambda one: (leases.records[one].received_ms, one))
+    record = leases.records[vm]
+    return SlowVm(vm, record.gap_ms, change.index - record.earlier_index)
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -41,6 +41,7 @@
     decode_call,
 )
 from ibisjunction.coordination.metrics import LogMetrics
+from ibisjunction.coordination.spread import SlowVm
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.events import Event, log_event
 from ibisjunction.fleet.codec import encode_fleet
@@ -473,6 +474,7 @@
     wait = reply.wait
     if wait is None:
         return
+    slowest = wait.slowest or SlowVm('', 0, 0)
     log_event(
         _logger,
         Event.CALL_ANSWERED,
@@ -481,6 +483,11 @@
         answer=type(reply.answer).__name__,
         waited_ms=wait.waited_ms,
         behind=','.join(wait.behind),
+        committed_ms=wait.committed_ms,
+        slowest=slowest.vm,
+        gap_ms=slowest.gap_ms,
+        missing=slowest.missing,
+        uncommitted=','.join(wait.uncommitted),
     )
 
 
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
-    """The last heartbeat of a VM, and the end of the lease it renewed."""
+    """The last heartbeat of a VM, and the end of the lease it renewed.
+
+    ``earlier_index`` is what the VM reported before, ``gap_ms`` earlier.
+    """
 
     incarnation: int
     applied_index: int
@@ -82,6 +85,9 @@
     lease_end_ms: int
     is_serving: bool = True
     capacity: int = 1
+    received_ms: int = 0
+    earlier_index: int = 0
+    gap_ms: int = 0
 
 
 class LeaseTable:
@@ -130,6 +136,7 @@
                 term=term,
                 committed_index=committed_index,
             )
+        earlier = self.records.get(heartbeat.vm)
         self.records[heartbeat.vm] = LeaseRecord(
             incarnation=heartbeat.incarnation,
             applied_index=heartbeat.applied_index,
@@ -137,6 +144,9 @@
             lease_end_ms=now + self._leader_lease_ms,
             is_serving=heartbeat.is_serving,
             capacity=heartbeat.capacity,
+            received_ms=now,
+            earlier_index=0 if earlier is None else earlier.applied_index,
+            gap_ms=0 if earlier is None else now - earlier.received_ms,
         )
         vms, capacities = self._find_changed_vms(heartbeat, now)
         return LeaseRenewal(
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -28,6 +28,7 @@
 )
 from ibisjunction.coordination.coordinator import Coordinator
 from ibisjunction.coordination.effects import ConfirmationWait, Propose, Reply
+from ibisjunction.coordination.spread import SlowVm
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AssignShards,
@@ -473,24 +474,45 @@
 
     @parameterized.expand(
         [
-            ('all have applied it', True, ConfirmationWait('Depart', 0, ())),
+            (
+                'all have applied it',
+                ((0, 'e2'), (200, 'e1')),
+                ConfirmationWait('Depart', 200, (), 200, SlowVm('e1', 300, 1)),
+            ),
             (
                 'one never does',
-                False,
-                ConfirmationWait('Depart', 3100, ('e1',)),
+                ((0, 'e2'),),
+                ConfirmationWait(
+                    'Depart', 3100, ('e1',), 3100, SlowVm('e1', 3200, 1)
+                ),
             ),
         ]
     )
-    def test_departure(self, _name, is_applied, expected):
+    def test_departure(self, _name, reports, expected):
         leader = make_leader_with_owners()
-        leader.send_heartbeat()
+        leader.send_heartbeat('e1')
+        leader.send_heartbeat('e2')
+        leader.wait(100)
         leader.call(Depart('u1', 10))
         call_id = f'c{leader.call_count}'
-        if is_applied:
-            leader.send_heartbeat()
+        for passed_ms, vm in reports:
+            leader.wait(passed_ms)
+            leader.send_heartbeat(vm)
         leader.wait(4000)
         self.assertEqual(leader.waits[call_id], expected)
 
+    def test_lost_proposal(self):
+        """Guards against a call that runs out of time without a reason."""
+        leader = make_leader_with_owners()
+        effects = leader.coordinator.handle_call(
+            'lost', make_check_in(9, is_draining=True), leader.now
+        )
+        leader.wait(4000)
+        self.assertEqual(
+            leader.waits['lost'].uncommitted,
+            tuple(sorted(one.proposal_id for one in effects)),
+        )
+
 
 class ChangeItemsTest(unittest.TestCase):
     """Guards against answers that do not give the outcome of a change.
