Compare waiting calls with what all entry VMs have applied, once

Callers: upstreams that leave at the same time get their confirmations late, or not at all while there are many. Cause: for each heartbeat and each tick, the leader compared each call that waits for entry VMs with the lease of each of them; and while calls wait, each VM reports after each message with entries. So the work grew with calls times the square of the VMs, and calls are repeated by those that wait. Class: work per event that grows with what waits. Change: the lease table keeps the lowest index that live VMs have applied until a heartbeat arrives or a lease ends, and a heartbeat that does not change it answers nothing; ticks still look at each call.

--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -123,6 +123,8 @@
         self._admissions = Admissions(self._proposals.make_id)
         self._periodic_proposals: set[str] = set()
         self._next_periodic_ms = now
+        # What all entry VMs had applied when their calls were last answered.
+        self._answered_index: float = -1
 
     @property
     def awaits_entry_vms(self) -> bool:
@@ -274,7 +276,15 @@
             )
 
     def answer_ready_calls(self, now: int) -> list[Effect]:
-        """Answer the calls that waited for entry VMs and are ready."""
+        """Answer the calls that waited for entry VMs and are ready.
+
+        Most heartbeats change nothing for any call. What they leave undone
+        follows at the next tick.
+        """
+        applied_index = self.leases.find_applied_index(now)
+        if applied_index == self._answered_index:
+            return []
+        self._answered_index = applied_index
         return self._answer_ready(self._calls.list_spreading(), now)
 
     def _answer_ready(self, call_ids: Iterable[str], now: int) -> list[Effect]:
--- a/src/ibisjunction/coordination/spread.py
+++ b/src/ibisjunction/coordination/spread.py
@@ -37,7 +37,7 @@
         return True
     if now < elected_ms + max_wait_ms:
         return False
-    return not list_behind(change, leases, now)
+    return leases.find_applied_index(now) >= change.index
 
 
 def list_behind(
--- a/src/ibisjunction/membership/leases.py
+++ b/src/ibisjunction/membership/leases.py
@@ -113,6 +113,8 @@
         self._leader_lease_ms = math.ceil(lease_ms * (1 + clock_error))
         self._settled_at = now + self._leader_lease_ms
         self.records: dict[str, LeaseRecord] = {}
+        # The result of find_applied_index, and the end of the first lease.
+        self._applied: tuple[float, float] | None = None
 
     def record_heartbeat(
         self,
@@ -136,6 +138,7 @@
                 term=term,
                 committed_index=committed_index,
             )
+        self._applied = None
         earlier = self.records.get(heartbeat.vm)
         self.records[heartbeat.vm] = LeaseRecord(
             incarnation=heartbeat.incarnation,
@@ -186,6 +189,7 @@
         """Remove the lease of a process that sends no more requests."""
         record = self.records.get(vm)
         if record is not None and record.incarnation == incarnation:
+            self._applied = None
             self.records.pop(vm)
 
     def serving_vms(self, now: int) -> tuple[str, ...]:
@@ -193,6 +197,22 @@
         live = self.live_vms(now)
         return tuple(sorted(vm for vm in live if self.records[vm].is_serving))
 
+    def find_applied_index(self, now: int) -> float:
+        """Return the index that all live VMs have applied.
+
+        It is infinite if there are none. It is the same until a heartbeat
+        arrives or a lease ends, so that many calls can be compared with it.
+        """
+        applied = self._applied
+        if applied is None or now >= applied[1]:
+            live = [self.records[vm] for vm in self.live_vms(now)]
+            applied = (
+                min((one.applied_index for one in live), default=math.inf),
+                min((one.lease_end_ms for one in live), default=math.inf),
+            )
+            self._applied = applied
+        return applied[0]
+
     def is_settled(self, now: int) -> bool:
         """Return whether every lease of an earlier leader has run out."""
         return now >= self._settled_at
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -38,6 +39,7 @@
 )
 from ibisjunction.fleet.model import BUCKET_KEYS, LAST_KEY, FleetState
 from ibisjunction.fleet.rules import apply_fleet_command
+from ibisjunction.membership.leases import LeaseTable
 from ibisjunction.membership.messages import Heartbeat
 
 TIMING = FleetTiming(
@@ -514,6 +516,47 @@
         )
 
 
+def send_reports(leader):
+    """Send ten reports of a VM while another has not applied the changes."""
+    for _ in range(10):
+        leader.send_heartbeat('e1')
+
+
+def wait_for_ticks(leader):
+    """Let ten ticks pass."""
+    leader.wait(1000)
+
+
+class ManyCallsTest(unittest.TestCase):
+    """Guards against a leader whose work grows with calls times entry VMs.
+
+    With 145 upstreams that left and 200 entry VMs, one report of each VM took
+    more of a processor than there is between two messages with entries.
+    """
+
+    @parameterized.expand(
+        [('reports', send_reports), ('ticks', wait_for_ticks)]
+    )
+    def test_leases_are_read_once_for_all_calls(self, _name, send_events):
+        names = [f'u{number}' for number in range(40)]
+        leader = make_leader_with_owners(names)
+        leader.send_heartbeat('e1')
+        leader.send_heartbeat('e2')
+        for name in names:
+            leader.call(make_check_in(9, name, is_draining=True))
+        with patch.object(
+            LeaseTable,
+            'live_vms',
+            autospec=True,
+            side_effect=LeaseTable.live_vms,
+        ) as list_live:
+            send_events(leader)
+        self.assertLessEqual(list_live.call_count, 10)
+        leader.send_heartbeat('e2')
+        leader.send_heartbeat('e1')
+        self.assertEqual(len(leader.answers), leader.call_count)
+
+
 class ChangeItemsTest(unittest.TestCase):
     """Guards against answers that do not give the outcome of a change.
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,5 +1,6 @@
 """Tests of VM leases."""
 
+import math
 import unittest
 from dataclasses import replace
 
@@ -14,6 +15,32 @@
 from tests.samples import make_vm
 
 
+def beat(table, vm, applied, now=0):
+    """Process a heartbeat of a VM."""
+    table.record_heartbeat(Heartbeat(vm, 1, 0, applied, 0), now, 1, 9)
+
+
+class AppliedIndexTest(unittest.TestCase):
+    """Guards against a change that counts as applied while a VM lacks it."""
+
+    @parameterized.expand(
+        [
+            ('a VM has left', lambda table: table.remove('e1', 1), 100, 5),
+            ('it has reported', lambda table: beat(table, 'e1', 6), 100, 5),
+            ('another has come', lambda table: beat(table, 'e3', 1), 100, 1),
+            ('a lease has ended', lambda table: None, 600, 5),
+            ('all leases have ended', lambda table: None, 700, math.inf),
+        ]
+    )
+    def test_lowest(self, _name, change, now, expected):
+        table = LeaseTable(600, 0, 0)
+        beat(table, 'e1', 3)
+        beat(table, 'e2', 5, now=100)
+        self.assertEqual(table.find_applied_index(100), 3)
+        change(table)
+        self.assertEqual(table.find_applied_index(now), expected)
+
+
 class VmLeaseTest(unittest.TestCase):
     """Guards against a lease that outlasts the one in the leader's table."""
 
