Wait once for the entry VMs when an upstream leaves

Callers: an upstream that leaves waited longer than the lease of a lost entry VM allows, if its later check-ins named other slots, another address or failure domain, or if it was no longer cold. Cause: each change of a leaving upstream's record was recorded as the commit that entry VMs have to apply, so each began the wait and its bound again. Change: only the commit with which a process becomes leaving counts. An entry VM that has applied it sends the upstream nothing, whatever else changes. Evacuations already record only their start; changes of items wait for their own commit.

--- a/src/ibisjunction/coordination/confirmations.py
+++ b/src/ibisjunction/coordination/confirmations.py
@@ -16,7 +16,7 @@
 from ibisjunction.coordination.evacuations import Evacuations
 from ibisjunction.coordination.spread import CommittedChange, is_confirmable
 from ibisjunction.coordination.timing import FleetTiming
-from ibisjunction.fleet.model import FleetState
+from ibisjunction.fleet.model import FleetState, Upstream
 from ibisjunction.membership.leases import LeaseTable
 
 
@@ -52,10 +52,10 @@
             before = earlier.upstreams.get(name)
             if upstream is before:
                 continue
-            if upstream.is_draining:
-                self._recent[name] = CommittedChange(index, now)
-            else:
+            if not upstream.is_draining:
                 self._recent.pop(name, None)
+            elif not _was_draining(before, upstream):
+                self._recent[name] = CommittedChange(index, now)
         self._evacuations.record_state_change(earlier, state, index, now)
 
     def find_required_change(
@@ -101,3 +101,12 @@
                 return self._evacuations.force_ms
             case _:
                 return self._timing.drain_ms
+
+
+def _was_draining(before: Upstream | None, upstream: Upstream) -> bool:
+    """Return whether the same process was leaving already."""
+    return (
+        before is not None
+        and before.is_draining
+        and before.process_key == upstream.process_key
+    )
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -527,6 +527,41 @@
     leader.wait(1000)
 
 
+class MovingWaitTest(unittest.TestCase):
+    """Guards against a wait that each change of a leaving upstream restarts.
+
+    An entry VM that knows that an upstream leaves sends it nothing, whatever
+    else changes.
+    """
+
+    @parameterized.expand(
+        [
+            ('nothing', {}),
+            ('slots', {'slots': 4}),
+            ('address', {'address': 'u1:81'}),
+            ('failure domain', {'failure_domain': 'b'}),
+        ]
+    )
+    def test_lost_vm_is_waited_for_once(self, _name, changes):
+        leader = make_leader_with_owners()
+        check_in = make_check_in(9, is_draining=True)
+        leader.send_heartbeat('lost')
+        for sequence in range(9, 13):
+            leader.call(replace(check_in, sequence=sequence))
+            check_in = replace(check_in, **changes)
+            leader.wait(800)
+        self.assertIsInstance(leader.answers.get('c6'), CheckedIn)
+
+    def test_departure_of_the_next_process_is_waited_for(self):
+        """Guards against a confirmation for the process before."""
+        leader = make_leader_with_owners()
+        leader.call(make_check_in(9, is_draining=True))
+        leader.wait(4000)
+        leader.send_heartbeat('e1')
+        check_in = make_check_in(1, born=20, is_draining=True)
+        self.assertIsNone(leader.call(check_in))
+
+
 class ManyCallsTest(unittest.TestCase):
     """Guards against a leader whose work grows with calls times entry VMs.
 
