Ask a VM that catches up for a report if a call waits for it

Callers: an upstream that leaves, or an order, waited for one entry VM that had the entries. Cause: only entries that are pushed as new asked for a report at once. A VM that missed them, because its window was full or because it uses a relay, got them in answer to a heartbeat without that request and reported with its next one, 1.33 s later at 200 VMs. Class: a rule that holds on one of two ways of a message. Change: what a heartbeat is answered with asks for a report while a call waits, directly and through a relay. A state always did.

--- a/src/ibisjunction/control/subscribers.py
+++ b/src/ibisjunction/control/subscribers.py
@@ -2,6 +2,7 @@
 
 import functools
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from ibisjunction.clock import MS_PER_S
@@ -112,10 +113,21 @@
         commit_index: int,
         state: Any,
         now: int,
+        *,
+        wants_report: bool = False,
     ) -> None:
-        """Send a daemon the next entries that it has not got, or the state."""
+        """Send a daemon the next entries that it has not got, or the state.
+
+        :param wants_report: as for :meth:`find_missing`.
+        """
         missing = self.find_missing(
-            heartbeat, replica_log, commit_index, state, now, is_relayed=False
+            heartbeat,
+            replica_log,
+            commit_index,
+            state,
+            now,
+            is_relayed=False,
+            wants_report=wants_report,
         )
         if missing is not None:
             self._peers.send(heartbeat.vm, missing)
@@ -129,17 +141,20 @@
         now: int,
         *,
         is_relayed: bool,
+        wants_report: bool = False,
     ) -> CommittedEntries | StateSnapshot | None:
         """Return the next entries that a daemon has not got, or the state.
 
         :param is_relayed: whether another VM passed the heartbeat on.
+        :param wants_report: whether the daemon is to report at once that it
+            has applied the entries; it always does so for a state.
         :return: ``None`` if there are none, or if the daemon has to apply what
             is under way to it first. Entries that :meth:`push` sends soon are
             left out.
         """
         if self._new_commands:
             commit_index = self._first_new_index - 1
-        return self._distribution.choose_missing(
+        missing = self._distribution.choose_missing(
             DaemonReport(
                 heartbeat.vm,
                 is_relayed,
@@ -153,6 +168,9 @@
             ),
             now,
         )
+        if wants_report and isinstance(missing, CommittedEntries):
+            return replace(missing, wants_report=True)
+        return missing
 
     def answer_fetch(self, vm: str, fetch: FetchReports, now: int) -> None:
         """Send the revision that each live VM reported."""
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -459,7 +459,12 @@
     subscribers = leader_state.subscribers
     subscribers.renew_lease(heartbeat, now, log.term, index)
     subscribers.send_missing(
-        heartbeat, log.replica_log, index, log.replica.state, now
+        heartbeat,
+        log.replica_log,
+        index,
+        log.replica.state,
+        now,
+        wants_report=leader_state.coordinator.awaits_entry_vms,
     )
 
 
@@ -507,6 +512,7 @@
         replica.state,
         now,
         is_relayed=True,
+        wants_report=leader_state.coordinator.awaits_entry_vms,
     )
     return RelayedAnswer(
         heartbeat.vm,
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -215,6 +215,64 @@
         snapshots = [answer.snapshot is not None for answer in answers]
         self.assertEqual(snapshots, [True, False, False, False])
 
+    @parameterized.expand(
+        [
+            ('directly', False, True, True),
+            ('relayed', True, True, True),
+            ('no call waits', False, False, False),
+        ]
+    )
+    async def test_vm_that_missed_a_change_is_asked_for_a_report(
+        self, _name, is_relayed, is_waiting, expected
+    ):
+        """Guards against a confirmation that waits for the next heartbeat.
+
+        A VM whose window was full, or that uses a relay, gets the entries of a
+        change in answer to a heartbeat, and the next one is due after 1.3 s.
+        """
+        await self.lead_with_items()
+        self.clock.advance(10_000)
+        self.task.handle(Tick())
+        for vm in ('e1', 'e2'):
+            self.send_heartbeat(vm, self.read_state().index)
+        await self.publish(4)
+        index = self.read_state().index
+        if not is_waiting:
+            self.send_heartbeat('e1', index)
+            self.send_heartbeat('e2', index)
+        self.sent.clear()
+        self.send_heartbeat('late', index - 1, is_relayed=is_relayed)
+        entries = [
+            message.entries if isinstance(message, RelayedAnswer) else message
+            for _, message in self.sent
+        ]
+        self.assertEqual(
+            [
+                one.wants_report
+                for one in entries
+                if isinstance(one, CommittedEntries)
+            ],
+            [expected],
+        )
+
+    async def publish(self, version):
+        """Publish a version of the items; return once it is committed."""
+        update = ItemUpdate((replace(ITEMS.items[0], version=version),))
+        self.task.handle(LocalCall(ChangeItems(update), Mailbox()))
+        await self.run_until(
+            lambda: self.read_state().items[0].version == version
+        )
+
+    def send_heartbeat(self, vm, applied, *, is_relayed=False):
+        """Deliver a heartbeat directly or through another VM."""
+        heartbeat = Heartbeat(vm, 5, self.clock.now(), applied, 0)
+        relayed = RelayedHeartbeat(heartbeat, LoadReport((), ()))
+        self.task.handle(
+            Received('relay', relayed)
+            if is_relayed
+            else Received(vm, heartbeat)
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
