--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -52,6 +52,7 @@
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.spread import (
     CommittedChange,
+    find_slowest,
     list_behind,
 )
 from ibisjunction.coordination.timing import FleetTiming
@@ -122,6 +123,8 @@
         self._admissions = Admissions(self._proposals.make_id)
         self._periodic_proposals: set[str] = set()
         self._next_periodic_ms = now
+        # What all entry VMs had applied when their calls were last answered.
+        self._answered_index: float = -1
 
     @property
     def awaits_entry_vms(self) -> bool:
@@ -273,7 +276,15 @@
             )
 
     def answer_ready_calls(self, now: int) -> list[Effect]:
-        """Answer the calls that waited for entry VMs and are ready."""
+        """Answer the calls that waited for entry VMs and are ready.
+
+        Most heartbeats change nothing for any call. What they leave undone
+        follows at the next tick.
+        """
+        applied_index = self.leases.find_applied_index(now)
+        if applied_index == self._answered_index:
+            return []
+        self._answered_index = applied_index
         return self._answer_ready(self._calls.list_spreading(), now)
 
     def _answer_ready(self, call_ids: Iterable[str], now: int) -> list[Effect]:
@@ -289,8 +300,7 @@
                 self._calls.remove(call_id)
                 wait = None
                 if change is not None:
-                    behind = list_behind(change, self.leases, now)
-                    wait = _describe_wait(call_state, behind, now)
+                    wait = _describe_wait(call_state, change, self.leases, now)
                 replies.append(Reply(call_id, answer, wait))
         return replies
 
@@ -376,12 +386,18 @@
 
 
 def _describe_wait(
-    call_state: CallInProgress, behind: Iterable[str], now: int
+    call_state: CallInProgress,
+    change: CommittedChange,
+    leases: LeaseTable,
+    now: int,
 ) -> ConfirmationWait:
     return ConfirmationWait(
         type(call_state.call).__name__,
         now - call_state.started_ms,
-        tuple(behind),
+        tuple(list_behind(change, leases, now)),
+        now - change.committed_ms,
+        find_slowest(change, leases, now),
+        tuple(sorted(call_state.pending_proposals)),
     )
 
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from parameterized import parameterized
 
@@ -28,6 +29,7 @@
 )
 from ibisjunction.coordination.coordinator import Coordinator
 from ibisjunction.coordination.effects import ConfirmationWait, Propose, Reply
+from ibisjunction.coordination.spread import SlowVm
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.fleet.commands import (
     AssignShards,
@@ -37,6 +39,7 @@
 )
 from ibisjunction.fleet.model import BUCKET_KEYS, LAST_KEY, FleetState
 from ibisjunction.fleet.rules import apply_fleet_command
+from ibisjunction.membership.leases import LeaseTable
 from ibisjunction.membership.messages import Heartbeat
 
 TIMING = FleetTiming(
@@ -473,24 +476,121 @@
 
     @parameterized.expand(
         [
-            ('all have applied it', True, ConfirmationWait('Depart', 0, ())),
+            (
+                'all have applied it',
+                ((0, 'e2'), (200, 'e1')),
+                ConfirmationWait('Depart', 200, (), 200, SlowVm('e1', 300, 1)),
+            ),
             (
                 'one never does',
-                False,
-                ConfirmationWait('Depart', 3100, ('e1',)),
+                ((0, 'e2'),),
+                ConfirmationWait(
+                    'Depart', 3100, ('e1',), 3100, SlowVm('e1', 3200, 1)
+                ),
             ),
         ]
     )
-    def test_departure(self, _name, is_applied, expected):
+    def test_departure(self, _name, reports, expected):
         leader = make_leader_with_owners()
-        leader.send_heartbeat()
+        leader.send_heartbeat('e1')
+        leader.send_heartbeat('e2')
+        leader.wait(100)
         leader.call(Depart('u1', 10))
         call_id = f'c{leader.call_count}'
-        if is_applied:
-            leader.send_heartbeat()
+        for passed_ms, vm in reports:
+            leader.wait(passed_ms)
+            leader.send_heartbeat(vm)
         leader.wait(4000)
         self.assertEqual(leader.waits[call_id], expected)
 
+    def test_lost_proposal(self):
+        """Guards against a call that runs out of time without a reason."""
+        leader = make_leader_with_owners()
+        effects = leader.coordinator.handle_call(
+            'lost', make_check_in(9, is_draining=True), leader.now
+        )
+        leader.wait(4000)
+        self.assertEqual(
+            leader.waits['lost'].uncommitted,
+            tuple(sorted(one.proposal_id for one in effects)),
+        )
+
+
+def send_reports(leader):
+    """Send ten reports of a VM while another has not applied the changes."""
+    for _ in range(10):
+        leader.send_heartbeat('e1')
+
+
+def wait_for_ticks(leader):
+    """Let ten ticks pass."""
+    leader.wait(1000)
+
+
+class MovingWaitTest(unittest.TestCase):
+    """Guards against a wait that each change of a leaving upstream restarts.
+
+    An entry VM that knows that an upstream leaves sends it nothing, whatever
+    else changes.
+    """
+
+    @parameterized.expand(
+        [
+            ('nothing', {}),
+            ('slots', {'slots': 4}),
+            ('address', {'address': 'u1:81'}),
+            ('failure domain', {'failure_domain': 'b'}),
+        ]
+    )
+    def test_lost_vm_is_waited_for_once(self, _name, changes):
+        leader = make_leader_with_owners()
+        check_in = make_check_in(9, is_draining=True)
+        leader.send_heartbeat('lost')
+        for sequence in range(9, 13):
+            leader.call(replace(check_in, sequence=sequence))
+            check_in = replace(check_in, **changes)
+            leader.wait(800)
+        self.assertIsInstance(leader.answers.get('c6'), CheckedIn)
+
+    def test_departure_of_the_next_process_is_waited_for(self):
+        """Guards against a confirmation for the process before."""
+        leader = make_leader_with_owners()
+        leader.call(make_check_in(9, is_draining=True))
+        leader.wait(4000)
+        leader.send_heartbeat('e1')
+        check_in = make_check_in(1, born=20, is_draining=True)
+        self.assertIsNone(leader.call(check_in))
+
+
+class ManyCallsTest(unittest.TestCase):
+    """Guards against a leader whose work grows with calls times entry VMs.
+
+    With 145 upstreams that left and 200 entry VMs, one report of each VM took
+    more of a processor than there is between two messages with entries.
+    """
+
+    @parameterized.expand(
+        [('reports', send_reports), ('ticks', wait_for_ticks)]
+    )
+    def test_leases_are_read_once_for_all_calls(self, _name, send_events):
+        names = [f'u{number}' for number in range(40)]
+        leader = make_leader_with_owners(names)
+        leader.send_heartbeat('e1')
+        leader.send_heartbeat('e2')
+        for name in names:
+            leader.call(make_check_in(9, name, is_draining=True))
+        with patch.object(
+            LeaseTable,
+            'live_vms',
+            autospec=True,
+            side_effect=LeaseTable.live_vms,
+        ) as list_live:
+            send_events(leader)
+        self.assertLessEqual(list_live.call_count, 10)
+        leader.send_heartbeat('e2')
+        leader.send_heartbeat('e1')
+        self.assertEqual(len(leader.answers), leader.call_count)
+
 
 class ChangeItemsTest(unittest.TestCase):
     """Guards against answers that do not give the outcome of a change.
