Measure what a committed entry costs an entry VM

The cost of following the fleet on 200 entry VMs was not known. The table of `ibisjunction-bench decisions` now ends with the processor time of one entry of each kind, by its parts.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -17,6 +17,7 @@
 )
 from ibisjunction.bench.capacity.decision_costs import report_decisions
 from ibisjunction.bench.capacity.distribution_costs import report_distribution
+from ibisjunction.bench.capacity.view_costs import report_views
 from ibisjunction.bench.control import measure_control
 from ibisjunction.bench.demo import run_demo
 from ibisjunction.bench.link.comparison import compare_links
@@ -216,11 +217,11 @@
 @cappa.command(name='decisions')
 @dataclass
 class DecisionsCommand:
-    """Measure what one decision on a request costs an entry VM."""
+    """Measure what decisions and committed entries cost an entry VM."""
 
     def __call__(self) -> int:
-        """Print tables by waiting requests and by VMs."""
-        return report_decisions(sys.stdout)
+        """Print tables by waiting requests, by VMs and by upstreams."""
+        return report_decisions(sys.stdout) or report_views(sys.stdout)
 
 
 @cappa.command(name='soak')
