Copy only the shard that a split divides

On a deployment of about 200 entry VMs, callers were served too little, and entry VMs had no processor time left for requests while keys of a burst were divided. A split copied every shard of its service, on each entry VM and each control VM, and the leader makes several splits a second then.

A split now keeps all other shards.

The test fails without the change: 65 of 65 shards made instead of 2. It covers the other entries about shards too, which kept the rest before.

--- a/src/ibisjunction/bench/capacity/view_costs.py
+++ b/src/ibisjunction/bench/capacity/view_costs.py
@@ -29,9 +29,10 @@
     FreedShard,
     FreeShards,
     MarkDraining,
+    SplitShard,
     UpdateItems,
 )
-from ibisjunction.fleet.model import FleetState, Upstream
+from ibisjunction.fleet.model import BUCKET_KEYS, FleetState, Upstream
 from ibisjunction.fleet.rules import apply_fleet_command
 
 #: Upstreams of the sharded service and of the two others.
@@ -117,6 +118,7 @@
     free, owned, *_ = state.shards[service]
     yield AssignShards(service, upstream.upstream, upstream.born, (free.first,))
     yield FreeShards(service, (FreedShard(owned.first, owned.fence),))
+    yield SplitShard(service, owned.first, (owned.first + BUCKET_KEYS,))
     yield MarkDraining(upstream.upstream, upstream.born)
     yield AdmitUpstreams(
         (Upstream('new', 1, _SERVICES[1], 'new:80', 'fd-1', _SLOTS),)
--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -136,17 +136,17 @@
 
 
 def _split(state: FleetState, command: SplitShard) -> FleetState:
-    shards: list[Shard] = []
-    for shard in state.shards.get(command.service, ()):
-        is_target = shard.first == command.first and not shard.is_releasing
-        starts = command.starts if is_target else ()
+    shards = state.shards.get(command.service, ())
+    position = _find_position(shards, command.first)
+    if position is not None and not shards[position].is_releasing:
+        shard = shards[position]
+        starts = sorted(command.starts)
         if any(not shard.first < start <= shard.last for start in starts):
             return state
-        shards += _split_at(shard, sorted(starts))
-    return replace(
-        state,
-        shards=state.shards | {command.service: tuple(shards)},
-    )
+        parts = _split_at(shard, starts)
+        following = shards[position + 1 :]
+        shards = (*shards[:position], *parts, *following)
+    return replace(state, shards=state.shards | {command.service: shards})
 
 
 def _split_at(shard: Shard, starts: Iterable[int]) -> Shards:
@@ -200,12 +200,20 @@
 ) -> Shards:
     changed = list(shards)
     for first in frozenset(firsts):
-        position = bisect.bisect_left(shards, first, key=_get_first_key)
-        if position < len(shards) and shards[position].first == first:
+        position = _find_position(shards, first)
+        if position is not None:
             changed[position] = change(shards[position])
     return tuple(changed)
 
 
+def _find_position(shards: Shards, first: int) -> int | None:
+    """Return the position of the shard that begins with a key, if any does."""
+    position = bisect.bisect_left(shards, first, key=_get_first_key)
+    if position < len(shards) and shards[position].first == first:
+        return position
+    return None
+
+
 def _release(shown: int | None, shard: Shard) -> Shard:
     if not shard.owner or shard.is_releasing:
         return shard
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -149,6 +149,32 @@
             ],
         )
 
+    @parameterized.expand(
+        [
+            ('split', SplitShard('reads', 0, (8,)), 2),
+            ('split in four', SplitShard('reads', 0, (8, 16, 24)), 4),
+            ('split of no shard', SplitShard('reads', 4, (8,)), 0),
+            ('release', ReleaseShards('reads', (0,)), 1),
+            ('free', FreeShards('reads', (FreedShard(0, 1),)), 1),
+            ('assignment', AssignShards('reads', 'u1', 10, (1024,)), 1),
+        ],
+    )
+    def test_other_shards_are_kept(self, _name, command, made):
+        """Guards against entries that take as long as there are shards.
+
+        Each entry VM and each replica applies every entry, so one copy of each
+        shard of a large service for every split occupied all of them.
+        """
+        state = run(
+            FleetState(),
+            AdmitUpstream(FIRST),
+            DivideKeys('reads', 64),
+            AssignShards('reads', 'u1', 10, (0,)),
+        )
+        kept = {id(shard) for shard in state.shards['reads']}
+        after = run(state, command).shards['reads']
+        self.assertEqual(sum(id(shard) not in kept for shard in after), made)
+
 
 class GeneratedTest(unittest.TestCase):
     """Guards against gaps, new owners with an old fence, and decode errors."""
