Test the ends of connections that hold a body

A body whose connection ended while it waited for room, or after it was read and before it was handled, would keep its room until the process ends, and the former also its reading task.

The tests drive one connection over a socket pair and end it by a message and by a cancellation. Put into a copy of the code, each mistake fails two of the four rows: without the re-raise of the cancellation, without the flag or without the except clause in _wait_for, the task _read_requests stays; without the release of queued messages in _end, the body of 10 bytes and its room stay.

--- a/tests/test_caller_room.py
+++ b/tests/test_caller_room.py
@@ -2,22 +2,35 @@
 
 import asyncio
 import contextlib
+import functools
 import random
+import socket
 import unittest
 
 from parameterized import parameterized
 
-from ibisjunction.bodies.answers import HeldAnswer, find_untaken
+from ibisjunction.bodies.account import BodyAccount
+from ibisjunction.bodies.answers import (
+    AnswerCount,
+    HeldAnswer,
+    find_untaken,
+)
 from ibisjunction.bodies.connections import (
     Admitted,
     ConnectionTable,
     Rejected,
 )
+from ibisjunction.bodies.gate import BodyGate
 from ibisjunction.byte_budget import ByteBudget
-from ibisjunction.catalogue.model import RequestKind, Route, Target
+from ibisjunction.catalogue.model import Limits, RequestKind, Route, Target
 from ibisjunction.catalogue.routes import NamedRoute
 from ibisjunction.clock import SystemClock
+from ibisjunction.entry.callers.caller_connection import CallerConnection
+from ibisjunction.entry.callers.caller_stream import CallerStream
+from ibisjunction.entry.callers.connection_context import ConnectionContext
+from ibisjunction.entry.callers.pipeline import CallerLeft
 from ibisjunction.entry.callers.server import CallerRoom, EntryServer
+from ibisjunction.entry.link.transfers import FreeLink
 from ibisjunction.entry.model import Answered, HeaderNames, RoutedRequest
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
@@ -210,3 +223,92 @@
         self.assertIn(b' 503 ', head)
         self.assertIn(b'Retry-After: 1.000', head)
         self.assertIn(b'Connection: close', head)
+
+
+def _make_context(account_bytes=_ROOM_BYTES):
+    """Return what the connections of a VM share, with an empty account."""
+    answers = ByteBudget(account_bytes)
+    return ConnectionContext(
+        _Processor(),
+        SystemClock(),
+        _NAMES,
+        Limits(10_000, _ROOM_BYTES, 10_000, 10_000),
+        FreeLink(),
+        Mailbox(),
+        _ROOM_BYTES,
+        BodyGate(BodyAccount(account_bytes), SystemClock()),
+        AnswerCount(answers),
+        ConnectionTable(10),
+    )
+
+
+@contextlib.contextmanager
+def _connect(context):
+    """Provide a connection that is not run yet, and its caller's end."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    stream = CallerStream(ours, context.clock)
+    with theirs:
+        yield CallerConnection(stream, context, 1, 'a'), theirs
+
+
+class _EndingMailbox(Mailbox):
+    """Ends its connection as soon as a request was read."""
+
+    def __init__(self, end):
+        super().__init__()
+        self.end = end
+        self.requests = []
+
+    def post(self, message):
+        """Add a message; the end comes before or after a request."""
+        if hasattr(message, 'incoming'):
+            self.requests.append(message.incoming.request)
+            self.end()
+        super().post(message)
+
+
+class EndOfConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bodies that outlive the connection that read them."""
+
+    @parameterized.expand(['caller leaves', 'task is cancelled'])
+    async def test_request_that_was_read_but_not_handled(self, ending):
+        """Guards against room that the mailbox of an ended connection keeps."""
+        context = _make_context()
+        with _connect(context) as (connection, theirs):
+            task = asyncio.create_task(connection.run())
+            mailbox = _EndingMailbox(task.cancel)
+            if ending == 'caller leaves':
+                mailbox.end = functools.partial(mailbox.post, CallerLeft())
+            connection.mailbox = mailbox
+            theirs.sendall(_head('/', 10).encode() + bytes(10))
+            async with asyncio.timeout(30):
+                await asyncio.wait({task})
+        self.assertEqual([len(one.body) for one in mailbox.requests], [0])
+        self.assertEqual(context.gate.account.used, 0)
+
+    @parameterized.expand(['caller leaves', 'task is cancelled'])
+    async def test_body_that_waits_for_room(self, ending):
+        """Guards against a parser that goes on after it was cancelled.
+
+        It would pass on the part that it has, and read forever. The room
+        stays full, so that nothing else ends the wait.
+        """
+        context = _make_context()
+        account = context.gate.account
+        context.gate.change_other_bytes(_ROOM_BYTES)
+        before = asyncio.all_tasks()
+        with _connect(context) as (connection, theirs):
+            task = asyncio.create_task(connection.run())
+            theirs.sendall(_head('/', 10).encode() + bytes(9))
+            async with asyncio.timeout(30):
+                while not account.waiting_count:
+                    await asyncio.sleep(0)
+            if ending == 'caller leaves':
+                connection.mailbox.post(CallerLeft())
+            else:
+                task.cancel()
+            left = asyncio.all_tasks() - before
+            _, still_running = await asyncio.wait(left, timeout=30)
+        self.assertEqual(still_running, set())
+        self.assertEqual((account.waiting_count, account.used), (0, 0))
