Name the process in grant calls to an upstream

A frozen process of an upstream and its successor could both hold a shard: a dispatcher that hasn't applied a restart yet renews the grants of the former process at its address, where the new process listens by now. The call named neither of them, so the new process took the grants, while the lease of the former one still ran.

The cause is a message that is addressed by host and port and not by the incarnation that its content is for. GrantCall now has incarnation. A process refuses a call for another one with 421 and without its clock, which the dispatcher must not echo to the process that it means. For the dispatcher the call has failed, as if nobody had listened. Check-ins of the users' platform carry grants in their answers and aren't concerned.

The model has a new mistake, a call accepted by another process, which breaks one_owner. The stand-in had announced another clock reading at each start of announcing than it could compare with; it now has one incarnation.

Changes to tests: GrantTable and GrantCall take the incarnation. In test_at_most_one_owner a refused call counts as failed at its sender; its actions, examples and check are the same.

--- a/specs/takeover.py
+++ b/specs/takeover.py
@@ -1,9 +1,10 @@
 """Specification of shard hand-over and dispatcher take-over.
 
 One shard moves from upstream 1 to upstream 2, as planned or because upstream 1
-is lost. VM A dispatches for upstream 1 under epoch 1 and VM B may replace it
-under epoch 2. VM C requests one ticket from A. Upstream 1 does not check
-fences, so it runs every request that C sends.
+is lost. Upstream 2 may be the next process of upstream 1 at the same address,
+where calls for upstream 1 reach it. VM A dispatches for upstream 1 under epoch
+1 and VM B may replace it under epoch 2. VM C requests one ticket from A.
+Upstream 1 does not check fences, so it runs every request that C sends.
 
 Time is not modelled: a lease may end at any moment. Where the code relies on
 the length of a lease, a step has a guard instead. One VM lease after the commit
@@ -29,6 +30,7 @@
         'complete a loss while the grant lease runs': ('grants', 'one_owner'),
         'renew grants after a loss': ('grants', 'one_owner'),
         'ignore the sequence of calls': ('grants', 'one_owner'),
+        'accept a call for another process': ('grants', 'one_owner'),
         'grant a moving shard again': ('grants', 'one_owner'),
         'release while a ticket is outstanding': ('tickets', 'one_acceptor'),
         'complete a loss before all VMs apply the move': (
@@ -219,6 +221,15 @@
     for call in state.calls:
         yield f'deliver {call}', _deliver(state, call, mistake)
         yield f'lose {call}', state._replace(calls=state.calls - {call})
+        if mistake == 'accept a call for another process':
+            # Without the mistake, this equals the loss of the call.
+            yield (
+                f'accept {call} at upstream 2',
+                state._replace(
+                    calls=state.calls - {call},
+                    u2_granted=state.u2_granted or call.is_granted,
+                ),
+            )
     if state.u1_leased and state.is_loss_reported:
         stale = frozenset(call._replace(is_stale=True) for call in state.calls)
         yield 'grant lease ends', state._replace(u1_leased=False, calls=stale)
--- a/src/ibisjunction/bench/announcing.py
+++ b/src/ibisjunction/bench/announcing.py
@@ -38,7 +38,7 @@
         slots=profile.slots,
         connections=_MAX_CONNECTIONS,
         checks_fence=profile.checks_fence,
-        incarnation=stand_in.clock.now(),
+        incarnation=stand_in.incarnation,
     )
     while True:
         await stand_in.faults.thawed.wait()
--- a/src/ibisjunction/bench/grants.py
+++ b/src/ibisjunction/bench/grants.py
@@ -4,21 +4,31 @@
 
 
 class GrantTable:
-    """Grants in force at one upstream.
+    """Grants in force at one process of an upstream.
 
     The lease starts at the clock reading that the call echoes, so a delayed
     call does not extend it. A call without an echo, or with an echo later than
     now, is refused; the answer carries the reading for the next call.
     """
 
-    def __init__(self) -> None:
-        """Start without grants."""
+    def __init__(self, incarnation: int) -> None:
+        """Start without grants.
+
+        :param incarnation: that of the process, as in its announcement.
+        """
+        self._incarnation = incarnation
         self._version = (0, 0)
         self._until_ms = 0
         self._fences: dict[tuple[str, int], int] = {}
 
-    def accept(self, call: GrantCall, now: int) -> GrantAnswer:
-        """Apply the grants of a call that is newer than the calls before."""
+    def accept(self, call: GrantCall, now: int) -> GrantAnswer | None:
+        """Apply the grants of a call that is newer than the calls before.
+
+        :return: ``None`` if the call is for another process. Its sender must
+            not get a clock reading of this one.
+        """
+        if call.incarnation != self._incarnation:
+            return None
         version = (call.epoch, call.sequence)
         if version <= self._version:
             return GrantAnswer(
--- a/src/ibisjunction/bench/stand_in.py
+++ b/src/ibisjunction/bench/stand_in.py
@@ -89,7 +89,8 @@
         self.profile = profile
         self.clock = clock
         self.writer = writer
-        self.grants = GrantTable()
+        self.incarnation = clock.now()
+        self.grants = GrantTable(self.incarnation)
         self.connections = ConnectionRegistry()
         self.faults = ActiveFaults(crash_prefix=profile.crash_on)
         self.faults.thawed.set()
--- a/src/ibisjunction/bench/upstream.py
+++ b/src/ibisjunction/bench/upstream.py
@@ -63,6 +63,9 @@
         call = msgspec.json.decode(self.request.body, type=GrantCall)
         now = self.stand_in.clock.now()
         answer = self.stand_in.grants.accept(call, now)
+        if answer is None:
+            self.set_status(HTTPStatus.MISDIRECTED_REQUEST)
+            return
         self.finish(msgspec.json.encode(answer))
 
 
--- a/src/ibisjunction/ownership/upstream_grants.py
+++ b/src/ibisjunction/ownership/upstream_grants.py
@@ -211,6 +211,7 @@
         self._sequence += 1
         self._pending_call = GrantCall(
             vm=self._vm,
+            incarnation=self._record.incarnation,
             epoch=self.epoch,
             sequence=self._sequence,
             echo=None if self._echo is None else self._echo.clock,
--- a/src/ibisjunction/upstreams/protocol.py
+++ b/src/ibisjunction/upstreams/protocol.py
@@ -39,6 +39,8 @@
 class GrantCall(msgspec.Struct, frozen=True):
     """All grants of an upstream; they replace all earlier ones.
 
+    ``incarnation`` is that of the process which the grants are for. Another
+    process may listen at the same address, and answers with status 421.
     ``sequence`` increases within an epoch. A call may be delayed on a broken
     connection, so the upstream ignores one that is older than the last.
     ``echo`` is the clock reading of the upstream's last answer, or ``None`` on
@@ -46,6 +48,7 @@
     """
 
     vm: str
+    incarnation: int
     epoch: int
     sequence: int
     echo: int | None
--- a/tests/session.py
+++ b/tests/session.py
@@ -63,6 +63,8 @@
 
 #: Event loop iterations, enough for the tasks to handle all queued messages.
 _SETTLE_ITERATIONS = 60
+#: That of the processes of all upstreams.
+_INCARNATION = 1
 #: Types of messages that are sent periodically, mostly without a change.
 #: Recording them would obscure the other messages.
 _NOT_RECORDED = (
@@ -165,15 +167,17 @@
 
     def allows(self, address, service, shard, fence) -> bool:
         """Return whether the grants of a stand-in permit a request."""
-        grants = self._grants.get(address, GrantTable())
+        grants = self._grants.get(address, GrantTable(_INCARNATION))
         return grants.allows(service, shard, fence, self._clock.now())
 
     async def call(self, address, call, _timeout_ms):
         if address in self.unreachable:
             raise UpstreamUnreachableError(f'{address}: no answer')
         self._delivered_calls[address] = call
-        grants = self._grants.setdefault(address, GrantTable())
+        grants = self._grants.setdefault(address, GrantTable(_INCARNATION))
         answer = grants.accept(call, self._clock.now())
+        if answer is None:
+            raise UpstreamUnreachableError(f'{address}: another process')
         if self._has_new_content(address, call):
             self._recorder.add_message(call.vm, address, call)
             self._recorder.add_message(address, call.vm, answer)
--- a/tests/test_grant_connections.py
+++ b/tests/test_grant_connections.py
@@ -15,7 +15,7 @@
     UpstreamUnreachableError,
 )
 
-_CALL = GrantCall('vm-1', 1, 1, None, 500, [])
+_CALL = GrantCall('vm-1', 1, 1, 1, None, 500, [])
 _ANSWER = GrantAnswer(accepted=True, clock=7)
 #: Long enough for an answer on a busy machine.
 _TIMEOUT_MS = 10_000
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -149,14 +149,19 @@
             ('older epoch', (2, 9), False),
             ('newer', (3, 3), True),
             ('newer epoch', (4, 1), True),
+            ('newer, for another process', (3, 3), False, 2),
         ]
     )
-    def test_accepts(self, _name, position, is_accepted):
-        grant_table = GrantTable()
+    def test_accepts(self, _name, position, is_accepted, process=1):
+        grant_table = GrantTable(1)
         granted = [GrantedShard('mail-log', 0, 5)]
-        grant_table.accept(GrantCall('vm-1', 3, 2, 0, 500, []), 10)
-        call = GrantCall('vm-1', *position, 0, 500, granted)
-        self.assertEqual(grant_table.accept(call, 20).accepted, is_accepted)
+        grant_table.accept(GrantCall('vm-1', 1, 3, 2, 0, 500, []), 10)
+        call = GrantCall('vm-1', process, *position, 0, 500, granted)
+        answer = grant_table.accept(call, 20)
+        is_misdirected = process != 1
+        self.assertEqual(answer is None, is_misdirected)
+        if answer is not None:
+            self.assertEqual(answer.accepted, is_accepted)
         self.assertEqual(grant_table.allows('mail-log', 0, 5, 30), is_accepted)
 
 
@@ -275,7 +280,7 @@
 
     upstream: str
     rate: float
-    grant_table: GrantTable = field(default_factory=GrantTable)
+    grant_table: GrantTable = field(default_factory=lambda: GrantTable(1))
 
     def clock(self, now) -> int:
         return int(now * self.rate) + 7_000
@@ -380,7 +385,9 @@
             sent.send.call,
             process.clock(self.now),
         )
-        if is_answered:
+        if is_answered and answer is None:
+            self.fail(number)
+        elif is_answered:
             answered = GrantsAnswered(sent.send.call, answer, sent.sent_at)
             effects = sent.grants.handle_answer(answered, self.now)
             self.execute_effects(process.upstream, sent.grants, effects)
@@ -419,12 +426,13 @@
     def restart(self, number) -> None:
         """Start a new process; the former one is frozen and may continue."""
         upstream = f'up-{number}'
+        incarnation = len(self.processes) + 1
         process = replace(
-            self.current_processes[upstream], grant_table=GrantTable()
+            self.current_processes[upstream],
+            grant_table=GrantTable(incarnation),
         )
         self.processes.append(process)
         self.current_processes[upstream] = process
-        incarnation = len(self.processes)
         record = make_upstream(upstream, incarnation=incarnation)
         self.apply(AnnounceUpstream(record))
 
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -51,7 +51,9 @@
     output = io.BytesIO()
     stand_in = StandIn(profile, ManualClock(1000), RunWriter(output))
     grants = [GrantedShard('mail-log', 3, 7)]
-    stand_in.grants.accept(GrantCall('vm-1', 1, 1, 1000, 500, grants), 1000)
+    stand_in.grants.accept(
+        GrantCall('vm-1', 1000, 1, 1, 1000, 500, grants), 1000
+    )
     return stand_in, output
 
 
--- a/tests/test_upstream_server.py
+++ b/tests/test_upstream_server.py
@@ -5,6 +5,7 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient
 from tornado.iostream import StreamClosedError
@@ -16,6 +17,7 @@
 from ibisjunction.bench.run_records import join_runs, read_events
 from ibisjunction.bench.silent_connections import ConnectionRegistry
 from ibisjunction.bench.upstream import make_answer, run_upstream
+from ibisjunction.upstreams.protocol import GRANTS_PATH, GrantCall
 
 _TARGET = '/mail-log/key'
 _LENGTH = 100_000
@@ -65,6 +67,26 @@
         self.assertEqual(runs[0].started.target, _TARGET)
 
 
+class MisdirectedGrantsTest(unittest.TestCase):
+    """Guards against grants that reach the successor of a frozen process."""
+
+    def test_call_for_another_process_is_refused(self):
+        async def run(profile):
+            call = GrantCall('vm-1', 0, 1, 1, None, 500, [])
+            async with run_upstream(profile) as address:
+                client = AsyncHTTPClient(force_instance=True)
+                return await client.fetch(
+                    f'http://{address}{GRANTS_PATH}',
+                    method='PUT',
+                    body=msgspec.json.encode(call),
+                    raise_error=False,
+                )
+
+        with tempfile.TemporaryDirectory() as folder:
+            response = asyncio.run(run(_make_profile(folder)))
+        self.assertEqual((response.code, response.body), (421, b''))
+
+
 class SilenceTest(unittest.TestCase):
     """Guards against a peer that is notified when a connection is silenced."""
 
