Send a check-in that announces a departure again until it is answered

Callers: an upstream that leaves got no answer to a check-in and had to call the next control VM after a second. Cause: a leader that has just stopped acting drops the calls that reach it and answers with a hint. Check-ins are passed on once to each leader, also those that announce a departure, so that one was lost if the same VM led again at once. Departures and orders are sent again every 0.6 s. Class: a promise that is made to one of two forms of the same news. Change: a check-in that announces a departure is sent again too.

--- a/src/ibisjunction/coordination/forwarding.py
+++ b/src/ibisjunction/coordination/forwarding.py
@@ -19,9 +19,10 @@
 #: Shorter timeout while the leader is unknown, so that the caller soon turns
 #: to another VM, which may be in contact with the leader.
 _NO_LEADER_TIMEOUT_MS: Final = 800
-#: A forwarded call without an answer is sent again. A check-in is not: links
-#: resend what is lost, and its sender soon calls another VM, so that a slow
-#: leader would get each check-in several times.
+#: A forwarded call without an answer is sent again: a leader that just stopped
+#: acting drops it. A check-in is not, unless it announces that its sender
+#: leaves: its sender soon checks in again, and a slow leader would get each
+#: check-in several times.
 _RETRY_INTERVAL_MS: Final = 600
 
 
@@ -76,7 +77,7 @@
             is_new = pending.sent_to != leader
             is_due = (
                 now >= pending.sent_ms + _RETRY_INTERVAL_MS
-                and not isinstance(pending.call, CheckIn)
+                and _may_repeat(pending.call)
             )
             if is_new or is_due:
                 pending.sent_to = leader
@@ -96,3 +97,12 @@
         for call_id, pending in list(self._pending.items()):
             if now >= pending.started_ms + timeout_ms:
                 self.answer(call_id, Unavailable('no leader answers'))
+
+
+def _may_repeat(call: Call) -> bool:
+    """Return whether a call is sent again until it is answered."""
+    match call:
+        case CheckIn(is_draining=is_draining):
+            return is_draining
+        case _:
+            return True
