Ask for reports only until the change that a call waits for

Callers: confirmations are late while the leader is busy. Cause: while a call waited for the slowest entry VM, each further message with entries asked every VM for a report at once, also those that had reported the change: 600 heartbeats a second at 200 VMs, in place of 150, for as long as one VM is silent. Class: a request that is repeated by those who have answered it. Evidence: in the new test a VM that has reported the change is asked again with the next entry; it failed before. Change: messages ask for a report if they begin at or before the latest change that a call may wait for, pushed or in answer to a heartbeat. It is known without a look at the calls.

--- a/src/ibisjunction/bench/capacity/distribution_costs.py
+++ b/src/ibisjunction/bench/capacity/distribution_costs.py
@@ -250,7 +250,7 @@
         first = self.log.last_index + 1
         self.log.replace_from(first, (entry,))
         self.subscribers.add_entries(first, (entry,))
-        self.subscribers.push(now, wants_report=is_change)
+        self.subscribers.push(now, awaited_index=self.change_index)
 
     def handle_heartbeat(self, heartbeat: Heartbeat, now: int) -> None:
         """Renew a lease, and send what the VM misses."""
--- a/src/ibisjunction/control/subscribers.py
+++ b/src/ibisjunction/control/subscribers.py
@@ -69,13 +69,13 @@
             self._first_new_index = first_index
         self._new_commands += [entry.command for entry in entries]
 
-    def push(self, now: int, *, wants_report: bool = False) -> None:
+    def push(self, now: int, *, awaited_index: int = 0) -> None:
         """Send the entries that wait to the daemons that sent a heartbeat.
 
         They wait longer if others were sent just before.
 
-        :param wants_report: whether daemons are to report at once that they
-            have applied the entries.
+        :param awaited_index: the latest entry that daemons are to report at
+            once, so that those which have applied it send no more reports.
         """
         if not self._new_commands or now < self._next_push_ms:
             return
@@ -87,7 +87,9 @@
         self._distribution.remove_absent(frozenset(self._leases.records))
         first_index = self._first_new_index
         for commands in split_commands(self._new_commands):
-            message = CommittedEntries(first_index, commands, wants_report)
+            message = CommittedEntries(
+                first_index, commands, first_index <= awaited_index
+            )
             for vm in self._distribution.list_recipients(message, now):
                 self._peers.send(vm, message)
             first_index += len(commands)
@@ -114,11 +116,11 @@
         state: Any,
         now: int,
         *,
-        wants_report: bool = False,
+        awaited_index: int = 0,
     ) -> None:
         """Send a daemon the next entries that it has not got, or the state.
 
-        :param wants_report: as for :meth:`find_missing`.
+        :param awaited_index: as for :meth:`find_missing`.
         """
         missing = self.find_missing(
             heartbeat,
@@ -127,7 +129,7 @@
             state,
             now,
             is_relayed=False,
-            wants_report=wants_report,
+            awaited_index=awaited_index,
         )
         if missing is not None:
             self._peers.send(heartbeat.vm, missing)
@@ -141,13 +143,13 @@
         now: int,
         *,
         is_relayed: bool,
-        wants_report: bool = False,
+        awaited_index: int = 0,
     ) -> CommittedEntries | StateSnapshot | None:
         """Return the next entries that a daemon has not got, or the state.
 
         :param is_relayed: whether another VM passed the heartbeat on.
-        :param wants_report: whether the daemon is to report at once that it
-            has applied the entries; it always does so for a state.
+        :param awaited_index: the latest entry that the daemon is to report at
+            once; it always does so for a state.
         :return: ``None`` if there are none, or if the daemon has to apply what
             is under way to it first. Entries that :meth:`push` sends soon are
             left out.
@@ -168,9 +170,11 @@
             ),
             now,
         )
-        if wants_report and isinstance(missing, CommittedEntries):
-            return replace(missing, wants_report=True)
-        return missing
+        match missing:
+            case CommittedEntries(first_index=index) if index <= awaited_index:
+                return replace(missing, wants_report=True)
+            case _:
+                return missing
 
     def answer_fetch(self, vm: str, fetch: FetchReports, now: int) -> None:
         """Send the revision that each live VM reported."""
--- a/src/ibisjunction/coordination/calls_in_progress.py
+++ b/src/ibisjunction/coordination/calls_in_progress.py
@@ -84,6 +84,11 @@
         self._waiting.clear()
         self._spreading.clear()
 
+    @property
+    def has_spreading(self) -> bool:
+        """Whether there are calls that may wait for entry VMs."""
+        return bool(self._spreading)
+
     def list_spreading(self) -> list[str]:
         """Return the calls that may wait for entry VMs, the oldest first."""
         if not self._spreading:
--- a/src/ibisjunction/coordination/confirmations.py
+++ b/src/ibisjunction/coordination/confirmations.py
@@ -41,13 +41,18 @@
         self._inherited = inherited
         #: Latest changes by upstream; that of items is under the empty name.
         self._recent: dict[str, CommittedChange] = {}
+        #: Index of the latest change that answers wait for.
+        self.latest_index = inherited.index
 
     def record_state_change(
         self, earlier: FleetState, state: FleetState, index: int, now: int
     ) -> None:
         """Record when departures and changes of items were committed."""
+        change = CommittedChange(index, now)
+        if state.evacuated != earlier.evacuated:
+            self.latest_index = index
         if state.catalogue is not earlier.catalogue:
-            self._recent[''] = CommittedChange(index, now)
+            self._record('', change)
         for name, upstream in state.upstreams.items():
             before = earlier.upstreams.get(name)
             if upstream is before:
@@ -55,9 +60,13 @@
             if not upstream.is_draining:
                 self._recent.pop(name, None)
             elif not _was_draining(before, upstream):
-                self._recent[name] = CommittedChange(index, now)
+                self._record(name, change)
         self._evacuations.record_state_change(earlier, state, index, now)
 
+    def _record(self, name: str, change: CommittedChange) -> None:
+        self._recent[name] = change
+        self.latest_index = change.index
+
     def find_required_change(
         self, call: Call, own_change: CommittedChange | None
     ) -> CommittedChange | None:
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -127,12 +127,11 @@
         self._answered_index: float = -1
 
     @property
-    def awaits_entry_vms(self) -> bool:
-        """Whether an answer waits until entry VMs have applied a change."""
-        return any(
-            self._find_required_change(call_id) is not None
-            for call_id in self._calls.list_spreading()
-        )
+    def awaited_index(self) -> int:
+        """The latest change that an answer may wait for; 0 if none waits."""
+        if not self._calls.has_spreading:
+            return 0
+        return self._confirmations.latest_index
 
     def handle_call(self, call_id: str, call: Call, now: int) -> list[Effect]:
         """Propose a call's commands, and answer the call if it is ready."""
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -464,13 +464,13 @@
         index,
         log.replica.state,
         now,
-        wants_report=leader_state.coordinator.awaits_entry_vms,
+        awaited_index=leader_state.coordinator.awaited_index,
     )
 
 
 def _push_entries(leader_state: _LeaderState, now: int) -> None:
     leader_state.subscribers.push(
-        now, wants_report=leader_state.coordinator.awaits_entry_vms
+        now, awaited_index=leader_state.coordinator.awaited_index
     )
 
 
@@ -512,7 +512,7 @@
         replica.state,
         now,
         is_relayed=True,
-        wants_report=leader_state.coordinator.awaits_entry_vms,
+        awaited_index=leader_state.coordinator.awaited_index,
     )
     return RelayedAnswer(
         heartbeat.vm,
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -20,7 +20,7 @@
     LeaderHint,
     StateSnapshot,
 )
-from ibisjunction.coordination.calls import ChangeItems
+from ibisjunction.coordination.calls import ChangeItems, CheckIn
 from ibisjunction.coordination.messages import (
     LoadReport,
     LocalCall,
@@ -255,6 +255,37 @@
             [expected],
         )
 
+    async def test_reports_are_asked_for_until_the_change(self):
+        """Guards against a report for each message while one VM is silent.
+
+        At 200 VMs the leader got 600 reports a second until the slowest VM had
+        applied the change, and each took a part of a slow link.
+        """
+        await self.lead_with_items()
+        self.clock.advance(10_000)
+        self.task.handle(Tick())
+        index = self.read_state().index
+        for vm in ('e1', 'silent'):
+            self.send_heartbeat(vm, index)
+        self.sent.clear()
+        await self.publish(4)
+        self.send_heartbeat('e1', self.read_state().index)
+        await self.commit_check_in()
+        self.clock.advance(1000)
+        self.task.handle(Tick())
+        received = [
+            message.wants_report
+            for vm, message in self.sent
+            if vm == 'e1' and isinstance(message, CommittedEntries)
+        ]
+        self.assertEqual(received, [True, False])
+
+    async def commit_check_in(self):
+        """Let an upstream check in; return once it is admitted."""
+        call = CheckIn('u1', 1, 'reads', 'u1:80', 'a', 3, False, 1)
+        self.task.handle(LocalCall(call, Mailbox()))
+        await self.run_until(lambda: self.read_state().upstreams)
+
     async def publish(self, version):
         """Publish a version of the items; return once it is committed."""
         update = ItemUpdate((replace(ITEMS.items[0], version=version),))
