Let a repeated change of items wait for what was committed before it

Callers: an operator whose confirmation was lost sends the change again and may get no confirmation while other changes follow. Cause: a repeated change proposes nothing, so it had no commit of its own and waited for the latest change of any item, looked up each time that the answer was considered. Each later change moved it. Evidence: both cases of the new test failed before. Change: a call remembers what it had to wait for as it arrived, until a proposal of its own is committed.

--- a/src/ibisjunction/coordination/calls_in_progress.py
+++ b/src/ibisjunction/coordination/calls_in_progress.py
@@ -23,7 +23,8 @@
     """A call that is not answered yet, with the proposals that it waits for.
 
     ``is_late`` marks a check-in that arrived after a later one. ``change`` is
-    the commit of the latest of its proposals.
+    the commit of the latest of its proposals. Until there is one, it is what
+    the answer had to wait for as the call arrived.
     """
 
     call: Call
--- a/src/ibisjunction/coordination/confirmations.py
+++ b/src/ibisjunction/coordination/confirmations.py
@@ -72,10 +72,12 @@
     ) -> CommittedChange | None:
         """Return the change that entry VMs must apply before the answer.
 
-        A change of items waits for its own commit. Otherwise, changes in quick
+        A change of items waits for its own commit, or for the latest change at
+        its arrival if it proposed nothing. Otherwise, changes in quick
         succession would put off the answers to all of them.
 
-        :param own_change: the commit of the latest proposal of the call.
+        :param own_change: the commit of the latest proposal of the call, or the
+            change that was required as it arrived.
         """
         match call:
             case CheckIn(upstream=name, is_draining=True):
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -140,7 +140,9 @@
         if answer is not None:
             return [Reply(call_id, answer)]
         same_proposals = self._calls.find_same_proposals(call)
-        self._calls.add(call_id, CallInProgress(call, now, is_late=is_late))
+        change = self._confirmations.find_required_change(call, None)
+        call_state = CallInProgress(call, now, is_late=is_late, change=change)
+        self._calls.add(call_id, call_state)
         self._calls.add_proposals(call_id, same_proposals)
         if same_proposals:
             return []
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -670,6 +670,21 @@
         self.leader.send_heartbeat('e2', first_index)
         self.assertIsInstance(self.leader.answers[first_call], Confirmed)
 
+    @parameterized.expand([('the same', 9), ('an overtaken one', 8)])
+    def test_later_changes_do_not_put_off_a_repetition(self, _name, version):
+        """Guards against a storm in which no lost confirmation is made up for.
+
+        A repeated change has no commit of its own, and waited for the latest.
+        """
+        self.assertIsNone(self.change(9))
+        first_index = self.leader.index
+        self.assertIsNone(self.change(version))
+        repetition = f'c{self.leader.call_count}'
+        self.assertIsNone(self.change(10))
+        self.leader.send_heartbeat('e1', first_index)
+        self.leader.send_heartbeat('e2', first_index)
+        self.assertIsInstance(self.leader.answers.get(repetition), Confirmed)
+
     def test_repetition_before_the_commit(self):
         """Guards against a second copy while the first is being replicated."""
         call = ChangeItems(ItemUpdate((replace(ITEMS.items[0], version=9),)))
