--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -127,12 +127,11 @@
         self._answered_index: float = -1
 
     @property
-    def awaits_entry_vms(self) -> bool:
-        """Whether an answer waits until entry VMs have applied a change."""
-        return any(
-            self._find_required_change(call_id) is not None
-            for call_id in self._calls.list_spreading()
-        )
+    def awaited_index(self) -> int:
+        """The latest change that an answer may wait for; 0 if none waits."""
+        if not self._calls.has_spreading:
+            return 0
+        return self._confirmations.latest_index
 
     def handle_call(self, call_id: str, call: Call, now: int) -> list[Effect]:
         """Propose a call's commands, and answer the call if it is ready."""
@@ -141,7 +140,9 @@
         if answer is not None:
             return [Reply(call_id, answer)]
         same_proposals = self._calls.find_same_proposals(call)
-        self._calls.add(call_id, CallInProgress(call, now, is_late=is_late))
+        change = self._confirmations.find_required_change(call, None)
+        call_state = CallInProgress(call, now, is_late=is_late, change=change)
+        self._calls.add(call_id, call_state)
         self._calls.add_proposals(call_id, same_proposals)
         if same_proposals:
             return []
