Look only at the shards that are freed

Entry VMs of a large deployment had less processor time for requests while keys moved. Each entry that frees shards compared every shard of its service with those that it names, on each entry VM and control VM.

Such an entry now looks its shards up by their first keys, as releases and assignments do.

The test counts how often first keys of shards are read. It fails without the change: 1,027 times for 1,024 shards.

--- a/src/ibisjunction/fleet/rules.py
+++ b/src/ibisjunction/fleet/rules.py
@@ -7,7 +7,7 @@
 import bisect
 import functools
 import operator
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import Any, Final
 
@@ -22,6 +22,7 @@
     DivideKeys,
     FleetCommand,
     ForgetUpstream,
+    FreedShard,
     FreeShards,
     MarkCold,
     MarkDraining,
@@ -170,14 +171,9 @@
                 service_shards, firsts, functools.partial(_release, shown)
             )
         case FreeShards(freed=freed):
-            freed_by_first = {entry.first: entry for entry in freed}
-            changed = tuple(
-                shard.without_owner(freed_by_first[shard.first].handover)
-                if shard.first in freed_by_first
-                and freed_by_first[shard.first].fence == shard.fence
-                and shard.owner
-                else shard
-                for shard in service_shards
+            by_first = {entry.first: entry for entry in freed}
+            changed = _replace_shards(
+                service_shards, by_first, functools.partial(_free, by_first)
             )
         case AssignShards(upstream=name, born=born, firsts=firsts):
             found = state.upstreams.get(name)
@@ -214,6 +210,13 @@
     return None
 
 
+def _free(freed: Mapping[int, FreedShard], shard: Shard) -> Shard:
+    entry = freed[shard.first]
+    if not shard.owner or entry.fence != shard.fence:
+        return shard
+    return shard.without_owner(entry.handover)
+
+
 def _release(shown: int | None, shard: Shard) -> Shard:
     if not shard.owner or shard.is_releasing:
         return shard
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import Mock, patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -23,6 +24,7 @@
     BUCKET_KEYS,
     LAST_KEY,
     FleetState,
+    Shard,
     Upstream,
 )
 from ibisjunction.fleet.rules import apply_fleet_command
@@ -175,6 +177,29 @@
         after = run(state, command).shards['reads']
         self.assertEqual(sum(id(shard) not in kept for shard in after), made)
 
+    @parameterized.expand(
+        [
+            ('split', SplitShard('reads', 0, (8,))),
+            ('release', ReleaseShards('reads', (0,))),
+            ('free', FreeShards('reads', (FreedShard(0, 1),))),
+            ('assignment', AssignShards('reads', 'u1', 10, (1024,))),
+        ],
+    )
+    def test_other_shards_are_not_examined(self, _name, command):
+        """Guards against entries that look at each shard of a large service."""
+        state = run(
+            FleetState(),
+            AdmitUpstream(FIRST),
+            DivideKeys('reads', 1024),
+            AssignShards('reads', 'u1', 10, (0,)),
+        )
+        field = Shard.__dict__['first']
+        read = Mock(side_effect=field.__get__)
+        counted = property(read, field.__set__)
+        with patch.object(Shard, 'first', counted):
+            run(state, command)
+        self.assertLess(read.call_count, 64)
+
 
 class GeneratedTest(unittest.TestCase):
     """Guards against gaps, new owners with an old fence, and decode errors."""
