Answer callers whose request meets an error of this VM

A connection runs a task for each request, one that reads and one for each answer. An exception in one of them ended that task and nothing else: the caller got neither an answer nor a refusal, and the connection, which has a request, has no idle timeout.

The tasks of a connection now tell it of their failure. A request that was served gets 502, which promises nothing; after an error in reading or writing the connection is closed. The error is logged at once.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -4,9 +4,8 @@
 import contextlib
 import functools
 import socket
-from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from tornado.iostream import StreamClosedError
 
@@ -16,6 +15,7 @@
 from ibisjunction.entry.callers.answers import make_answer
 from ibisjunction.entry.callers.caller_stream import CallerStream
 from ibisjunction.entry.callers.connection_context import ConnectionContext
+from ibisjunction.entry.callers.connection_tasks import ConnectionTasks
 from ibisjunction.entry.callers.connection_use import ConnectionUse
 from ibisjunction.entry.callers.incoming import IncomingRequest, RequestReader
 from ibisjunction.entry.callers.pipeline import (
@@ -127,8 +127,8 @@
         self._use = ConnectionUse(context, number)
         self._is_open = True
         self._is_answered = False
-        self._tasks: set[asyncio.Task[None]] = set()
         self.mailbox: Mailbox[_Message] = Mailbox()
+        self._tasks = ConnectionTasks(self.mailbox)
 
     @property
     def is_busy(self) -> bool:
@@ -140,7 +140,7 @@
         self.stream.set_close_callback(
             functools.partial(self.mailbox.post, CallerLeft())
         )
-        self._spawn(self._read_requests())
+        self._tasks.start(self._read_requests(), CallerLeft())
         try:
             self._execute(self._pipeline.start())
             while self._is_open:
@@ -164,14 +164,6 @@
         """Record that the head of a request was read."""
         self.mailbox.post(HeadRead(self._reading_number, expects_continue))
 
-    def _spawn(
-        self, coroutine: Coroutine[Any, Any, None]
-    ) -> 'asyncio.Task[None]':
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _handle(self, message: '_Message') -> None:
         """Process one message."""
         event: PipelineEvent
@@ -237,7 +229,10 @@
                     self._start_request(number, ahead)
                 case WriteAnswer(number=number, is_last=is_last):
                     self._is_answered = is_last
-                    self._spawn(self._write_answer(number, is_last=is_last))
+                    self._tasks.start(
+                        self._write_answer(number, is_last=is_last),
+                        CallerLeft(),
+                    )
                 case CloseConnection():
                     # What still runs is cancelled at the end of the task.
                     self._is_open = False
@@ -251,7 +246,10 @@
         if isinstance(routed, Refused):
             self.mailbox.post(_Served(number, routed))
         else:
-            exchange.task = self._spawn(self._serve(number, routed, exchange))
+            exchange.task = self._tasks.start(
+                self._serve(number, routed, exchange),
+                _Served(number, Failed(Reason.BROKEN)),
+            )
 
     async def _serve(
         self, number: int, routed: RoutedRequest, exchange: _Exchange
@@ -322,8 +320,7 @@
         """Stop all tasks, close the stream, and log what was not answered."""
         self._is_open = False
         self._use.end()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self.stream.close()
         for message in self.mailbox.take_queued():
             if isinstance(message, _Received):
--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,128 @@
+"""Tests of what a caller gets when its connection fails or is closed.
+
+Each case brings a request of one connection into a state, then lets an event
+happen, and states what the caller gets.
+"""
+
+import asyncio
+import contextlib
+import unittest
+from types import SimpleNamespace
+
+from parameterized import parameterized
+
+from ibisjunction.catalogue.model import Limits
+from ibisjunction.clock import SystemClock, in_seconds
+from ibisjunction.entry.callers import caller_connection
+from ibisjunction.entry.callers.server import EntryServer
+from ibisjunction.entry.model import Answered, HeaderNames
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.settings import Address
+from tests.test_caller_connection import _connect, _Processor, _request
+
+_NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
+_LIMITS = Limits(256, 64, 10_000, 10_000)
+_LIMIT_MS = 60_000
+
+
+class _FaultyProcessor(_Processor):
+    """Fails as told by the target of a request."""
+
+    def route(self, request):
+        routed = super().route(request)
+        if request.target == '/route-fails':
+            raise ArithmeticError(request.target)
+        return routed
+
+    async def serve(self, routed, trail):
+        target = routed.request.target
+        if target == '/serve-fails':
+            raise ArithmeticError(target)
+        if target == '/write-fails':
+            return Answered(200, (('Receipt', 'a\r\nb'),), b'')
+        return await super().serve(routed, trail)
+
+
+class _Clock:
+    """The time of the system and of the event loop; a test may skip some."""
+
+    def __init__(self):
+        self._system = SystemClock()
+        self._skipped_ms = 0
+        loop = asyncio.get_running_loop()
+        loop_time = loop.time
+        loop.time = lambda: loop_time() + in_seconds(self._skipped_ms)
+
+    def now(self):
+        return self._system.now() + self._skipped_ms
+
+    def skip(self, duration_ms):
+        """Let time pass in which the process does not run."""
+        self._skipped_ms += duration_ms
+
+
+@contextlib.asynccontextmanager
+async def _run():
+    clock = _Clock()
+    server = EntryServer(
+        _FaultyProcessor(), clock, _NAMES, Address('127.0.0.1', 0), Mailbox()
+    )
+    server.apply_limits(_LIMITS)
+    port = server.listen_to_callers()
+    try:
+        # The limit only ends a test that would otherwise hang.
+        async with asyncio.timeout(in_seconds(_LIMIT_MS)):
+            yield SimpleNamespace(server=server, port=port, clock=clock)
+    finally:
+        await server.close()
+
+
+async def _ask(reader, writer, target):
+    """Send a request without a body, and read its answer."""
+    writer.write(_request(target))
+    await reader.readuntil(f'GET {target} '.encode())
+
+
+class FailedPartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a caller that waits for ever for a part that failed."""
+
+    @parameterized.expand(
+        [
+            ('routing', '/route-fails', b''),
+            ('serving', '/serve-fails', b'HTTP/1.1 502 '),
+            ('writing', '/write-fails', b''),
+            ('reading', '/read-fails', b''),
+        ]
+    )
+    async def test_gets(self, name, target, expected):
+        is_reading = name == 'reading'
+        with (
+            self.assertLogs(level='ERROR'),
+            _break_reader() if is_reading else contextlib.nullcontext(),
+        ):
+            async with (
+                _run() as running,
+                _connect(running.port) as (reader, writer),
+            ):
+                writer.write(_request(target, Connection='close'))
+                received = await reader.read()
+        self.assertTrue(received.startswith(expected), received)
+        self.assertEqual(bool(received), bool(expected))
+
+
+@contextlib.contextmanager
+def _break_reader():
+    async def fail(reader, limits):
+        await reader._stream.read_bytes(1)
+        raise ArithmeticError('reading')
+
+    original = caller_connection.RequestReader.read
+    caller_connection.RequestReader.read = fail
+    try:
+        yield
+    finally:
+        caller_connection.RequestReader.read = original
+
+
+if __name__ == '__main__':
+    unittest.main()
