Read each request within the limits in force when it begins

Callers saw that a request on a kept connection was judged by limits that the operators had replaced: the connection took its limits as it became idle, and its next request may come much later. A request sent after the confirmation of larger limits got 413 or 431, and one above smaller limits was taken.

The reader now waits for the first byte of a request, and the connection takes the limits after that.

Evidence: tests.test_connection_ends.ChangedLimitsTest failed before (413 in place of 200, 200 in place of 413 and of 431) and passes now.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -295,6 +295,8 @@
             while True:
                 number = await self._to_read.get()
                 self._reading_number = number
+                await reader.wait()
+                # The operators may have changed the limits meanwhile.
                 incoming = await reader.read(context.limits)
                 self.mailbox.post(_Received(number, incoming))
 
--- a/src/ibisjunction/entry/callers/incoming.py
+++ b/src/ibisjunction/entry/callers/incoming.py
@@ -98,17 +98,24 @@
         self._gate = gate
         self._address = address
         self._link = link
+        self._first_byte = b''
+
+    async def wait(self) -> None:
+        """Wait until the next request begins, which may be at any time.
+
+        :raises StreamClosedError: if the caller closes the connection.
+        """
+        self._first_byte = await self._stream.read_bytes(1)
 
     async def read(self, limits: Limits) -> IncomingRequest:
-        """Read the next request, which may begin at any time.
+        """Read a request that has begun.
 
         A request that is not valid is returned with its refusal.
 
         :raises StreamClosedError: if the caller closes the connection.
         """
-        first_byte = await self._stream.read_bytes(1)
         source = _ParserStream(
-            self._stream, first_byte, limits.header_timeout_ms
+            self._stream, self._first_byte, limits.header_timeout_ms
         )
         parser = HTTP1Connection(
             cast('IOStream', source),
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from parameterized import parameterized
@@ -23,6 +24,7 @@
 _NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
 _LIMITS = Limits(256, 64, 10_000, 10_000)
 _LIMIT_MS = 60_000
+_CLOSE = {'Connection': 'close'}
 
 
 class _FaultyProcessor(_Processor):
@@ -104,7 +106,7 @@
                 _run() as running,
                 _connect(running.port) as (reader, writer),
             ):
-                writer.write(_request(target, Connection='close'))
+                writer.write(_request(target, **_CLOSE))
                 received = await reader.read()
         self.assertTrue(received.startswith(expected), received)
         self.assertEqual(bool(received), bool(expected))
@@ -113,7 +115,6 @@
 @contextlib.contextmanager
 def _break_reader():
     async def fail(reader, limits):
-        await reader._stream.read_bytes(1)
         raise ArithmeticError('reading')
 
     original = caller_connection.RequestReader.read
@@ -124,5 +125,30 @@
         caller_connection.RequestReader.read = original
 
 
+class ChangedLimitsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against old limits on connections that were idle in a change.
+
+    The limits were those of when the connection became idle.
+    """
+
+    @parameterized.expand(
+        [
+            ('larger bodies', {'max_body_bytes': 200}, 100, 200),
+            ('smaller bodies', {'max_body_bytes': 20}, 50, 413),
+            ('smaller heads', {'max_header_bytes': 30}, 0, 431),
+        ]
+    )
+    async def test_next_request(self, _name, changes, size, expected):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            running.server.apply_limits(replace(_LIMITS, **changes))
+            writer.write(_request('/b', 'POST', 'x' * size, **_CLOSE))
+            received = await reader.read()
+        self.assertEqual(received.split()[1], str(expected).encode())
+
+
 if __name__ == '__main__':
     unittest.main()
