Close no connection as idle on which a request arrives

Callers saw a connection closed, or reset, without an answer to a request that the VM had received. Only a parsed head counted as a request. If the process was busy for longer than the idle timeout, or while the VM stopped taking requests, the bytes of a request waited in the socket or its head was read in part, and the connection was closed as idle.

The idle time now counts from the last byte that was read, and bytes in the receive buffer, or a part of a request that was read, keep the connection open. A VM that stops answers such a request with its last answer. The timeout for heads still bounds this.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -19,6 +19,7 @@
 from ibisjunction.entry.callers.connection_use import ConnectionUse
 from ibisjunction.entry.callers.incoming import IncomingRequest, RequestReader
 from ibisjunction.entry.callers.pipeline import (
+    AcceptEnded,
     AnswerWritten,
     CallerLeft,
     CloseConnection,
@@ -51,6 +52,8 @@
 #: connection that is closed with unread bytes is reset, and the caller could
 #: lose the answer.
 LINGER_MS: Final = 1000
+#: Time in which bytes that have arrived are read.
+_UNREAD_POLL_MS: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +119,17 @@
         :param address: the host of the caller.
         """
         self.number = number
-        self._address = address
         self.stream = stream
         self._context = context
+        self._reader = RequestReader(
+            stream,
+            context.names,
+            context.clock,
+            self,
+            context.gate,
+            address,
+            context.link,
+        )
         self._writer = AnswerWriter(stream, context)
         self._pipeline = Pipeline(is_draining=context.is_draining)
         self._exchanges: dict[int, _Exchange] = {}
@@ -132,8 +143,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or served."""
-        return self._is_open and self._pipeline.request_count > 0
+        """Whether a request is arriving, read or served."""
+        return self._is_open and (
+            self._pipeline.request_count > 0 or self._is_receiving
+        )
+
+    @property
+    def _is_receiving(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        return self._reader.has_begun or self.stream.has_unread
 
     async def run(self) -> None:
         """Serve the connection until it is closed."""
@@ -153,12 +171,19 @@
         """Return the next message; an idle caller counts as one that left."""
         if self._pipeline.request_count:
             return await self.mailbox.get()
-        idle_timeout_ms = self._context.limits.idle_timeout_ms
-        try:
-            async with asyncio.timeout(in_seconds(idle_timeout_ms)):
-                return await self.mailbox.get()
-        except TimeoutError:
-            return CallerLeft()
+        context = self._context
+        started_ms = context.clock.now()
+        while True:
+            since_ms = max(started_ms, self.stream.received_ms)
+            idle_ms = context.clock.now() - since_ms
+            left_ms = context.limits.idle_timeout_ms - idle_ms
+            if left_ms <= 0 and not self.stream.has_unread:
+                return CallerLeft()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    in_seconds(max(left_ms, _UNREAD_POLL_MS))
+                ):
+                    return await self.mailbox.get()
 
     def on_head(self, *, expects_continue: bool) -> None:
         """Record that the head of a request was read."""
@@ -168,6 +193,9 @@
         """Process one message."""
         event: PipelineEvent
         match message:
+            case AcceptEnded() if self._is_receiving:
+                # The answer to this request is the last one.
+                return
             case _Received(number=number, incoming=incoming):
                 event = self._add_exchange(number, incoming)
             case _Served(number=number, outcome=outcome):
@@ -281,23 +309,14 @@
 
     async def _read_requests(self) -> None:
         """Read a request whenever the pipeline has room for one."""
-        context = self._context
-        reader = RequestReader(
-            self.stream,
-            context.names,
-            context.clock,
-            self,
-            context.gate,
-            self._address,
-            context.link,
-        )
+        reader = self._reader
         with contextlib.suppress(StreamClosedError):
             while True:
                 number = await self._to_read.get()
                 self._reading_number = number
                 await reader.wait()
                 # The operators may have changed the limits meanwhile.
-                incoming = await reader.read(context.limits)
+                incoming = await reader.read(self._context.limits)
                 self.mailbox.post(_Received(number, incoming))
 
     async def _linger(self) -> None:
--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -1,5 +1,6 @@
 """The TCP stream of a connection of a caller."""
 
+import contextlib
 import socket
 from asyncio import Future
 from typing import Final
@@ -14,13 +15,15 @@
 
 
 class CallerStream(IOStream):
-    """A stream that knows for how long its caller has taken no byte."""
+    """A stream that knows when its caller last sent and took bytes."""
 
     def __init__(self, stream_socket: socket.socket, clock: Clock) -> None:
         """Take over an accepted connection."""
         super().__init__(stream_socket, read_chunk_size=READ_PIECE_BYTES)
         self._clock = clock
         self._written_ms = clock.now()
+        #: When bytes were last read from the socket, or the stream was made.
+        self.received_ms = clock.now()
 
     def write(self, data: bytes | memoryview) -> 'Future[None]':
         """Write bytes once the socket takes them."""
@@ -35,6 +38,21 @@
             self._written_ms = self._clock.now()
         return size
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket, and record when there are bytes."""
+        size = super().read_from_fd(buf)
+        if size:
+            self.received_ms = self._clock.now()
+        return size
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that were not read from the socket."""
+        if not self.closed():
+            with contextlib.suppress(OSError):
+                return bool(self.socket.recv(1, socket.MSG_PEEK))
+        return False
+
     @property
     def blocked_ms(self) -> int:
         """For how long bytes have waited and the caller took none."""
--- a/src/ibisjunction/entry/callers/incoming.py
+++ b/src/ibisjunction/entry/callers/incoming.py
@@ -100,6 +100,11 @@
         self._link = link
         self._first_byte = b''
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of a request was read."""
+        return bool(self._first_byte)
+
     async def wait(self) -> None:
         """Wait until the next request begins, which may be at any time.
 
@@ -140,6 +145,7 @@
             if not receiver.arrived_ms:
                 self._observer.on_head(expects_continue=False)
             is_last = refusal is not None or not _keeps_connection(receiver)
+            self._first_byte = b''
             return self._make_incoming(
                 receiver,
                 refusal or self._check_head(receiver, limits),
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -15,6 +15,7 @@
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.entry.callers import caller_connection
+from ibisjunction.entry.callers.pipeline import AcceptEnded
 from ibisjunction.entry.callers.server import EntryServer
 from ibisjunction.entry.model import Answered, HeaderNames
 from ibisjunction.mailbox import Mailbox
@@ -22,7 +23,7 @@
 from tests.test_caller_connection import _connect, _Processor, _request
 
 _NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
-_LIMITS = Limits(256, 64, 10_000, 10_000)
+_LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
 _LIMIT_MS = 60_000
 _CLOSE = {'Connection': 'close'}
 
@@ -150,5 +151,71 @@
         self.assertEqual(received.split()[1], str(expected).encode())
 
 
+class ArrivingRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a connection that is closed on a request.
+
+    The request had arrived and was not read, as the process was busy for
+    longer than the idle timeout, or until connections were closed.
+    """
+
+    _request = _request('/b', 'POST', 'body', **_CLOSE)
+
+    @parameterized.expand(
+        [(f'{size} bytes read before', size) for size in (0, 1, 20, 81)]
+    )
+    async def test_idle_timeout(self, _name, size):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, size)
+            writer.write(self._request[size:])
+            running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
+    @parameterized.expand(
+        [(f'{size} bytes read before', size) for size in (0, 1, 20, 81)]
+    )
+    async def test_end_of_accepting(self, _name, size):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, size)
+            if not size:
+                writer.write(self._request)
+            _post(running, AcceptEnded())
+            await asyncio.sleep(0)
+            writer.write(self._request[size:] if size else b'')
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
+    async def reach(self, running, reader, writer, size):
+        """Let the VM wait for a request and read its first bytes."""
+        await _ask(reader, writer, '/a')
+        connection = next(iter(running.server._connections))
+        while connection._pipeline.request_count:
+            await asyncio.sleep(0)
+        writer.write(self._request[:size])
+        while size and not connection._reader.has_begun:
+            await asyncio.sleep(0)
+
+    async def test_idle(self):
+        """A connection without a request is closed all the same."""
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            self.assertEqual(await reader.read(), b'')
+
+
+def _post(running, event):
+    for connection in running.server._connections:
+        connection.mailbox.post(event)
+
+
 if __name__ == '__main__':
     unittest.main()
