Refuse large bodies that come after the last send of a VM that stops

Callers saw their connection closed at the end of the grace period, without an answer to a request that had reached no upstream. Once nothing more is sent, requests that wait are refused; one with a large body that began to wait for the link after that moment was not.

The loop of attempts now looks for a refusal before a body waits as well.

Evidence: tests.test_request_ends.EndTest.test_body_that_comes_after_the_last_send failed before (the body waited until its own timeout) and passes now.

--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -142,7 +142,8 @@
                 self._transfer = transfer
                 # A large body gets its ticket, and so a slot of an upstream,
                 # only when the link can soon pass it.
-                refusal = await self._start_body(transfer)
+                refusal = self._find_refusal()
+                refusal = refusal or await self._start_body(transfer)
                 refusal = refusal or self._find_refusal()
                 result = refusal or await self._attempt()
             if isinstance(result, Refuse):
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -226,6 +226,20 @@
             self.assertEqual(await sending, 503)
         self.assertIs(self.outcome.reason, Reason.SHUTTING_DOWN)
 
+    async def test_body_that_comes_after_the_last_send(self):
+        """Guards against a body that waits until its connection is closed.
+
+        Only requests that waited already were refused as the VM stopped.
+        """
+        vm = EntryVm([Address('127.0.0.1', 9)], is_sharded=False)
+        vm.components.link = _StuckLink('start')
+        vm.processor.begin_shutdown(vm.clock.now())
+        vm.processor.refuse_unsent()
+        async with vm.run():
+            found = await self.send(vm, _SHORT_MS, body=b'longbody')
+        self.assertEqual(found, 503)
+        self.assertIs(self.outcome.reason, Reason.SHUTTING_DOWN)
+
     async def test_lease_lost(self):
         vm = EntryVm([Address('127.0.0.1', 9)], is_sharded=False)
         vm.components.lease.is_held = lambda now: False
