Answer the requests in flight before a stopping VM closes connections

Callers saw a closed connection, which promises nothing, at the end of the grace period, also for requests that had reached no upstream: those that waited for their turn on the link after their slot was granted.

60 ms before connections are closed, the time of all requests in flight ends: 503 if nothing was sent, 504 otherwise. Those at an upstream were cut off at that moment before, and are answered as failed now.

Evidence: tests.test_request_ends.EndTest.test_end_of_shutdown; the call that ends them did not exist before, and closing the server was all that happened.

--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -61,6 +61,7 @@
         self._shutdown: Shutdown | None = None
         #: Where requests that wait for a ticket get the decision.
         self.waiting: set[Mailbox[Grant | Refuse]] = set()
+        self._time_limits: set[asyncio.Timeout] = set()
         #: Called with the limits on requests at each update to a view that has
         #: limits.
         self.on_limits_changed: Callable[[Limits], None] = _ignore_limits
@@ -94,6 +95,16 @@
         for reply in self.waiting:
             reply.post(REFUSED_BY_SHUTDOWN)
 
+    def end_requests(self) -> None:
+        """Let the requests in flight time out now.
+
+        It is called shortly before their connections are closed. What was not
+        sent is refused, and its caller goes to another VM at once.
+        """
+        for time_limit in self._time_limits:
+            if not time_limit.expired():
+                time_limit.reschedule(0)
+
     def find_give_up_ms(self, routed: RoutedRequest) -> int:
         """Return when a request times out at this VM."""
         if self._shutdown is None:
@@ -198,13 +209,17 @@
         remaining_ms = routed.give_up_ms - self._components.clock.now()
         attempt_loop = AttemptLoop(self, self._components, routed, trail)
         runner = self._hedge(attempt_loop, routed, trail) or attempt_loop
+        time_limit = asyncio.timeout(
+            in_seconds(max(0, remaining_ms - _ANSWER_MARGIN_MS))
+        )
         try:
-            async with asyncio.timeout(
-                in_seconds(max(0, remaining_ms - _ANSWER_MARGIN_MS)),
-            ):
+            async with time_limit:
+                self._time_limits.add(time_limit)
                 return await runner.run()
         except TimeoutError:
             return attempt_loop.make_timeout_outcome()
+        finally:
+            self._time_limits.discard(time_limit)
 
     def _hedge(
         self, attempt_loop: AttemptLoop, routed: RoutedRequest, trail: Trail
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -44,6 +44,9 @@
 _SHUTDOWN_POLL_MS: Final = 50
 #: Time reserved to close connections and exit within the grace period.
 _SHUTDOWN_RESERVE_MS: Final = 400
+#: Time before connections are closed at which requests in flight get an answer
+#: of this VM, so that it is written in time.
+_LAST_ANSWERS_MS: Final = 60
 #: An upstream that leaves gets the last request this long before the end of the
 #: drain period, as the request takes time to arrive.
 _LEAVE_RESERVE_MS: Final = 500
@@ -73,7 +76,7 @@
         self.processor.begin_shutdown(end_ms)
         self.membership.is_serving = False
         finish_ms = max(0, drain_ms - _ACCEPT_AFTER_UNREADY_MS)
-        async with run_task(self._refuse_unsent(), 'end of sending'):
+        async with run_task(self._end_requests(end_ms), 'end of requests'):
             cut_off_count = await self.server.drain(
                 _ACCEPT_AFTER_UNREADY_MS, finish_ms
             )
@@ -85,11 +88,17 @@
             requests_cut_off=cut_off_count,
         )
 
-    async def _refuse_unsent(self) -> None:
-        """Refuse what waits for a ticket once nothing more is sent."""
+    async def _end_requests(self, end_ms: int) -> None:
+        """Refuse what waits once nothing more is sent, and end the rest.
+
+        :param end_ms: when requests in flight are cut off.
+        """
         while self.processor.may_send(self.clock.now()):
             await asyncio.sleep(in_seconds(_SHUTDOWN_POLL_MS))
         self.processor.refuse_unsent()
+        left_ms = end_ms - _LAST_ANSWERS_MS - self.clock.now()
+        await asyncio.sleep(in_seconds(max(0, left_ms)))
+        self.processor.end_requests()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -226,6 +226,27 @@
             self.assertEqual(await sending, 503)
         self.assertIs(self.outcome.reason, Reason.SHUTTING_DOWN)
 
+    @parameterized.expand(_WAITS)
+    async def test_end_of_shutdown(self, _name, stage, expected):
+        """Guards against a closed connection in place of an answer.
+
+        A request that waited for the link at the end of a shutdown had reached
+        no upstream, and its caller was cut off.
+        """
+        upstream = ScriptedUpstream(_never_answer)
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False)
+            vm.components.link = _StuckLink(stage)
+            async with vm.run():
+                sending = asyncio.create_task(self.send(vm, body=b'longbody'))
+                while not vm.processor._time_limits:
+                    await asyncio.sleep(0)
+                is_sent = stage in {'second piece', 'end'}
+                while is_sent and not upstream.requests:
+                    await asyncio.sleep(0)
+                vm.processor.end_requests()
+                self.assertEqual(await sending, expected, self.outcome)
+
     async def test_body_that_comes_after_the_last_send(self):
         """Guards against a body that waits until its connection is closed.
 
