Keep the place of a connection whose request was read

At the limit of connections, a newcomer takes the place of an idle one. A connection counted as idle until its task had handled the message about the request that was read, so a newcomer at that moment closed it: the request was started and cut off.

The connection now counts as busy from when the request is read.

Evidence: tests.test_connection_ends.ArrivingRequestTest.test_newcomer failed before (the newcomer was admitted) and passes now.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -317,6 +317,8 @@
                 await reader.wait()
                 # The operators may have changed the limits meanwhile.
                 incoming = await reader.read(self._context.limits)
+                # It may not give way to a newcomer before it is handled.
+                self._context.table.mark(self.number, is_busy=True)
                 self.mailbox.post(_Received(number, incoming))
 
     async def _linger(self) -> None:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -16,7 +16,7 @@
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.entry.callers import caller_connection
 from ibisjunction.entry.callers.pipeline import AcceptEnded
-from ibisjunction.entry.callers.server import EntryServer
+from ibisjunction.entry.callers.server import CallerRoom, EntryServer
 from ibisjunction.entry.model import Answered, HeaderNames
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
@@ -65,10 +65,15 @@
 
 
 @contextlib.asynccontextmanager
-async def _run():
+async def _run(room=None):
     clock = _Clock()
     server = EntryServer(
-        _FaultyProcessor(), clock, _NAMES, Address('127.0.0.1', 0), Mailbox()
+        _FaultyProcessor(),
+        clock,
+        _NAMES,
+        Address('127.0.0.1', 0),
+        Mailbox(),
+        room=room,
     )
     server.apply_limits(_LIMITS)
     port = server.listen_to_callers()
@@ -211,6 +216,26 @@
             running.clock.skip(_LIMITS.idle_timeout_ms + 1)
             self.assertEqual(await reader.read(), b'')
 
+    async def test_newcomer(self):
+        """A connection whose request was read does not give way to another.
+
+        It counted as idle until the message about its request was handled.
+        """
+        async with (
+            _run(CallerRoom(connections=1)) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            connection = next(iter(running.server._connections))
+            writer.write(self._request)
+            queued = connection.mailbox._queue._queue
+            while not any(
+                isinstance(one, caller_connection._Received) for one in queued
+            ):
+                await asyncio.sleep(0)
+            self.assertEqual(running.server._admit('127.0.0.1'), 0)
+            self.assertIn(b'POST /b body', await reader.read())
+
 
 def _post(running, event):
     for connection in running.server._connections:
