Reject settings that are nested too deeply

A process ended, with all its requests, if its changed settings file nested values some hundred levels deep: the parser's RecursionError was not one of the errors that mean a file that is not valid. Such a file is logged and ignored now.

--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -72,7 +72,13 @@
     """
     try:
         raw = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (
+        OSError,
+        UnicodeDecodeError,
+        tomllib.TOMLDecodeError,
+        # The file is nested too deeply.
+        RecursionError,
+    ) as error:
         raise PlatformSettingsError(f'{path}: {error}') from error
     mistakes = list(find_mistakes(raw, SettingsFile, allows_unknown=True))
     if not mistakes:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -185,6 +185,11 @@
             load(_GOOD.replace(old, new))
         self.assertIn(field, str(caught.exception))
 
+    def test_nested_too_deeply(self):
+        """Guards against a process that ends as it reads changed settings."""
+        with self.assertRaises(PlatformSettingsError):
+            load(_GOOD + '\nX = ' + '[' * 10_000)
+
     @parameterized.expand(
         [
             ('control', True, []),
