--- a/src/ibisjunction/platform/settings.py
+++ b/src/ibisjunction/platform/settings.py
@@ -72,13 +72,8 @@
     """
     try:
         raw = tomllib.loads(path.read_text())
-    except (
-        OSError,
-        UnicodeDecodeError,
-        tomllib.TOMLDecodeError,
-        # The file is nested too deeply.
-        RecursionError,
-    ) as error:
+    except (OSError, ValueError, RecursionError) as error:
+        # Errors of decoding are values' errors; deep nesting is the last.
         raise PlatformSettingsError(f'{path}: {error}') from error
     mistakes = list(find_mistakes(raw, SettingsFile, allows_unknown=True))
     if not mistakes:
