Refuse requests whose bodies are not whole at their route's timeout

Callers whose bodies arrived slowly had no answer at the timeout of their route: a request was looked at once its body was whole, and got 503 then, or never.

The route's timeout now bounds the reading as well: it is looked up when the head is read, without choosing a service. 40 ms before it, as for requests that wait, the caller gets 503, which is true: nothing was sent.

Evidence: tests.test_connection_ends.SlowBodyTest; its first case had no answer before, the second was refused for lack of room already. Existing tests: three stand-ins of the processor got the new method, without a limit.

--- a/src/ibisjunction/bench/link/vm.py
+++ b/src/ibisjunction/bench/link/vm.py
@@ -51,6 +51,9 @@
         self._clock = SystemClock()
         self.pool = ConnectionPool(self._clock, unread_bytes=unread_bytes)
 
+    def find_timeout_ms(self, host: str, target: str) -> int | None:
+        """Set no limit on the time of a body."""
+
     def route(self, request: CallerRequest) -> RoutedRequest | Refused:
         """Route any request."""
         route = Route(
--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -185,9 +185,12 @@
                 ):
                     return await self.mailbox.get()
 
-    def on_head(self, *, expects_continue: bool) -> None:
-        """Record that the head of a request was read."""
+    def on_head(
+        self, host: str, target: str, *, expects_continue: bool
+    ) -> int | None:
+        """Record that the head of a request was read; return its timeout."""
         self.mailbox.post(HeadRead(self._reading_number, expects_continue))
+        return self._context.processor.find_timeout_ms(host, target)
 
     def _handle(self, message: '_Message') -> None:
         """Process one message."""
--- a/src/ibisjunction/entry/callers/connection_context.py
+++ b/src/ibisjunction/entry/callers/connection_context.py
@@ -23,6 +23,9 @@
 class RequestServer(Protocol):
     """Routes and serves requests."""
 
+    def find_timeout_ms(self, host: str, target: str) -> int | None:
+        """Return the timeout of the route of a request, if there is one."""
+
     def route(self, request: CallerRequest) -> RoutedRequest | Refused:
         """Choose the service for a request, or refuse it."""
 
--- a/src/ibisjunction/entry/callers/incoming.py
+++ b/src/ibisjunction/entry/callers/incoming.py
@@ -43,7 +43,10 @@
 _RANK_UNROUTED: Final = 0
 #: Memory that a request takes besides its body.
 _REQUEST_OVERHEAD_BYTES: Final = 1024
-#: Retry time given to callers whose bodies find no room.
+#: The time for a body ends this long before that of its request, as the answer
+#: takes time to arrive.
+_ANSWER_MARGIN_MS: Final = 40
+#: Retry time given to callers whose bodies find no room or arrive too late.
 _RETRY_AFTER_MS: Final = 1000
 
 
@@ -69,8 +72,14 @@
 class HeadObserver(Protocol):
     """Is told when the head of a request was read."""
 
-    def on_head(self, *, expects_continue: bool) -> None:
-        """Process the head of a request whose body follows."""
+    def on_head(
+        self, host: str, target: str, *, expects_continue: bool
+    ) -> int | None:
+        """Process the head of a request whose body follows.
+
+        :return: milliseconds in which the request has to be answered, if its
+            route is known.
+        """
 
 
 class RequestReader:
@@ -143,7 +152,7 @@
             refusal = await _receive(receiver, limits)
             held.complete()
             if not receiver.arrived_ms:
-                self._observer.on_head(expects_continue=False)
+                self._observer.on_head('', '', expects_continue=False)
             is_last = refusal is not None or not _keeps_connection(receiver)
             self._first_byte = b''
             return self._make_incoming(
@@ -294,7 +303,13 @@
             self.headers = headers
             self.arrived_ms = self.clock.now()
             expects_continue = headers.get('Expect', '') == _CONTINUE
-            self.observer.on_head(expects_continue=expects_continue)
+            time_ms = self.observer.on_head(
+                headers.get('Host', ''),
+                start_line.path,
+                expects_continue=expects_continue,
+            )
+            if time_ms is not None:
+                self._expire_in(max(0, time_ms - _ANSWER_MARGIN_MS))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a part of the body; the parser waits until there is room."""
@@ -330,8 +345,13 @@
         """Stop reading, and forget the body."""
         self.is_dropped = True
         self.body.clear()
+        self._expire_in(0)
+
+    def _expire_in(self, duration_ms: int) -> None:
+        """Stop reading after a time."""
         if self.scope is not None:
-            self.scope.reschedule(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self.scope.reschedule(now_s + in_seconds(duration_ms))
 
     def finish(self) -> None:
         """Let the parser return without waiting for an answer."""
@@ -351,12 +371,14 @@
             receiver.scope = scope
             await receiver.parser.read_response(receiver)
     except TimeoutError:
-        if not receiver.is_dropped:
+        if not receiver.arrived_ms:
             return Refused(Reason.SLOW_HEAD)
     finally:
         receiver.scope = None
     if receiver.is_dropped:
         return Refused(Reason.NO_MEMORY, _RETRY_AFTER_MS)
+    if scope.expired():
+        return Refused(Reason.TIMED_OUT, _RETRY_AFTER_MS)
     if receiver.is_cancelled:
         raise asyncio.CancelledError
     return _find_parser_refusal(receiver, limits)
--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -177,6 +177,12 @@
             latencies = self._latencies.setdefault(upstream.process_key, [])
             latencies.append(report.latency_ms)
 
+    def find_timeout_ms(self, host: str, target: str) -> int | None:
+        """Return the timeout of the route of a request, if there is one."""
+        view = self.view
+        named_route = None if view is None else view.routes.match(host, target)
+        return None if named_route is None else named_route.route.timeout_ms
+
     def route(self, request: CallerRequest) -> RoutedRequest | Refused:
         """Choose the service for a request and count its key, or refuse it."""
         view = self.view
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -46,6 +46,9 @@
     cancelled: list = field(default_factory=list)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
+    def find_timeout_ms(self, host, target):
+        return None
+
     def route(self, request):
         if request.target == '/unknown':
             return Refused(Reason.NO_ROUTE)
--- a/tests/test_caller_room.py
+++ b/tests/test_caller_room.py
@@ -70,6 +70,9 @@
 class _Processor:
     """Answers requests, those to ``/wait`` only when they are cancelled."""
 
+    def find_timeout_ms(self, host, target):
+        """Set no limit on the time of a body."""
+
     def route(self, request):
         """Route any request."""
         route = Route(
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -25,12 +25,16 @@
 _NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
 _LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
 _LIMIT_MS = 60_000
+_TIMEOUT_MS = 5000
 _CLOSE = {'Connection': 'close'}
 
 
 class _FaultyProcessor(_Processor):
     """Fails as told by the target of a request."""
 
+    def find_timeout_ms(self, host, target):
+        return _TIMEOUT_MS if target == '/slow' else None
+
     def route(self, request):
         routed = super().route(request)
         if request.target == '/route-fails':
@@ -156,6 +160,35 @@
         self.assertEqual(received.split()[1], str(expected).encode())
 
 
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a caller without an answer at its route's timeout.
+
+    A request was only answered once its body was whole.
+    """
+
+    @parameterized.expand(
+        [
+            ('body stops', None),
+            ('body finds no room', CallerRoom(body_bytes=1)),
+        ]
+    )
+    async def test_gets_refusal(self, _name, room):
+        async with (
+            _run(room) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            writer.write(_request('/slow', 'POST', 'body')[:-1])
+            while not running.server._connections:
+                await asyncio.sleep(0)
+            connection = next(iter(running.server._connections))
+            while not connection._pipeline.request_count:
+                await asyncio.sleep(0)
+            running.clock.skip(_TIMEOUT_MS)
+            received = await reader.read()
+        self.assertTrue(received.startswith(b'HTTP/1.1 503 '), received)
+        self.assertIn(b'Retry-After', received)
+
+
 class ArrivingRequestTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a connection that is closed on a request.
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -35,6 +35,7 @@
     async def test_body_is_whole(self, _name, size):
         body = random.Random(size).randbytes(size)
         processor = SimpleNamespace(
+            find_timeout_ms=lambda _host, _target: None,
             route=_make_routed,
             serve=_Server(body).serve,
         )
