--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -47,7 +47,7 @@
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
 
     def find_timeout_ms(self, host, target):
-        return None
+        """Set no limit on the time of a body."""
 
     def route(self, request):
         if request.target == '/unknown':
