--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -4,9 +4,8 @@
 import contextlib
 import functools
 import socket
-from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from tornado.iostream import StreamClosedError
 
@@ -16,9 +15,11 @@
 from ibisjunction.entry.callers.answers import make_answer
 from ibisjunction.entry.callers.caller_stream import CallerStream
 from ibisjunction.entry.callers.connection_context import ConnectionContext
+from ibisjunction.entry.callers.connection_tasks import ConnectionTasks
 from ibisjunction.entry.callers.connection_use import ConnectionUse
 from ibisjunction.entry.callers.incoming import IncomingRequest, RequestReader
 from ibisjunction.entry.callers.pipeline import (
+    AcceptEnded,
     AnswerWritten,
     CallerLeft,
     CloseConnection,
@@ -51,6 +52,8 @@
 #: connection that is closed with unread bytes is reset, and the caller could
 #: lose the answer.
 LINGER_MS: Final = 1000
+#: Time in which bytes that have arrived are read.
+_UNREAD_POLL_MS: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +119,17 @@
         :param address: the host of the caller.
         """
         self.number = number
-        self._address = address
         self.stream = stream
         self._context = context
+        self._reader = RequestReader(
+            stream,
+            context.names,
+            context.clock,
+            self,
+            context.gate,
+            address,
+            context.link,
+        )
         self._writer = AnswerWriter(stream, context)
         self._pipeline = Pipeline(is_draining=context.is_draining)
         self._exchanges: dict[int, _Exchange] = {}
@@ -127,20 +138,27 @@
         self._use = ConnectionUse(context, number)
         self._is_open = True
         self._is_answered = False
-        self._tasks: set[asyncio.Task[None]] = set()
         self.mailbox: Mailbox[_Message] = Mailbox()
+        self._tasks = ConnectionTasks(self.mailbox)
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or served."""
-        return self._is_open and self._pipeline.request_count > 0
+        """Whether a request is arriving, read or served."""
+        return self._is_open and (
+            self._pipeline.request_count > 0 or self._is_receiving
+        )
+
+    @property
+    def _is_receiving(self) -> bool:
+        """Whether a part of the next request has arrived."""
+        return self._reader.has_begun or self.stream.has_unread
 
     async def run(self) -> None:
         """Serve the connection until it is closed."""
         self.stream.set_close_callback(
             functools.partial(self.mailbox.post, CallerLeft())
         )
-        self._spawn(self._read_requests())
+        self._tasks.start(self._read_requests(), CallerLeft())
         try:
             self._execute(self._pipeline.start())
             while self._is_open:
@@ -153,29 +171,34 @@
         """Return the next message; an idle caller counts as one that left."""
         if self._pipeline.request_count:
             return await self.mailbox.get()
-        idle_timeout_ms = self._context.limits.idle_timeout_ms
-        try:
-            async with asyncio.timeout(in_seconds(idle_timeout_ms)):
-                return await self.mailbox.get()
-        except TimeoutError:
-            return CallerLeft()
-
-    def on_head(self, *, expects_continue: bool) -> None:
-        """Record that the head of a request was read."""
+        context = self._context
+        started_ms = context.clock.now()
+        while True:
+            since_ms = max(started_ms, self.stream.received_ms)
+            idle_ms = context.clock.now() - since_ms
+            left_ms = context.limits.idle_timeout_ms - idle_ms
+            if left_ms <= 0 and not self.stream.has_unread:
+                return CallerLeft()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    in_seconds(max(left_ms, _UNREAD_POLL_MS))
+                ):
+                    return await self.mailbox.get()
+
+    def on_head(
+        self, host: str, target: str, *, expects_continue: bool
+    ) -> int | None:
+        """Record that the head of a request was read; return its timeout."""
         self.mailbox.post(HeadRead(self._reading_number, expects_continue))
-
-    def _spawn(
-        self, coroutine: Coroutine[Any, Any, None]
-    ) -> 'asyncio.Task[None]':
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self._context.processor.find_timeout_ms(host, target)
 
     def _handle(self, message: '_Message') -> None:
         """Process one message."""
         event: PipelineEvent
         match message:
+            case AcceptEnded() if self._is_receiving:
+                # The answer to this request is the last one.
+                return
             case _Received(number=number, incoming=incoming):
                 event = self._add_exchange(number, incoming)
             case _Served(number=number, outcome=outcome):
@@ -237,7 +260,10 @@
                     self._start_request(number, ahead)
                 case WriteAnswer(number=number, is_last=is_last):
                     self._is_answered = is_last
-                    self._spawn(self._write_answer(number, is_last=is_last))
+                    self._tasks.start(
+                        self._write_answer(number, is_last=is_last),
+                        CallerLeft(),
+                    )
                 case CloseConnection():
                     # What still runs is cancelled at the end of the task.
                     self._is_open = False
@@ -251,7 +277,10 @@
         if isinstance(routed, Refused):
             self.mailbox.post(_Served(number, routed))
         else:
-            exchange.task = self._spawn(self._serve(number, routed, exchange))
+            exchange.task = self._tasks.start(
+                self._serve(number, routed, exchange),
+                _Served(number, Failed(Reason.BROKEN)),
+            )
 
     async def _serve(
         self, number: int, routed: RoutedRequest, exchange: _Exchange
@@ -283,21 +312,16 @@
 
     async def _read_requests(self) -> None:
         """Read a request whenever the pipeline has room for one."""
-        context = self._context
-        reader = RequestReader(
-            self.stream,
-            context.names,
-            context.clock,
-            self,
-            context.gate,
-            self._address,
-            context.link,
-        )
+        reader = self._reader
         with contextlib.suppress(StreamClosedError):
             while True:
                 number = await self._to_read.get()
                 self._reading_number = number
-                incoming = await reader.read(context.limits)
+                await reader.wait()
+                # The operators may have changed the limits meanwhile.
+                incoming = await reader.read(self._context.limits)
+                # It may not give way to a newcomer before it is handled.
+                self._context.table.mark(self.number, is_busy=True)
                 self.mailbox.post(_Received(number, incoming))
 
     async def _linger(self) -> None:
@@ -322,8 +346,7 @@
         """Stop all tasks, close the stream, and log what was not answered."""
         self._is_open = False
         self._use.end()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self.stream.close()
         for message in self.mailbox.take_queued():
             if isinstance(message, _Received):
--- /dev/null
+++ b/tests/test_connection_ends.py
@@ -0,0 +1,279 @@
+"""Tests of what a caller gets when its connection fails or is closed.
+
+Each case brings a request of one connection into a state, then lets an event
+happen, and states what the caller gets.
+"""
+
+import asyncio
+import contextlib
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+
+from parameterized import parameterized
+
+from ibisjunction.catalogue.model import Limits
+from ibisjunction.clock import SystemClock, in_seconds
+from ibisjunction.entry.callers import caller_connection
+from ibisjunction.entry.callers.pipeline import AcceptEnded
+from ibisjunction.entry.callers.server import CallerRoom, EntryServer
+from ibisjunction.entry.model import Answered, HeaderNames
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.settings import Address
+from tests.test_caller_connection import _connect, _Processor, _request
+
+_NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
+_LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
+_LIMIT_MS = 60_000
+_TIMEOUT_MS = 5000
+_CLOSE = {'Connection': 'close'}
+
+
+class _FaultyProcessor(_Processor):
+    """Fails as told by the target of a request."""
+
+    def find_timeout_ms(self, host, target):
+        return _TIMEOUT_MS if target == '/slow' else None
+
+    def route(self, request):
+        routed = super().route(request)
+        if request.target == '/route-fails':
+            raise ArithmeticError(request.target)
+        return routed
+
+    async def serve(self, routed, trail):
+        target = routed.request.target
+        if target == '/serve-fails':
+            raise ArithmeticError(target)
+        if target == '/write-fails':
+            return Answered(200, (('Receipt', 'a\r\nb'),), b'')
+        return await super().serve(routed, trail)
+
+
+class _Clock:
+    """The time of the system and of the event loop; a test may skip some."""
+
+    def __init__(self):
+        self._system = SystemClock()
+        self._skipped_ms = 0
+        loop = asyncio.get_running_loop()
+        loop_time = loop.time
+        loop.time = lambda: loop_time() + in_seconds(self._skipped_ms)
+
+    def now(self):
+        return self._system.now() + self._skipped_ms
+
+    def skip(self, duration_ms):
+        """Let time pass in which the process does not run."""
+        self._skipped_ms += duration_ms
+
+
+@contextlib.asynccontextmanager
+async def _run(room=None):
+    clock = _Clock()
+    server = EntryServer(
+        _FaultyProcessor(),
+        clock,
+        _NAMES,
+        Address('127.0.0.1', 0),
+        Mailbox(),
+        room=room,
+    )
+    server.apply_limits(_LIMITS)
+    port = server.listen_to_callers()
+    try:
+        # The limit only ends a test that would otherwise hang.
+        async with asyncio.timeout(in_seconds(_LIMIT_MS)):
+            yield SimpleNamespace(server=server, port=port, clock=clock)
+    finally:
+        await server.close()
+
+
+async def _ask(reader, writer, target):
+    """Send a request without a body, and read its answer."""
+    writer.write(_request(target))
+    await reader.readuntil(f'GET {target} '.encode())
+
+
+class FailedPartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a caller that waits for ever for a part that failed."""
+
+    @parameterized.expand(
+        [
+            ('routing', '/route-fails', b''),
+            ('serving', '/serve-fails', b'HTTP/1.1 502 '),
+            ('writing', '/write-fails', b''),
+            ('reading', '/read-fails', b''),
+        ]
+    )
+    async def test_gets(self, name, target, expected):
+        is_reading = name == 'reading'
+        with (
+            self.assertLogs(level='ERROR'),
+            _break_reader() if is_reading else contextlib.nullcontext(),
+        ):
+            async with (
+                _run() as running,
+                _connect(running.port) as (reader, writer),
+            ):
+                writer.write(_request(target, **_CLOSE))
+                received = await reader.read()
+        self.assertTrue(received.startswith(expected), received)
+        self.assertEqual(bool(received), bool(expected))
+
+
+@contextlib.contextmanager
+def _break_reader():
+    async def fail(reader, limits):
+        raise ArithmeticError('reading')
+
+    original = caller_connection.RequestReader.read
+    caller_connection.RequestReader.read = fail
+    try:
+        yield
+    finally:
+        caller_connection.RequestReader.read = original
+
+
+class ChangedLimitsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against old limits on connections that were idle in a change.
+
+    The limits were those of when the connection became idle.
+    """
+
+    @parameterized.expand(
+        [
+            ('larger bodies', {'max_body_bytes': 200}, 100, 200),
+            ('smaller bodies', {'max_body_bytes': 20}, 50, 413),
+            ('smaller heads', {'max_header_bytes': 30}, 0, 431),
+        ]
+    )
+    async def test_next_request(self, _name, changes, size, expected):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            running.server.apply_limits(replace(_LIMITS, **changes))
+            writer.write(_request('/b', 'POST', 'x' * size, **_CLOSE))
+            received = await reader.read()
+        self.assertEqual(received.split()[1], str(expected).encode())
+
+
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a caller without an answer at its route's timeout.
+
+    A request was only answered once its body was whole.
+    """
+
+    @parameterized.expand(
+        [
+            ('body stops', None),
+            ('body finds no room', CallerRoom(body_bytes=1)),
+        ]
+    )
+    async def test_gets_refusal(self, _name, room):
+        async with (
+            _run(room) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            writer.write(_request('/slow', 'POST', 'body')[:-1])
+            while not running.server._connections:
+                await asyncio.sleep(0)
+            connection = next(iter(running.server._connections))
+            while not connection._pipeline.request_count:
+                await asyncio.sleep(0)
+            running.clock.skip(_TIMEOUT_MS)
+            received = await reader.read()
+        self.assertTrue(received.startswith(b'HTTP/1.1 503 '), received)
+        self.assertIn(b'Retry-After', received)
+
+
+class ArrivingRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a connection that is closed on a request.
+
+    The request had arrived and was not read, as the process was busy for
+    longer than the idle timeout, or until connections were closed.
+    """
+
+    _request = _request('/b', 'POST', 'body', **_CLOSE)
+
+    @parameterized.expand(
+        [(f'{size} bytes read before', size) for size in (0, 1, 20, 81)]
+    )
+    async def test_idle_timeout(self, _name, size):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, size)
+            writer.write(self._request[size:])
+            running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
+    @parameterized.expand(
+        [(f'{size} bytes read before', size) for size in (0, 1, 20, 81)]
+    )
+    async def test_end_of_accepting(self, _name, size):
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, size)
+            if not size:
+                writer.write(self._request)
+            _post(running, AcceptEnded())
+            await asyncio.sleep(0)
+            writer.write(self._request[size:] if size else b'')
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
+    async def reach(self, running, reader, writer, size):
+        """Let the VM wait for a request and read its first bytes."""
+        await _ask(reader, writer, '/a')
+        connection = next(iter(running.server._connections))
+        while connection._pipeline.request_count:
+            await asyncio.sleep(0)
+        writer.write(self._request[:size])
+        while size and not connection._reader.has_begun:
+            await asyncio.sleep(0)
+
+    async def test_idle(self):
+        """A connection without a request is closed all the same."""
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            self.assertEqual(await reader.read(), b'')
+
+    async def test_newcomer(self):
+        """A connection whose request was read does not give way to another.
+
+        It counted as idle until the message about its request was handled.
+        """
+        async with (
+            _run(CallerRoom(connections=1)) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            connection = next(iter(running.server._connections))
+            writer.write(self._request)
+            queued = connection.mailbox._queue._queue
+            while not any(
+                isinstance(one, caller_connection._Received) for one in queued
+            ):
+                await asyncio.sleep(0)
+            self.assertEqual(running.server._admit('127.0.0.1'), 0)
+            self.assertIn(b'POST /b body', await reader.read())
+
+
+def _post(running, event):
+    for connection in running.server._connections:
+        connection.mailbox.post(event)
+
+
+if __name__ == '__main__':
+    unittest.main()
