Let a replica on an empty disk find the voters without its seeds

Two further lost disks, which the settings allow, took the majority: no confirmed change could be read or made.

Cause: a replica without a disk asks its seeds to join. The seeds were gone or the VM itself. The leader went on sending entries to the VM, for its former replica, and these were dropped without a look at who had sent them.

Change: the replica also asks the VM that sends to its former name.

--- a/src/ibisjunction/coordination/membership.py
+++ b/src/ibisjunction/coordination/membership.py
@@ -52,6 +52,7 @@
         self._next_join_ms = now
         self._next_leave_ms = now
         self._change_count = 0
+        self._former_peer = ''
 
     def prepare_to_stop(self, reply: Mailbox[None], now: int) -> None:
         """Answer once this replica may stop; it is checked at each tick."""
@@ -66,6 +67,14 @@
         """Record the request of a replica to become a voter."""
         self._changes.record_joiner(Joiner(request.node, request.vm), now)
 
+    def record_target(self, sender: str, target: str) -> None:
+        """Record a VM that sends to a replica on an earlier disk of this VM.
+
+        A replica without a disk knows seeds only, which may all be gone.
+        """
+        if target != self._log.node:
+            self._former_peer = sender
+
     def handle_answer(self, answer: LeaveAnswered) -> None:
         """Stop waiting if the answer is to this replica.
 
@@ -137,7 +146,7 @@
     ) -> None:
         request = AskToJoin(self._log.node, self._vm)
         voters = {voter.vm for voter in self._log.voters}
-        recipients = {*seeds, *voters, leader or ''}
+        recipients = {*seeds, *voters, self._former_peer, leader or ''}
         for vm in recipients - {self._vm, ''}:
             self._peers.send(vm, request)
 
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -194,7 +194,8 @@
         match message:
             case StorageFailed():
                 raise OSError('the storage of the control log failed')
-            case Received(message=ReplicaMessage() as wrapped):
+            case Received(sender=sender, message=ReplicaMessage() as wrapped):
+                self._membership.record_target(sender, wrapped.target)
                 self._handle_applied(self.log.handle_message(wrapped, now), now)
             case Received(sender=sender, message=received):
                 self._handle_peer_message(sender, received, now)
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import errno
+import itertools
 import logging
 import tempfile
 import unittest
@@ -232,6 +233,34 @@
         await deployment.restart(others[:2], loses_disk=True)
         self.assertTrue(await deployment.confirm_change())
 
+    @parameterized.expand([('a seed', 3), ('no seed', 4)])
+    async def test_disk_is_lost_after_all_other_seeds_were_replaced(
+        self, _name, wiped
+    ):
+        """Guards against a VM that never votes again after it lost its disk.
+
+        Its seeds were gone or itself, so it found no voter to ask, although
+        the leader still sent entries to its former replica. The next two lost
+        disks then took the majority.
+        """
+        deployment = await self.start(8)
+        gone = {1, 2, 3} - {wiped}
+        for number, successor in zip(
+            sorted(gone), itertools.count(6), strict=False
+        ):
+            deployment.add(successor, is_first=False)
+            await deployment.run(1000)
+            await deployment.stop(number)
+            await deployment.run(CATCH_UP_MS)
+        await deployment.restart([wiped], loses_disk=True)
+        await deployment.run(CATCH_UP_MS)
+        name = deployment.vms[wiped].task.log.node
+        leader = deployment.vms[deployment.leader].task.log
+        self.assertIn(name, [voter.node for voter in leader.voters])
+        others = sorted(deployment.voters - {wiped})
+        await deployment.restart(others[:2], loses_disk=True)
+        self.assertTrue(await deployment.confirm_change())
+
     async def test_successor_ends_before_it_has_caught_up(self):
         """Guards against a successor that is gone and blocks the next one.
 
