Send no downloads while an entry VM shuts down

What callers saw: an entry VM got SIGTERM, the upstream answered a download seconds before the end of the grace period, and the connection was closed in the middle of the answer.

Cause: until a second before the end, a VM that shuts down sent downloads to upstreams like any other request. A large answer crosses the link of the VM twice, behind all others, and on 2 Mbit/s half a megabyte takes two seconds and more each way. Nothing compared that with the time that was left.

Change: from the start of the shutdown a download that was not sent yet is refused as not run, whether it arrives then, waits for a ticket or is about to be written. Callers come back to another VM at once; the link is left to the answers that are under way.

--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -79,10 +79,10 @@
     """What an attempt needs from the processor of its request."""
 
     view: FleetView | None
-    waiting: set[Mailbox[Grant | Refuse]]
+    waiting: dict[Mailbox[Grant | Refuse], RoutedRequest]
 
-    def may_send(self, now: int) -> bool:
-        """Return whether requests may still be sent to upstreams."""
+    def may_send(self, now: int, routed: RoutedRequest | None = None) -> bool:
+        """Return whether requests, or this one, may still be sent."""
 
     def find_give_up_ms(self, routed: RoutedRequest) -> int:
         """Return when a request times out at this VM."""
@@ -161,14 +161,14 @@
             return None
         started_ms = self._components.clock.now()
         reply: Mailbox[Grant | Refuse] = Mailbox()
-        self._processor.waiting.add(reply)
+        self._processor.waiting[reply] = self._routed
         try:
             async with run_task(
                 transfer.start(size), 'start of a body'
             ) as start:
                 decision = await _wait_for_either(start, reply)
         finally:
-            self._processor.waiting.discard(reply)
+            self._processor.waiting.pop(reply, None)
         now = self._components.clock.now()
         self._trail.add(
             Event.BODY_STARTED, now, size=size, waited_ms=now - started_ms
@@ -177,7 +177,8 @@
 
     def _find_refusal(self) -> Refuse | None:
         """Return why the request must not be sent now, if it must not."""
-        if not self._processor.may_send(self._components.clock.now()):
+        now = self._components.clock.now()
+        if not self._processor.may_send(now, self._routed):
             return REFUSED_BY_SHUTDOWN
         if self._is_blocked:
             return _REFUSED_FOR_CRASHES
@@ -225,13 +226,13 @@
         reply: Mailbox[Grant | Refuse] = Mailbox()
         self._report = HealthReport(HealthResult.UNUSED)
         self._components.tickets.post(LocalTicketRequest(ticket_request, reply))
-        self._processor.waiting.add(reply)
+        self._processor.waiting[reply] = self._routed
         try:
             decision = await _wait_for_decision(reply, is_hedge=self._is_hedge)
-            self._processor.waiting.discard(reply)
+            self._processor.waiting.pop(reply, None)
             return await self._apply_decision(decision)
         finally:
-            self._processor.waiting.discard(reply)
+            self._processor.waiting.pop(reply, None)
             self._components.tickets.post(
                 LocalTicketDone(ticket_request.number, self._report),
             )
@@ -396,7 +397,7 @@
             return NotSent('too little time is left')
         if self._is_blocked:
             return NotSent('equal requests have crashed upstreams')
-        if not self._processor.may_send(now):
+        if not self._processor.may_send(now, self._routed):
             return NotSent('this VM is shutting down')
         return None
 
--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -59,8 +59,8 @@
         self._limits: dict[ProcessKey, float | None] = {}
         self.view: FleetView | None = None
         self._shutdown: Shutdown | None = None
-        #: Where requests that wait for a ticket get the decision.
-        self.waiting: set[Mailbox[Grant | Refuse]] = set()
+        #: Requests that wait for a ticket, by where they get the decision.
+        self.waiting: dict[Mailbox[Grant | Refuse], RoutedRequest] = {}
         #: Called with the limits on requests at each update to a view that has
         #: limits.
         self.on_limits_changed: Callable[[Limits], None] = _ignore_limits
@@ -81,9 +81,15 @@
     def begin_shutdown(self, end_ms: int) -> None:
         """Stop being ready; what is still sent has to be answered in time.
 
+        Large answers are no longer asked for: the link may not pass them before
+        the end, and a caller would get a part of one.
+
         :param end_ms: when requests in flight are cut off.
         """
         self._shutdown = Shutdown(end_ms)
+        for reply, routed in self.waiting.items():
+            if _has_large_answer(routed):
+                reply.post(REFUSED_BY_SHUTDOWN)
 
     def refuse_unsent(self) -> None:
         """Refuse the requests that wait for a ticket.
@@ -100,9 +106,13 @@
             return routed.give_up_ms
         return min(routed.give_up_ms, self._shutdown.answer_by_ms)
 
-    def may_send(self, now: int) -> bool:
-        """Return whether requests may still be sent to upstreams."""
-        return self._shutdown is None or now < self._shutdown.last_send_ms
+    def may_send(self, now: int, routed: RoutedRequest | None = None) -> bool:
+        """Return whether requests, or this one, may still be sent."""
+        if self._shutdown is None:
+            return True
+        if routed is not None and _has_large_answer(routed):
+            return False
+        return now < self._shutdown.last_send_ms
 
     def update_view(self, view: FleetView) -> None:
         """Replace the view of the fleet, here and in the ticket task."""
@@ -250,7 +260,7 @@
             target_ms=routed.target_ms,
             give_up_ms=self.find_give_up_ms(routed),
             avoided=avoided,
-            is_bulky=routed.named_route.route.kind is RequestKind.DOWNLOAD,
+            is_bulky=_has_large_answer(routed),
             fingerprint=fingerprint,
         )
 
@@ -259,5 +269,9 @@
     """Ignore the limits: no server is attached."""
 
 
+def _has_large_answer(routed: RoutedRequest) -> bool:
+    return routed.named_route.route.kind is RequestKind.DOWNLOAD
+
+
 def _is_valid_key(key: int | None) -> bool:
     return key is not None and 0 <= key <= LAST_KEY
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -151,12 +151,10 @@
         self.assertEqual(notices.is_unwanted(process, 1), expected)
 
 
-def make_view(addresses, *, is_sharded):
+def make_view(addresses, *, is_sharded, kind=RequestKind.SAFE):
     """Return a view with an upstream for each address."""
     service = Service('/h', 100, is_sharded=is_sharded, warmup_ms=0)
-    route = Route(
-        'x', '/', RequestKind.SAFE, 5000, 2000, 0, 2, (Target('reads', 1),)
-    )
+    route = Route('x', '/', kind, 5000, 2000, 0, 2, (Target('reads', 1),))
     items = (
         Item(ItemType.SERVICE, 'reads', 1, service=service),
         Item(ItemType.ROUTE, 'r', 1, route=route),
@@ -177,7 +175,7 @@
 class EntryVm:
     """The requests of one entry VM, with a clock that tests advance."""
 
-    def __init__(self, addresses, *, is_sharded):
+    def __init__(self, addresses, *, is_sharded, kind=RequestKind.SAFE):
         self.clock = ManualClock(1000)
         network = SimpleNamespace(
             send=lambda vm, message: None, subscribe=lambda *_: None
@@ -203,7 +201,9 @@
         )
         self.processor = RequestProcessor(self.components, random.Random(1))
         self.tickets.handle(DispatchersChanged(('e1',)))
-        self.processor.update_view(make_view(addresses, is_sharded=is_sharded))
+        self.processor.update_view(
+            make_view(addresses, is_sharded=is_sharded, kind=kind)
+        )
         self._count = 0
 
     @contextlib.asynccontextmanager
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,6 +5,7 @@
 
 from parameterized import parameterized
 
+from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.entry.model import Answered, Reason, Refused
 from tests.scripted import ScriptedUpstream
 from tests.test_notices import EntryVm, reply
@@ -66,5 +67,56 @@
         self.assertEqual(upstream.requests, [])
 
 
+class DownloadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against large answers that the end of the grace period cuts off.
+
+    They came from the upstream in time, but the link of the VM did not pass
+    them to the caller before the end: it got a part of an answer.
+    """
+
+    @parameterized.expand(
+        [
+            ('before the stop', None, Answered, 1),
+            ('at its start', 0, Refused, 0),
+            ('in the stop', 900, Refused, 0),
+        ]
+    )
+    async def test_is_sent(self, _name, at_ms, outcome, sent_count):
+        upstream = ScriptedUpstream(reply(200, _SIGNED))
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=True, kind=RequestKind.DOWNLOAD)
+            async with vm.run():
+                if at_ms is not None:
+                    vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                    vm.clock.advance(at_ms)
+                found = await vm.send()
+        self.assertIsInstance(found, outcome)
+        self.assertEqual(len(upstream.requests), sent_count)
+
+    @parameterized.expand(
+        [
+            ('download', RequestKind.DOWNLOAD, True),
+            ('short answer', RequestKind.SAFE, False),
+        ]
+    )
+    async def test_that_waits_for_a_slot(self, _name, kind, is_refused):
+        """It is refused as the stop begins, not once it gets a slot."""
+        upstream = ScriptedUpstream(reply(200, _SIGNED))
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False, kind=kind)
+            async with vm.run():
+                vm.occupy_slots()
+                waiting = asyncio.create_task(vm.send())
+                while not vm.processor.waiting_count:
+                    await asyncio.sleep(0)
+                vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                self.assertEqual(waiting.done(), is_refused)
+                vm.processor.refuse_unsent()
+                found = await waiting
+        self.assertEqual(found, Refused(Reason.SHUTTING_DOWN, 50))
+
+
 if __name__ == '__main__':
     unittest.main()
