Replace answers that a VM can't pass before it stops

What callers saw: a download was in flight when its entry VM got SIGTERM. Its answer was read whole 2.9 s before the end of the grace period, and the connection was closed in the middle of it.

Cause: a VM that shuts down began to write each answer, whatever was left to write before it and of the time. An answer that has begun can only be cut.

Change: the VM counts what is left of the large answers that are being written. In a shutdown it writes 502 in place of an answer that the link can't pass behind those before the connections are closed; 502 promises nothing, and the request has run.

--- a/src/ibisjunction/entry/callers/answer_writer.py
+++ b/src/ibisjunction/entry/callers/answer_writer.py
@@ -9,7 +9,7 @@
 from ibisjunction.entry.callers.answers import CallerAnswer
 from ibisjunction.entry.callers.connection_context import ConnectionContext
 from ibisjunction.entry.link.model import Direction
-from ibisjunction.entry.link.transfers import split_body
+from ibisjunction.entry.link.transfers import BulkTransfer, split_body
 from ibisjunction.entry.model import Refused, RoutedRequest
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -28,6 +28,18 @@
         if not self._stream.closed():
             self._stream.write(_CONTINUE)
 
+    def has_time_for(self, size: int) -> bool:
+        """Return whether the link passes a body before the VM cuts it off.
+
+        :param size: bytes of the body.
+        """
+        context = self._context
+        link = context.link
+        if context.cut_off_ms is None or size <= link.piece_bytes:
+            return True
+        needed_ms = (context.unsent_bytes + size) / link.bytes_per_ms
+        return context.clock.now() + needed_ms <= context.cut_off_ms
+
     async def write(
         self, answer: CallerAnswer, routed: RoutedRequest | Refused
     ) -> None:
@@ -51,9 +63,20 @@
         with link.open_transfer(
             Direction.SENT, rank, routed.target_ms
         ) as transfer:
-            for piece in split_body(body, link.piece_bytes):
+            await self._write_pieces(body, transfer)
+
+    async def _write_pieces(self, body: bytes, transfer: BulkTransfer) -> None:
+        context = self._context
+        left = len(body)
+        context.unsent_bytes += left
+        try:
+            for piece in split_body(body, transfer.piece_bytes):
                 await transfer.pass_piece(len(piece))
                 await self._write_piece(piece)
+                left -= len(piece)
+                context.unsent_bytes -= len(piece)
+        finally:
+            context.unsent_bytes -= left
 
     async def _write_piece(self, piece: bytes | memoryview) -> None:
         written = self._stream.write(piece)
--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -268,9 +268,13 @@
     async def _write_answer(self, number: int, *, is_last: bool) -> None:
         """Write an answer, and wait until it is written to the socket."""
         exchange = self._exchanges[number]
+        outcome = exchange.outcome or Failed(Reason.BROKEN)
+        if not self._writer.has_time_for(len(getattr(outcome, 'body', b''))):
+            outcome = Failed(Reason.SHUTTING_DOWN, Verdict.RAN)
+            exchange.outcome = outcome
         answer = make_answer(
             exchange.request,
-            exchange.outcome or Failed(Reason.BROKEN),
+            outcome,
             self._context.names,
             is_last=is_last,
         )
--- a/src/ibisjunction/entry/callers/connection_context.py
+++ b/src/ibisjunction/entry/callers/connection_context.py
@@ -36,6 +36,8 @@
 
     ``read_ahead_bytes`` counts the requests and answers on connections with
     more than one request, which are at most about ``max_read_ahead_bytes``.
+    ``unsent_bytes`` counts what is left of large answers that are being
+    written. ``cut_off_ms`` is when a VM that shuts down closes all connections.
     """
 
     processor: RequestServer
@@ -50,6 +52,8 @@
     table: ConnectionTable
     is_draining: bool = False
     read_ahead_bytes: int = 0
+    unsent_bytes: int = 0
+    cut_off_ms: int | None = None
 
     @property
     def has_room(self) -> bool:
--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -256,6 +256,7 @@
             which are cut off.
         """
         self._context.is_draining = True
+        self._context.cut_off_ms = self._clock.now() + accept_ms + finish_ms
         self._post_to_all(DrainStarted())
         await asyncio.sleep(in_seconds(accept_ms))
         self.stop()
--- a/src/ibisjunction/entry/link/task.py
+++ b/src/ibisjunction/entry/link/task.py
@@ -39,15 +39,17 @@
     ) -> None:
         """Start with a free link.
 
-        ``clock``, ``meter`` and ``piece_bytes`` are those of all transfers.
+        ``clock``, ``meter``, ``piece_bytes`` and ``bytes_per_ms`` are those of
+        all transfers.
 
         :param link_mbps: rate of the link in each direction.
         """
         self.clock = clock
         self.meter = LinkMeter()
         self.piece_bytes = find_piece_bytes(link_mbps)
+        self.bytes_per_ms = find_rate(link_mbps)
         self._schedule = LinkSchedule(link_mbps)
-        self._starts = StartQueue(find_rate(link_mbps))
+        self._starts = StartQueue(self.bytes_per_ms)
         self._start_replies: dict[int, Mailbox[None]] = {}
         self._metrics = metrics
         self._replies: dict[int, Mailbox[None]] = {}
--- a/src/ibisjunction/entry/link/transfers.py
+++ b/src/ibisjunction/entry/link/transfers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import math
 from collections.abc import Iterable, Iterator
 from typing import Final, Protocol
 
@@ -58,6 +59,10 @@
     def piece_bytes(self) -> int:
         """Largest piece; smaller bodies and answers pass at once."""
 
+    @property
+    def bytes_per_ms(self) -> float:
+        """Rate at which short messages and large bodies pass together."""
+
     def count_short(self, direction: Direction, size: int) -> None:
         """Count bytes that pass without waiting."""
 
@@ -74,6 +79,7 @@
     """A link without a bound, on which nothing waits."""
 
     piece_bytes = MAX_PIECE_BYTES
+    bytes_per_ms = math.inf
 
     def count_short(self, direction: Direction, size: int) -> None:
         """Do nothing."""
@@ -99,6 +105,7 @@
         self._clock = task.clock
         self._numbers = itertools.count(1)
         self.piece_bytes = task.piece_bytes
+        self.bytes_per_ms = task.bytes_per_ms
 
     def count_short(self, direction: Direction, size: int) -> None:
         """Count bytes that pass without waiting."""
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -58,6 +58,53 @@
         self.assertEqual(received, body)
 
 
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an answer that the end of a planned stop cuts off.
+
+    The link did not pass a large answer before the VM closed its connections,
+    and the caller got a part of it.
+    """
+
+    @parameterized.expand(
+        [
+            ('passes in time', 600_000, 0, b'200'),
+            ('takes too long', 2_000_000, 0, b'502'),
+            ('behind another', 600_000, 1, b'502'),
+        ]
+    )
+    async def test_answer(self, _name, size, earlier_count, status):
+        processor = SimpleNamespace(
+            route=_make_routed, serve=_Server(bytes(size)).serve
+        )
+        task = LinkTask(SystemClock(), 1, Mailbox())
+        server = EntryServer(
+            processor,
+            SystemClock(),
+            NAMES,
+            Address('127.0.0.1', 0),
+            Mailbox(),
+            SharedLink(task),
+        )
+        port = server.listen_to_callers()
+        async with run_task(task.run(), 'link'), asyncio.timeout(30):
+            for _ in range(earlier_count):
+                self.assertEqual(await self._get_status(port), b'200')
+            async with run_task(server.drain(5000, 5000), 'drain'):
+                await asyncio.sleep(0)
+                found = await self._get_status(port)
+            await server.close()
+        self.assertEqual(found, status)
+
+    async def _get_status(self, port):
+        """Return the status of an answer whose body is not read."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        # The connection stays open until the test ends.
+        self.addCleanup(writer.close)
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        first = await reader.readline()
+        return first.split()[1]
+
+
 class _Server:
     def __init__(self, body):
         self._body = body
