Count only answers that callers take before another one

In a planned stop, callers got 502 in place of a whole answer although the link of the VM was idle. The check whether an answer can still pass counts what is left of all others, also of those whose callers read nothing. These take no part of the link.

The check now leaves out answers of which no byte was taken for 2 s, the time after which they are dropped if memory is short.

The new case of tests.test_entry_server.ShutdownTest failed before (502 instead of 200) and passes now, as do the other three.

--- a/src/ibisjunction/entry/callers/answer_writer.py
+++ b/src/ibisjunction/entry/callers/answer_writer.py
@@ -3,10 +3,10 @@
 import asyncio
 from typing import Final
 
-from tornado.iostream import IOStream
-
+from ibisjunction.bodies.answers import TAKE_TIMEOUT_MS
 from ibisjunction.clock import in_seconds
 from ibisjunction.entry.callers.answers import CallerAnswer
+from ibisjunction.entry.callers.caller_stream import CallerStream
 from ibisjunction.entry.callers.connection_context import ConnectionContext
 from ibisjunction.entry.link.model import Direction
 from ibisjunction.entry.link.transfers import BulkTransfer, split_body
@@ -18,7 +18,9 @@
 class AnswerWriter:
     """Writes one answer after another, large ones in pieces."""
 
-    def __init__(self, stream: IOStream, context: ConnectionContext) -> None:
+    def __init__(
+        self, stream: CallerStream, context: ConnectionContext
+    ) -> None:
         """Write to a stream, from which others read."""
         self._stream = stream
         self._context = context
@@ -31,13 +33,20 @@
     def has_time_for(self, size: int) -> bool:
         """Return whether the link passes a body before the VM cuts it off.
 
+        It passes behind other answers, except those that nobody takes.
+
         :param size: bytes of the body.
         """
         context = self._context
         link = context.link
         if context.cut_off_ms is None or size <= link.piece_bytes:
             return True
-        needed_ms = (context.unsent_bytes + size) / link.bytes_per_ms
+        ahead = sum(
+            left
+            for stream, left in context.unsent.items()
+            if stream.blocked_ms < TAKE_TIMEOUT_MS
+        )
+        needed_ms = (ahead + size) / link.bytes_per_ms
         return context.clock.now() + needed_ms <= context.cut_off_ms
 
     async def write(
@@ -66,17 +75,15 @@
             await self._write_pieces(body, transfer)
 
     async def _write_pieces(self, body: bytes, transfer: BulkTransfer) -> None:
-        context = self._context
-        left = len(body)
-        context.unsent_bytes += left
+        unsent = self._context.unsent
+        unsent[self._stream] = len(body)
         try:
             for piece in split_body(body, transfer.piece_bytes):
                 await transfer.pass_piece(len(piece))
                 await self._write_piece(piece)
-                left -= len(piece)
-                context.unsent_bytes -= len(piece)
+                unsent[self._stream] -= len(piece)
         finally:
-            context.unsent_bytes -= left
+            unsent.pop(self._stream)
 
     async def _write_piece(self, piece: bytes | memoryview) -> None:
         written = self._stream.write(piece)
--- a/src/ibisjunction/entry/callers/connection_context.py
+++ b/src/ibisjunction/entry/callers/connection_context.py
@@ -1,6 +1,6 @@
 """What all connections of callers on one entry VM share."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from ibisjunction.bodies.answers import AnswerCount
@@ -8,6 +8,7 @@
 from ibisjunction.bodies.gate import BodyGate
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import Clock
+from ibisjunction.entry.callers.caller_stream import CallerStream
 from ibisjunction.entry.link.transfers import Link
 from ibisjunction.entry.model import (
     CallerRequest,
@@ -39,8 +40,9 @@
 
     ``read_ahead_bytes`` counts the requests and answers on connections with
     more than one request, which are at most about ``max_read_ahead_bytes``.
-    ``unsent_bytes`` counts what is left of large answers that are being
-    written. ``cut_off_ms`` is when a VM that shuts down closes all connections.
+    ``unsent`` counts what is left of the large answers that are being written,
+    by stream. ``cut_off_ms`` is when a VM that shuts down closes all
+    connections.
     """
 
     processor: RequestServer
@@ -55,7 +57,7 @@
     table: ConnectionTable
     is_draining: bool = False
     read_ahead_bytes: int = 0
-    unsent_bytes: int = 0
+    unsent: dict[CallerStream, int] = field(default_factory=dict)
     cut_off_ms: int | None = None
 
     @property
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from ibisjunction.bodies.answers import TAKE_TIMEOUT_MS
 from ibisjunction.catalogue.model import RequestKind, Route, Target
 from ibisjunction.catalogue.routes import NamedRoute
 from ibisjunction.clock import SystemClock
@@ -18,6 +19,9 @@
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.settings import Address
 
+#: A caller that takes no byte for this time does not read.
+_BLOCKED_MS = 200
+
 NAMES = HeaderNames('Id', 'Left', 'Key', 'Expect', 'Not-Run', 'Receipt')
 
 
@@ -98,6 +102,37 @@
             await server.close()
         self.assertEqual(found, status)
 
+    async def test_behind_an_answer_that_nobody_takes(self):
+        """A caller that stopped reading left others 502 on an idle link."""
+        bodies = [bytes(60_000_000), bytes(600_000)]
+        processor = SimpleNamespace(
+            find_timeout_ms=lambda _host, _target: None,
+            route=_make_routed,
+            serve=lambda *_: _Server(bodies.pop(0)).serve(None, None),
+        )
+        clock = _SkippingClock()
+        task = LinkTask(SystemClock(), 100, Mailbox())
+        server = EntryServer(
+            processor,
+            clock,
+            NAMES,
+            Address('127.0.0.1', 0),
+            Mailbox(),
+            SharedLink(task),
+        )
+        port = server.listen_to_callers()
+        async with run_task(task.run(), 'link'), asyncio.timeout(60):
+            await self._get_status(port)
+            stream = next(iter(server._connections)).stream
+            while stream.blocked_ms < _BLOCKED_MS:
+                await asyncio.sleep(0)
+            clock.skipped_ms = TAKE_TIMEOUT_MS
+            async with run_task(server.drain(1000, 1000), 'drain'):
+                await asyncio.sleep(0)
+                found = await self._get_status(port)
+            await server.close()
+        self.assertEqual(found, b'200')
+
     async def _get_status(self, port):
         """Return the status of an answer whose body is not read."""
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
@@ -108,6 +143,15 @@
         return first.split()[1]
 
 
+class _SkippingClock(SystemClock):
+    """The time of the system, of which a test may skip some."""
+
+    skipped_ms = 0
+
+    def now(self):
+        return super().now() + self.skipped_ms
+
+
 class _Server:
     def __init__(self, body):
         self._body = body
