Show that bodies are read ahead of the room for them

Bound and settings are those of the other crowds; only MaxHeaderBytes is an argument now, with the former value as its default. Crowd and bound are fixed with this commit.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -308,6 +308,7 @@
 
     memory_mb: int = MEMORY_MB
     max_body_bytes: int = MAX_BODY_BYTES
+    max_header_bytes: int = MAX_HEADER_BYTES
 
 
 class Deployment:
@@ -444,7 +445,7 @@
             'Version': 'r1',
         }
         limits = {
-            'MaxHeaderBytes': MAX_HEADER_BYTES,
+            'MaxHeaderBytes': self._size.max_header_bytes,
             'MaxBodyBytes': self._size.max_body_bytes,
             'HeaderTimeoutS': 30,
             'IdleTimeoutS': 60,
--- a/tests/test_untrusted_callers.py
+++ b/tests/test_untrusted_callers.py
@@ -63,11 +63,17 @@
             ('daemon callers, cut short', _DAEMON, BodiesCutShort()),
             ('daemon admin, cut short', _DAEMON_ADMIN, BodiesCutShort()),
             ('control, half as large', _CONTROL, BodiesCutShort(48, _HALF)),
+            (
+                'callers, many bodies, large heads',
+                _CALLERS,
+                BodiesCutShort(240),
+                Size(max_header_bytes=65_536),
+            ),
         ]
     )
-    async def test_process_survives(self, _name, server_name, kind):
+    async def test_process_survives(self, _name, server_name, kind, size=None):
         async with (
-            run_server(server_name, MAX_BODY_BYTES) as server,
+            run_server(server_name, MAX_BODY_BYTES, size) as server,
             watch(server) as peaks,
             Crowd(kind, server).run(),
         ):
