Forget what the stream of an ended connection has buffered

A caller that sent a body for which there was no room left its unread rest behind, up to 265 KB a connection, until the next garbage collection. Nothing counted it.

The stream of a closed connection is part of reference cycles, as is its parser. The body itself was emptied at the end of its request, but not the read buffer of the stream. It is emptied now when the connection ends, as that of streams to upstreams is.

EntryVm of the tests takes a clock.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -325,6 +325,7 @@
         for task in self._tasks:
             task.cancel()
         self.stream.close()
+        self.stream.forget_received()
         for message in self.mailbox.take_queued():
             if isinstance(message, _Received):
                 message.incoming.held.release()
--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -35,6 +35,11 @@
             self._written_ms = self._clock.now()
         return size
 
+    def forget_received(self) -> None:
+        """Empty the buffer of a closed stream, which cycles keep alive."""
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
+
     @property
     def blocked_ms(self) -> int:
         """For how long bytes have waited and the caller took none."""
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -177,8 +177,8 @@
 class EntryVm:
     """The requests of one entry VM, with a clock that tests advance."""
 
-    def __init__(self, addresses, *, is_sharded):
-        self.clock = ManualClock(1000)
+    def __init__(self, addresses, *, is_sharded, clock=None):
+        self.clock = clock or ManualClock(1000)
         network = SimpleNamespace(
             send=lambda vm, message: None, subscribe=lambda *_: None
         )
