Read a body no further ahead than one piece

A process took more memory than bodies were given room: Tornado keeps the limit of the last head (four times MaxHeaderBytes, 256 KiB with the default) as the number of bytes to buffer, and reads on up to it while the body waits for room and nobody reads. The account saw none of it.

The stream now leaves bytes unread while it has some that nobody waits for. Tornado then stops to watch the socket, so nothing spins.

--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -14,7 +14,10 @@
 
 
 class CallerStream(IOStream):
-    """A stream that knows for how long its caller has taken no byte."""
+    """A stream that reads ahead no more than one piece.
+
+    It also knows for how long its caller has taken no byte.
+    """
 
     def __init__(self, stream_socket: socket.socket, clock: Clock) -> None:
         """Take over an accepted connection."""
@@ -22,6 +25,16 @@
         self._clock = clock
         self._written_ms = clock.now()
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer, unless nobody waits for more than it holds.
+
+        Tornado reads on until the limit of the last head is buffered, whether
+        anything is being read or not.
+        """
+        if self._read_buffer_size and not self.reading():
+            return None
+        return super().read_from_fd(buf)
+
     def write(self, data: bytes | memoryview) -> 'Future[None]':
         """Write bytes once the socket takes them."""
         if not self.writing():
