Give the memory of large blocks back to the system

Many bodies that grow side by side took a process over its memory, though the account kept their bytes within their room. glibc raises the size from which a block gets pages of its own as larger blocks are freed, so bodies of some hundred KB grow on the heap and leave gaps that no other body fits. The account counts bytes, not what the allocator takes for them.

The processes of the platform now set that size to the 128 KiB with which glibc starts, which ends its growth. Other C libraries don't have the setting, and nothing changes there. The first form isn't changed: it passes bodies on in pieces.

--- a/src/ibisjunction/platform/__main__.py
+++ b/src/ibisjunction/platform/__main__.py
@@ -11,6 +11,7 @@
 import sys
 from typing import Final
 
+from ibisjunction.bodies.allocator import map_large_blocks
 from ibisjunction.bodies.http_server import BoundedHttpServer
 from ibisjunction.logs import log_to_stdout
 from ibisjunction.mailbox import run_task
@@ -131,6 +132,7 @@
         usage = '|'.join((*roles, *(f'{check} FILE...' for check in CHECKS)))
         sys.stderr.write(f'usage: ibisjunction.platform {usage}\n')
         return 2
+    map_large_blocks()
     try:
         settings = load_platform_settings(is_control=name == 'control')
     except PlatformSettingsError as error:
