--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -352,6 +352,7 @@
         self._use.end()
         self._tasks.cancel()
         self.stream.close()
+        self.stream.forget_received()
         for message in self.mailbox.take_queued():
             if isinstance(message, _Received):
                 message.incoming.held.release()
--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -15,7 +15,10 @@
 
 
 class CallerStream(IOStream):
-    """A stream that knows when its caller last sent and took bytes."""
+    """A stream that reads ahead no more than one piece.
+
+    It also knows when its caller last sent and took bytes.
+    """
 
     def __init__(self, stream_socket: socket.socket, clock: Clock) -> None:
         """Take over an accepted connection."""
@@ -25,6 +28,19 @@
         #: When bytes were last read from the socket, or the stream was made.
         self.received_ms = clock.now()
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer, unless nobody waits for more than it holds.
+
+        Tornado reads on until the limit of the last head is buffered, whether
+        anything is being read or not.
+        """
+        if self._read_buffer_size and not self.reading():
+            return None
+        size = super().read_from_fd(buf)
+        if size:
+            self.received_ms = self._clock.now()
+        return size
+
     def write(self, data: bytes | memoryview) -> 'Future[None]':
         """Write bytes once the socket takes them."""
         if not self.writing():
@@ -38,13 +54,6 @@
             self._written_ms = self._clock.now()
         return size
 
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read from the socket, and record when there are bytes."""
-        size = super().read_from_fd(buf)
-        if size:
-            self.received_ms = self._clock.now()
-        return size
-
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that were not read from the socket."""
@@ -53,6 +62,11 @@
                 return bool(self.socket.recv(1, socket.MSG_PEEK))
         return False
 
+    def forget_received(self) -> None:
+        """Empty the buffer of a closed stream, which cycles keep alive."""
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
+
     @property
     def blocked_ms(self) -> int:
         """For how long bytes have waited and the caller took none."""
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -175,8 +175,10 @@
 class EntryVm:
     """The requests of one entry VM, with a clock that tests advance."""
 
-    def __init__(self, addresses, *, is_sharded, kind=RequestKind.SAFE):
-        self.clock = ManualClock(1000)
+    def __init__(
+        self, addresses, *, is_sharded, kind=RequestKind.SAFE, clock=None
+    ):
+        self.clock = clock or ManualClock(1000)
         network = SimpleNamespace(
             send=lambda vm, message: None, subscribe=lambda *_: None
         )
