Keep the mark of a process that leaves

Callers saw: an entry VM sent requests to an upstream after its departure was confirmed, until the process ended or was forgotten.

Cause: AdmitUpstream replaced the whole record of a process. A check-in that was handled while MarkDraining was not committed yet described the process as one that takes requests; its admission followed in the log and took the mark away. The confirmation was then given without a report of any entry VM, as the leader dropped the change that it waited for.

Change: an admission of the same process (name and start) keeps the mark, alone and in a batch. A later process starts without it.

--- a/src/ibisjunction/fleet/admission.py
+++ b/src/ibisjunction/fleet/admission.py
@@ -42,10 +42,24 @@
     for other in conflicting:
         if other.born != upstream.born or other.upstream != upstream.upstream:
             state = remove_upstream(state, other.upstream, other.born)
-    upstreams = state.upstreams | {upstream.upstream: upstream}
+    admitted = _keep_mark(state, upstream)
+    upstreams = state.upstreams | {upstream.upstream: admitted}
     return replace(state, upstreams=upstreams)
 
 
+def _keep_mark(state: FleetState, upstream: Upstream) -> Upstream:
+    """Return the record; a process that leaves already goes on to leave.
+
+    The record may be older than the departure, which may be confirmed.
+    """
+    found = state.upstreams.get(upstream.upstream)
+    if found is None or found.process_key != upstream.process_key:
+        return upstream
+    if found.is_draining and not upstream.is_draining:
+        return replace(upstream, is_draining=True)
+    return upstream
+
+
 def _admit_all(
     state: FleetState, upstreams: tuple[Upstream, ...]
 ) -> FleetState:
@@ -60,5 +74,7 @@
     )
     if has_conflict or not is_distinct:
         return functools.reduce(_admit, upstreams, state)
-    admitted = {upstream.upstream: upstream for upstream in upstreams}
+    admitted = {
+        upstream.upstream: _keep_mark(state, upstream) for upstream in upstreams
+    }
     return replace(state, upstreams=state.upstreams | admitted)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 from ibisjunction.fleet.codec import decode_fleet, encode_fleet
 from ibisjunction.fleet.commands import (
     AdmitUpstream,
+    AdmitUpstreams,
     AssignShards,
     DivideKeys,
     ForgetUpstream,
@@ -201,6 +202,26 @@
         self.assertLess(read.call_count, 64)
 
 
+class LeavingTest(unittest.TestCase):
+    """Guards against requests to a process that leaves, by a late admission."""
+
+    @parameterized.expand(
+        [
+            ('same process', AdmitUpstream(replace(FIRST, slots=4)), True),
+            ('in a batch', AdmitUpstreams((replace(FIRST, slots=4),)), True),
+            (
+                'in a batch with itself',
+                AdmitUpstreams((FIRST, replace(FIRST, slots=4))),
+                True,
+            ),
+            ('later process', AdmitUpstream(replace(FIRST, born=11)), False),
+        ]
+    )
+    def test_mark_is_kept(self, _name, command, is_draining):
+        state = run(make_state(), MarkDraining('u1', 10), command)
+        self.assertEqual(state.upstreams['u1'].is_draining, is_draining)
+
+
 class GeneratedTest(unittest.TestCase):
     """Guards against gaps, new owners with an old fence, and decode errors."""
 
