Let departures cover admissions that are under way

Callers saw: an entry VM sent requests to an upstream after its departure was confirmed.

Cause: a departure was compared with the committed state only. That of a process whose admission was proposed or waited, or whose check-in was handled later, found nothing to mark and was confirmed at once; the admission then let the process take requests. So did the departure of the next process of a name while the state had the one before, and a late check-in that announced the departure of a process not admitted yet.

Change: the leader marks a process that leaves in admissions that wait, and proposes MarkDraining after those that are proposed, also those that were not committed for a second; the answer waits for these. It remembers departures for 60 s, at most 10,000, and admits a process that comes later as one that leaves. A departure of an upstream unknown everywhere is confirmed at once as before. A new leader knows the marks in the log.

--- a/src/ibisjunction/coordination/admissions.py
+++ b/src/ibisjunction/coordination/admissions.py
@@ -10,16 +10,18 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from ibisjunction.coordination.calls import Call, CheckIn, Depart
 from ibisjunction.coordination.effects import Propose
 from ibisjunction.fleet.commands import AdmitUpstream, AdmitUpstreams
-from ibisjunction.fleet.model import Upstream
+from ibisjunction.fleet.model import ProcessKey, Upstream
 
 #: Upstreams in one command. An encoded one takes about 100 bytes, so a command
 #: fits into the 32 KiB that a link carries at a time.
 MAX_BATCH: Final = 200
 #: Time after which a command that was not committed no longer holds up others.
 _COMMIT_TIMEOUT_MS: Final = 1000
+#: Commands without a commit that are remembered, one for each timeout. A leader
+#: without a majority stops acting long before there are as many.
+_MAX_OVERDUE: Final = 60
 
 
 @dataclass(slots=True)
@@ -53,6 +55,8 @@
         self._make_id = make_id
         self._waiting: deque[_Batch] = deque()
         self._in_flight: _Batch | None = None
+        # Proposed longer ago; they may still be committed.
+        self._overdue: deque[_Batch] = deque(maxlen=_MAX_OVERDUE)
         self._sent_ms = 0
         self._proposals: dict[Upstream, str] = {}
 
@@ -71,36 +75,76 @@
         self._proposals[upstream] = batch.proposal_id
         return batch.proposal_id
 
-    def record_departure(self, call: Call) -> None:
-        """Record that a process leaves if a call says so.
+    def list_processes(self, name: str) -> set[ProcessKey]:
+        """Return the processes of a name that may be admitted later."""
+        return {
+            upstream.process_key
+            for batch in self._list_batches()
+            for upstream in batch.upstreams
+            if upstream.upstream == name
+        }
 
-        Its departure may be committed before an admission that still waits,
-        which would undo it.
-        """
-        match call:
-            case Depart(upstream=name, born=born):
-                self._mark_draining(name, born)
-            case CheckIn(upstream=name, born=born, is_draining=True):
-                self._mark_draining(name, born)
+    def mark_draining(self, process_key: ProcessKey) -> set[str]:
+        """Let admissions that still wait admit a process as one that leaves.
+
+        Its departure may be committed before them.
 
-    def _mark_draining(self, name: str, born: int) -> None:
+        :return: the proposals that admit it as one that leaves, except those
+            that may be lost.
+        """
         for batch in self._waiting:
             for position, upstream in enumerate(batch.upstreams):
-                if upstream.upstream == name and born in {0, upstream.born}:
+                if upstream.process_key == process_key:
                     leaving = replace(upstream, is_draining=True)
                     batch.upstreams[position] = leaving
                     self._proposals.pop(upstream, None)
                     self._proposals[leaving] = batch.proposal_id
+        return {
+            proposal_id
+            for upstream, proposal_id in self._proposals.items()
+            if upstream.process_key == process_key and upstream.is_draining
+        }
+
+    def is_taking_requests(self, process_key: ProcessKey) -> bool:
+        """Return whether a proposed admission lets a process take requests."""
+        return any(
+            upstream.process_key == process_key and not upstream.is_draining
+            for batch in self._list_batches()
+            for upstream in batch.upstreams
+        )
+
+    def _list_batches(self) -> list[_Batch]:
+        in_flight = [] if self._in_flight is None else [self._in_flight]
+        return [*self._overdue, *in_flight, *self._waiting]
 
     def record_outcomes(self, committed: Container[str]) -> None:
-        """Record the committed proposals."""
+        """Record the committed proposals.
+
+        Commands are committed in the order of their proposals, so those before
+        a committed one are committed or lost.
+        """
+        for _ in range(self._count_decided(committed)):
+            self._overdue.popleft()
         batch = self._in_flight
         if batch is not None and batch.proposal_id in committed:
+            self._overdue.clear()
             self._end_flight()
 
+    def _count_decided(self, committed: Container[str]) -> int:
+        return max(
+            (
+                number
+                for number, batch in enumerate(self._overdue, start=1)
+                if batch.proposal_id in committed
+            ),
+            default=0,
+        )
+
     def take_next(self, now: int) -> list[Propose]:
         """Return the proposal to make now, if none is under way."""
-        if now >= self._sent_ms + _COMMIT_TIMEOUT_MS:
+        is_overdue = now >= self._sent_ms + _COMMIT_TIMEOUT_MS
+        if is_overdue and self._in_flight is not None:
+            self._overdue.append(self._in_flight)
             self._end_flight()
         if not self._waiting or self._in_flight is not None:
             return []
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -38,6 +38,7 @@
 from ibisjunction.coordination.cold import ColdTracker, discard_cold_latencies
 from ibisjunction.coordination.confirmations import Confirmations
 from ibisjunction.coordination.crashes import CrashCounter, CrashReport
+from ibisjunction.coordination.departures import Departures
 from ibisjunction.coordination.effects import (
     ConfirmationWait,
     Effect,
@@ -60,7 +61,6 @@
     AllowRequests,
     BlockRequest,
     ForgetUpstream,
-    MarkDraining,
     UpdateItems,
 )
 from ibisjunction.fleet.model import FleetState, Upstream
@@ -121,6 +121,7 @@
         self._proposals = Proposals(prefix)
         self._calls = CallsInProgress()
         self._admissions = Admissions(self._proposals.make_id)
+        self._departures = Departures(self._admissions)
         self._periodic_proposals: set[str] = set()
         self._next_periodic_ms = now
         # What all entry VMs had applied when their calls were last answered.
@@ -146,7 +147,8 @@
         self._calls.add_proposals(call_id, same_proposals)
         if same_proposals:
             return []
-        self._admissions.record_departure(call)
+        awaited = self._departures.record(self.state, call, now)
+        self._calls.add_proposals(call_id, awaited)
         effects: list[Effect] = []
         for planned in self._plan(call_id, call, now):
             proposal = self._proposals.propose(planned)
@@ -236,12 +238,14 @@
     ) -> Iterator[PlannedCommand]:
         match call:
             case CheckIn() if self._liveness.is_late(call):
-                yield from _plan_late_check_in(self.state, call)
+                # A departure takes effect even if the check-in is late.
+                yield from self._departures.plan(self.state, call)
             case CheckIn():
                 self._liveness.record_check_in(call, now)
                 yield from self._plan_check_in(call_id, call, now)
-            case Depart() as departure:
-                yield from _plan_departure(self.state, self._keys, departure)
+            case Depart():
+                yield from self._departures.plan(self.state, call)
+                yield from _plan_release(self.state, self._keys, call)
             case StartEvacuation():
                 yield self._evacuations.plan(call, call_id)
             case EndEvacuation(failure_domain=domain):
@@ -262,7 +266,9 @@
         if existing is not None and existing.born != call.born:
             existing = None
         is_cold = self._cold.record(self.state, call, existing, now)
-        upstream = _make_upstream(call, existing, is_cold=is_cold)
+        upstream = self._departures.mark(
+            _make_upstream(call, existing, is_cold=is_cold), now
+        )
         if existing is None or upstream != existing:
             self._calls.add_proposals(
                 call_id, (self._admissions.add(upstream),)
@@ -453,25 +459,11 @@
     return None
 
 
-def _plan_late_check_in(
-    state: FleetState, call: CheckIn
-) -> Iterator[PlannedCommand]:
-    """Yield a departure, which takes effect even if the check-in is late."""
-    existing = state.upstreams.get(call.upstream)
-    if existing is None or existing.born != call.born:
-        return
-    if call.is_draining and not existing.is_draining:
-        command = MarkDraining(call.upstream, call.born)
-        yield PlannedCommand(command, 'it leaves, by a late check-in')
-
-
-def _plan_departure(
+def _plan_release(
     state: FleetState, keys: KeyPlanner, call: Depart
 ) -> Iterator[PlannedCommand]:
     existing = state.upstreams.get(call.upstream)
     if existing is None or existing.is_draining:
         return
     if call.born in {0, existing.born}:
-        command = MarkDraining(call.upstream, existing.born)
-        yield PlannedCommand(command, 'it leaves')
         yield from keys.plan_release_all(state, existing)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,7 +5,12 @@
 
 from parameterized import parameterized
 
-from ibisjunction.coordination.calls import CheckedIn
+from ibisjunction.coordination.admissions import Admissions
+from ibisjunction.coordination.calls import CheckedIn, Confirmed, Depart
+from ibisjunction.coordination.departures import MAX_DEPARTED, Departures
+from ibisjunction.coordination.effects import Reply
+from ibisjunction.fleet.model import FleetState, Upstream
+from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.membership.messages import Heartbeat
 from tests.test_coordinator import (
     SETTLED_MS,
@@ -145,5 +150,168 @@
         self.assertLessEqual(waited_ms, bound_ms + STEP_MS)
 
 
+class SlowLog(Leader):
+    """A leader whose proposals are committed when the test says so."""
+
+    def __init__(self):
+        self.is_held = False
+        self.held = []
+        super().__init__()
+        self.wait(SETTLED_MS)
+        self.send_heartbeat('e1')
+
+    def run(self, effects):
+        """Execute effects; proposals wait while the log is held."""
+        if not self.is_held:
+            super().run(effects)
+            return
+        for effect in effects:
+            if isinstance(effect, Reply):
+                super().run([effect])
+            else:
+                self.held.append(effect)
+
+    def commit_next(self):
+        """Commit the oldest proposal that waits."""
+        proposal = self.held.pop(0)
+        self.index += 1
+        state, outcome = apply_fleet_command(
+            self.coordinator.state, proposal.command
+        )
+        self.run(
+            self.coordinator.apply(
+                state, self.index, {proposal.proposal_id: outcome}, self.now
+            )
+        )
+
+    def takes_requests(self, born=10):
+        """Return whether the state lets a process of u1 take requests."""
+        found = self.coordinator.state.upstreams.get('u1')
+        return bool(found and found.born == born and not found.is_draining)
+
+
+def admit(leader):
+    """Admit u1, and let the entry VM know it."""
+    leader.call(make_check_in(1))
+    leader.wait(100)
+    leader.send_heartbeat('e1')
+
+
+def hold(leader):
+    """Let no proposal be committed."""
+    leader.is_held = True
+
+
+def wait_long(leader):
+    """Let more time pass than an admission holds up others."""
+    leader.wait(1100)
+    leader.send_heartbeat('e1')
+
+
+def wait_a_minute(leader):
+    """Let the time pass for which a silent upstream is kept."""
+    leader.wait(60_000)
+    leader.send_heartbeat('e1')
+
+
+OTHER = make_check_in(1, 'u0')
+NEXT = make_check_in(1, born=11)
+MORE_SLOTS = make_check_in(2, slots=4)
+LEAVES = Depart('u1', 10)
+ANY_LEAVES = Depart('u1', 0)
+NEXT_LEAVES = Depart('u1', 11)
+
+
+class KeptDepartureTest(unittest.TestCase):
+    """Guards against requests to an upstream whose departure is confirmed.
+
+    Admissions and check-ins that are under way took the departure back, or it
+    was confirmed before them.
+    """
+
+    @parameterized.expand(
+        [
+            ('no admission', (admit, hold, LEAVES)),
+            ('another record', (admit, hold, LEAVES, MORE_SLOTS)),
+            ('another record before', (admit, hold, MORE_SLOTS, LEAVES)),
+            ('in flight', (hold, make_check_in(1), LEAVES)),
+            ('any process in flight', (hold, make_check_in(1), ANY_LEAVES)),
+            ('waits', (hold, OTHER, make_check_in(1), LEAVES)),
+            ('any that waits', (hold, OTHER, make_check_in(1), ANY_LEAVES)),
+            ('late commit', (hold, make_check_in(1), wait_long, LEAVES)),
+            (
+                'leaves in flight',
+                (hold, make_check_in(1, is_draining=True), LEAVES),
+            ),
+            ('next process', (admit, hold, NEXT, NEXT_LEAVES)),
+            ('next process, any', (admit, hold, NEXT, ANY_LEAVES)),
+            (
+                'late notice',
+                (hold, make_check_in(2), make_check_in(1, is_draining=True)),
+            ),
+        ]
+    )
+    def test_under_way(self, _name, steps):
+        leader = SlowLog()
+        departures = []
+        for step in steps:
+            if callable(step):
+                step(leader)
+                continue
+            leader.call(step)
+            if isinstance(step, Depart) or step.is_draining:
+                departures.append((f'c{leader.call_count}', step.born))
+        call_id, born = departures[-1]
+        while leader.held:
+            self.assertNotIn(call_id, leader.answers)
+            leader.commit_next()
+        self.assertNotIn(call_id, leader.answers)
+        leader.send_heartbeat('e1')
+        self.assertIsInstance(leader.answers[call_id], Confirmed | CheckedIn)
+        self.assertFalse(leader.takes_requests(born or 10))
+        self.assertFalse(born != 10 and leader.takes_requests(11))
+
+    @parameterized.expand(
+        [
+            ('never admitted', (LEAVES,), make_check_in(1), False),
+            ('a later process', (LEAVES,), NEXT, True),
+            ('admitted', (admit, LEAVES), MORE_SLOTS, False),
+            ('admitted, a later process', (admit, LEAVES), NEXT, True),
+            (
+                'long after it',
+                (LEAVES, wait_a_minute),
+                make_check_in(1),
+                True,
+            ),
+        ]
+    )
+    def test_delayed_check_in(self, _name, steps, check_in, is_taking):
+        leader = SlowLog()
+        for step in (*steps, check_in):
+            if callable(step):
+                step(leader)
+            else:
+                leader.call(step)
+                leader.send_heartbeat('e1')
+        self.assertEqual(leader.takes_requests(check_in.born), is_taking)
+
+    def test_unknown_upstream_is_confirmed_at_once(self):
+        """Guards against log entries for departures that change nothing."""
+        leader = SlowLog()
+        hold(leader)
+        self.assertEqual(leader.call(LEAVES), Confirmed())
+        self.assertEqual(leader.held, [])
+
+    def test_number_of_departures_is_bounded(self):
+        """Guards against memory that grows with departures."""
+        departures = Departures(Admissions(str))
+        for born in range(1, MAX_DEPARTED + 2):
+            departures.record(FleetState(), Depart('u1', born), 0)
+        upstream = Upstream('u1', 1, 's', 'u1:1', 'z', 3)
+        self.assertFalse(departures.mark(upstream, 0).is_draining)
+        latest = replace(upstream, born=MAX_DEPARTED + 1)
+        self.assertTrue(departures.mark(latest, 0).is_draining)
+
+
 if __name__ == '__main__':
     unittest.main()
