--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,6 +9,8 @@
 from ibisjunction.coordination.calls import CheckedIn, Confirmed, Depart
 from ibisjunction.coordination.departures import MAX_DEPARTED, Departures
 from ibisjunction.coordination.effects import Reply
+from ibisjunction.coordination.planned import PlannedCommand
+from ibisjunction.fleet.commands import ForgetUpstream
 from ibisjunction.fleet.model import FleetState, Upstream
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.membership.messages import Heartbeat
@@ -214,6 +216,16 @@
     leader.send_heartbeat('e1')
 
 
+def forget_process(leader):
+    """Remove u1 from the state; the entry VM does not know that yet."""
+    hold(leader)
+    leader.run(
+        [leader.coordinator._proposals.propose(FORGET)]  # noqa: SLF001
+    )
+    leader.commit_next()
+
+
+FORGET = PlannedCommand(ForgetUpstream('u1', 10), 'silent for long')
 OTHER = make_check_in(1, 'u0')
 NEXT = make_check_in(1, born=11)
 MORE_SLOTS = make_check_in(2, slots=4)
@@ -249,6 +261,8 @@
                 'late notice',
                 (hold, make_check_in(2), make_check_in(1, is_draining=True)),
             ),
+            ('forgotten', (admit, forget_process, LEAVES)),
+            ('replaced', (admit, NEXT, hold, LEAVES)),
         ]
     )
     def test_under_way(self, _name, steps):
