Ask entry VMs to report each change of items

Callers saw: the answer to a change of items waited up to 1.33 s more, the interval of heartbeats at 200 entry VMs.

Cause: asks for reports up to the latest change that changed the items. A change that is overtaken while it is proposed leaves the items as they are, but its answer waits for its own, later commit, and no VM was asked to report that.

Change: the commit of a proposal that a change of items waits for raises the awaited index.

Result: test_admissions, coordinator, departures, evacuations and fleet pass (159).

--- a/src/ibisjunction/coordination/calls_in_progress.py
+++ b/src/ibisjunction/coordination/calls_in_progress.py
@@ -96,6 +96,14 @@
             return []
         return [one for one in self._calls if one in self._spreading]
 
+    def has_item_changes(self, call_ids: Iterable[str]) -> bool:
+        """Return whether some of the calls change items."""
+        found = map(self._calls.get, call_ids)
+        return any(
+            state is not None and isinstance(state.call, ChangeItems)
+            for state in found
+        )
+
     def find_same_proposals(self, call: Call) -> set[str]:
         """Return the proposals that an equal change of items waits for."""
         if not isinstance(call, ChangeItems):
--- a/src/ibisjunction/coordination/confirmations.py
+++ b/src/ibisjunction/coordination/confirmations.py
@@ -69,6 +69,13 @@
                 self._record(process_key, change)
         self._evacuations.record_state_change(earlier, state, index, now)
 
+    def record_item_change(self, change: CommittedChange) -> None:
+        """Record that the answer to a change of items waits for its commit.
+
+        It may leave the items as they are, if a later one was committed first.
+        """
+        self.latest_index = change.index
+
     def _record(self, process_key: ProcessKey, change: CommittedChange) -> None:
         name, _ = process_key
         for key in (process_key, (name, _ANY_PROCESS)):
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -173,9 +173,10 @@
         self.state = state
         self._periodic_proposals -= outcomes.keys()
         self._admissions.record_outcomes(outcomes)
-        concerned = self._calls.record_outcomes(
-            outcomes, CommittedChange(index, now)
-        )
+        change = CommittedChange(index, now)
+        concerned = self._calls.record_outcomes(outcomes, change)
+        if self._calls.has_item_changes(concerned):
+            self._confirmations.record_item_change(change)
         return [
             *self._admissions.take_next(now),
             *self._answer_ready(concerned, now),
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -685,6 +685,29 @@
         self.leader.send_heartbeat('e2', first_index)
         self.assertIsInstance(self.leader.answers.get(repetition), Confirmed)
 
+    @parameterized.expand(
+        [('newer', 9, 10), ('overtaken in flight', 9, 8), ('equal', 9, 9)]
+    )
+    def test_entry_vms_are_asked_for_each_change(self, _name, first, second):
+        """Guards against an answer that waits for the next usual heartbeat.
+
+        A change that another overtakes before its commit changes nothing, and
+        its answer waits for its own commit all the same.
+        """
+        coordinator = self.leader.coordinator
+        proposals = []
+        for version in (first, second):
+            item = replace(ITEMS.items[0], version=version)
+            call = ChangeItems(ItemUpdate((item,)))
+            proposals += coordinator.handle_call(
+                f'x{len(proposals)}', call, self.leader.now
+            )
+        self.leader.run(proposals)
+        self.assertEqual(coordinator.awaited_index, self.leader.index)
+        self.leader.send_heartbeat('e1', coordinator.awaited_index)
+        self.leader.send_heartbeat('e2', coordinator.awaited_index)
+        self.assertIsInstance(self.leader.answers['x0'], Confirmed)
+
     def test_repetition_before_the_commit(self):
         """Guards against a second copy while the first is being replicated."""
         call = ChangeItems(ItemUpdate((replace(ITEMS.items[0], version=9),)))
