Let a body be dropped while its timeout ends its task

What callers saw: when the time for one body had just passed and the account dropped that body before its task ran, the caller of another body got no answer: that body had been given room and was never read on, or its own read ended with an error.

Cause: `drop` reschedules the timeout of the read, and asyncio raises RuntimeError ("Cannot change state of expiring Timeout") once the timeout has fired. The error surfaced in `BodyGate.post`, in the course of another body or of the tick. `end_requests` checks for it, this place didn't.

Evidence: the two cases of LateDropTest in which the timeout fires first ended with this RuntimeError before the change; the review had found the same with a script.

Change: the timeout is left alone once it has expired, as the task ends anyway.

Result: test_body_gate, test_connection_ends and test_caller_room pass (44).

--- a/src/ibisjunction/entry/callers/incoming.py
+++ b/src/ibisjunction/entry/callers/incoming.py
@@ -348,8 +348,8 @@
         self._expire_in(0)
 
     def _expire_in(self, duration_ms: int) -> None:
-        """Stop reading after a time."""
-        if self.scope is not None:
+        """Stop reading after a time, unless the time is already over."""
+        if self.scope is not None and not self.scope.expired():
             now_s = asyncio.get_running_loop().time()
             self.scope.reschedule(now_s + in_seconds(duration_ms))
 
