Execute all effects on bodies if one owner fails to drop its own

What callers saw: a body that had been given room was never read on, and its caller waited until its timeout, if there was one.

Cause: `BodyGate.post` executed the effects of an event one after the other. An exception in the `on_drop` of one body left the loop, so the remaining effects were lost while the account counted them as done. It also surfaced in the call of an owner that had nothing to do with it, and the tick was not set again.

Change: an error of an owner is logged, and the other effects are executed.

--- a/src/ibisjunction/bodies/gate.py
+++ b/src/ibisjunction/bodies/gate.py
@@ -73,6 +73,11 @@
             self._gate.end(self._number)
             self._number = 0
 
+    def drop(self) -> None:
+        """Let the owner stop reading."""
+        if self.on_drop is not None:
+            self.on_drop()
+
     def let_read_on(self) -> None:
         """End the future of :meth:`take`."""
         if self._room is not None and not self._room.done():
@@ -157,5 +162,8 @@
             limit=self.account.limit,
             waiting=self.account.waiting_count,
         )
-        if held.on_drop is not None:
-            held.on_drop()
+        # An error of one owner must not keep the other effects from the rest.
+        try:
+            held.drop()
+        except Exception:
+            _logger.exception('a body could not be dropped')
--- a/tests/test_body_gate.py
+++ b/tests/test_body_gate.py
@@ -1,11 +1,14 @@
 """Tests of bodies that are dropped because there is no room."""
 
 import asyncio
+import contextlib
 import unittest
 from types import SimpleNamespace
 
 from parameterized import parameterized
 
+from ibisjunction.bodies.account import MAX_WAIT_MS, BodyAccount, Tick
+from ibisjunction.bodies.gate import BodyGate, BodyHold
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import ManualClock
 from ibisjunction.entry.callers import incoming
@@ -54,5 +57,46 @@
         self.assertIs((await reading).reason, expected)
 
 
+_ROOM_BYTES = 1_000_000
+
+
+class FailedDropTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a body that is never read on, as another drop failed.
+
+    The account had counted its bytes and expected it to grow.
+    """
+
+    @parameterized.expand([('none', ()), ('one', (1,)), ('all', (1, 2, 3))])
+    async def test_others_are_read_on(self, _name, failing):
+        clock = ManualClock(0)
+        gate = BodyGate(BodyAccount(_ROOM_BYTES), clock)
+
+        def make_drop(number):
+            def drop():
+                if number in failing:
+                    raise ArithmeticError(number)
+
+            return drop
+
+        holds = [
+            BodyHold(gate, str(number), make_drop(number)) for number in (1, 2)
+        ]
+        for held in holds:
+            self.assertIsNone(held.take(_ROOM_BYTES // 3))
+        waiting = BodyHold(gate, '3', make_drop(3))
+        clock.advance(MAX_WAIT_MS)
+        room = waiting.take(_ROOM_BYTES // 2)
+        with (
+            self.assertLogs('ibisjunction.bodies.gate')
+            if failing
+            else contextlib.nullcontext()
+        ):
+            for _ in range(MAX_WAIT_MS // 100):
+                clock.advance(100)
+                gate.post(Tick())
+        self.assertTrue(room is None or room.done())
+        self.assertEqual(gate.account.waiting_count, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
