Test that the end of a shutdown ends the requests in flight

What callers saw before: a closed connection in place of an answer at the end of a shutdown. Nothing guarded that change.

Cause: the deadline of the requests in test_end_of_shutdown came in the test's own time, so a request that nobody ended still timed out with the expected status, only later. No test called `EntryNode.drain`.

Change: the requests of test_end_of_shutdown have a deadline that never comes, and DrainTest's server ends only once the requests are ended. What existing cases assert is unchanged.

Evidence: with `time_limit.reschedule(0)` in entry/serving/requests.py replaced by `pass`, test_end_of_shutdown_0_body_not_started fails at the limit of its wait; with the call of `end_requests` in nodes/entry.py replaced by `pass`, both cases of DrainTest fail (TimeoutError).

--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -41,6 +41,7 @@
 )
 #: Enough for a busy machine to reach the stage of a request.
 _SHORT_MS = 1500
+_NEVER_MS = 10**12
 _MAY_RETRY = {408, 421, 429, 503}
 
 _REFUSALS = [
@@ -159,14 +160,18 @@
 class EndTest(unittest.IsolatedAsyncioTestCase):
     """Guards against 502 and 504 for what never reached an upstream."""
 
-    async def send(self, vm, left_ms=20_000, **changes):
-        """Return the status that the caller gets."""
+    async def send(self, vm, left_ms=20_000, give_up_ms=None, **changes):
+        """Return the status that the caller gets.
+
+        :param give_up_ms: when the request times out in place of its route.
+        """
         now = vm.clock.now()
         request = replace(
             _REQUEST, arrived_ms=now, deadline_ms=now + left_ms, **changes
         )
         routed = vm.processor.route(request)
         if not isinstance(routed, Refused):
+            routed = replace(routed, give_up_ms=give_up_ms or routed.give_up_ms)
             kind = SimpleNamespace(is_idempotent=False)
             route = replace(routed.named_route.route, kind=kind)
             named_route = replace(routed.named_route, route=route)
@@ -231,14 +236,17 @@
         """Guards against a closed connection in place of an answer.
 
         A request that waited for the link at the end of a shutdown had reached
-        no upstream, and its caller was cut off.
+        no upstream, and its caller was cut off. The deadline never comes, so
+        only the end of the shutdown can end the request.
         """
         upstream = ScriptedUpstream(_never_answer)
         async with upstream.run() as address:
             vm = EntryVm([address], is_sharded=False)
             vm.components.link = _StuckLink(stage)
             async with vm.run():
-                sending = asyncio.create_task(self.send(vm, body=b'longbody'))
+                sending = asyncio.create_task(
+                    self.send(vm, give_up_ms=_NEVER_MS, body=b'longbody')
+                )
                 while not vm.processor._time_limits:
                     await asyncio.sleep(0)
                 is_sent = stage in {'second piece', 'end'}
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from parameterized import parameterized
 
+from ibisjunction.clock import SystemClock
 from ibisjunction.entry.model import Answered, Reason, Refused
+from ibisjunction.mailbox import Mailbox
+from ibisjunction.nodes.entry import EntryNode
 from tests.scripted import ScriptedUpstream
 from tests.test_notices import EntryVm, reply
 
@@ -66,5 +70,43 @@
         self.assertEqual(upstream.requests, [])
 
 
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are cut off at the end of a shutdown.
+
+    The connections of this server end only once the requests are ended.
+    """
+
+    @parameterized.expand([('no grace period', 0), ('short grace period', 500)])
+    async def test_requests_are_ended(self, _name, grace_ms):
+        calls = []
+        ended = asyncio.Event()
+
+        def end_requests():
+            calls.append('end')
+            ended.set()
+
+        async def drain(accept_ms, finish_ms):
+            await ended.wait()
+            return 0
+
+        node = EntryNode(
+            SimpleNamespace(vm='e1', grace_ms=grace_ms),
+            SystemClock(),
+            SimpleNamespace(
+                begin_shutdown=lambda end_ms: calls.append('begin'),
+                may_send=lambda now: False,
+                refuse_unsent=lambda: calls.append('refuse'),
+                end_requests=end_requests,
+            ),
+            SimpleNamespace(drain=drain),
+            SimpleNamespace(leave=lambda: calls.append('leave')),
+            Mailbox(),
+        )
+        # The limit only ends a test that would otherwise hang.
+        async with asyncio.timeout(10):
+            await node.drain()
+        self.assertEqual(calls, ['begin', 'refuse', 'end', 'leave'])
+
+
 if __name__ == '__main__':
     unittest.main()
