Report tasks of a connection that are cancelled by others

What callers saw: no answer, for ever, if the task that served a request ended by a cancellation that its connection had not asked for.

Cause: ConnectionTasks posted its message only for exceptions, and took any cancellation for its own.

Evidence: with the case "cancelled" in FailedPartTest, the caller had no answer after 20 s before the change, when the run was ended.

Change: a cancellation before ConnectionTasks.cancel is logged and reported like an exception.

--- a/src/ibisjunction/entry/callers/connection_tasks.py
+++ b/src/ibisjunction/entry/callers/connection_tasks.py
@@ -24,13 +24,15 @@
         """
         self._mailbox = mailbox
         self._running: set[asyncio.Task[None]] = set()
+        self._is_cancelled = False
 
     def start(
         self, coroutine: Coroutine[Any, Any, None], on_failure: Any
     ) -> 'asyncio.Task[None]':
         """Run a coroutine.
 
-        :param on_failure: message that is posted if it raises an exception.
+        :param on_failure: message that is posted if it raises an exception, or
+            is cancelled by others than :meth:`cancel`.
         """
         task = asyncio.create_task(coroutine)
         self._running.add(task)
@@ -39,12 +41,18 @@
 
     def cancel(self) -> None:
         """Cancel all tasks."""
+        self._is_cancelled = True
         for task in self._running:
             task.cancel()
 
     def _end(self, on_failure: Any, task: 'asyncio.Task[None]') -> None:
         self._running.discard(task)
-        error = None if task.cancelled() else task.exception()
+        if task.cancelled():
+            if not self._is_cancelled:
+                _logger.error('a task of a caller was cancelled')
+                self._mailbox.post(on_failure)
+            return
+        error = task.exception()
         if error is not None:
             _logger.error('a task of a caller failed', exc_info=error)
             self._mailbox.post(on_failure)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -45,6 +45,8 @@
         target = routed.request.target
         if target == '/serve-fails':
             raise ArithmeticError(target)
+        if target == '/serve-is-cancelled':
+            raise asyncio.CancelledError
         if target == '/write-fails':
             return Answered(200, (('Receipt', 'a\r\nb'),), b'')
         return await super().serve(routed, trail)
@@ -102,6 +104,7 @@
         [
             ('routing', '/route-fails', b''),
             ('serving', '/serve-fails', b'HTTP/1.1 502 '),
+            ('cancelled', '/serve-is-cancelled', b'HTTP/1.1 502 '),
             ('writing', '/write-fails', b''),
             ('reading', '/read-fails', b''),
         ]
