Answer the requests before one that fails to be read

What callers saw: a closed connection without the answers to requests that were being served, when an error came up while a later request of the connection was read.

Cause: since the failure of the reading task counts as the caller's leaving, which cancels everything on the connection.

Change: the pipeline gets a ReadFailed event. The request that was being read is dropped, the one before it becomes the last, and the connection closes after its answer, as for a head that isn't valid. Without such a request it closes at once, as before.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -28,6 +28,7 @@
     OutcomeReady,
     Pipeline,
     PipelineEvent,
+    ReadFailed,
     ReadRequest,
     RequestRead,
     SendContinue,
@@ -158,7 +159,7 @@
         self.stream.set_close_callback(
             functools.partial(self.mailbox.post, CallerLeft())
         )
-        self._tasks.start(self._read_requests(), CallerLeft())
+        self._tasks.start(self._read_requests(), ReadFailed())
         try:
             self._execute(self._pipeline.start())
             while self._is_open:
--- a/src/ibisjunction/entry/callers/pipeline.py
+++ b/src/ibisjunction/entry/callers/pipeline.py
@@ -77,9 +77,15 @@
     """The VM takes no further requests while it shuts down."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """No further request can be read, nor the rest of one that is read."""
+
+
 PipelineEvent = (
     HeadRead
     | RequestRead
+    | ReadFailed
     | OutcomeReady
     | AnswerWritten
     | CallerLeft
@@ -199,6 +205,8 @@
                 self._record_head(event)
             case RequestRead():
                 self._record_read(event)
+            case ReadFailed():
+                self._end_after_read()
             case OutcomeReady(number=number, size=size):
                 self._record_outcome(number, size)
             case AnswerWritten():
@@ -230,6 +238,14 @@
             request.is_last = event.is_last
             request.awaits_continue = False
 
+    def _end_after_read(self) -> None:
+        """Let the last request that was read be the last of the connection."""
+        if self._requests and self._requests[-1].stage is _Stage.READING:
+            self._requests.pop()
+        if self._requests:
+            self._requests[-1].is_last = True
+        self._is_accepting = False
+
     def _record_outcome(self, number: int, size: int) -> None:
         request = self._find(number)
         if request is not None:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -71,10 +72,10 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(room=None):
+async def _run(room=None, processor=None):
     clock = _Clock()
     server = EntryServer(
-        _FaultyProcessor(),
+        processor or _FaultyProcessor(),
         clock,
         _NAMES,
         Address('127.0.0.1', 0),
@@ -125,15 +126,54 @@
         self.assertEqual(bool(received), bool(expected))
 
 
+class FailedReadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are cancelled as a later one fails.
+
+    An error while a request was read closed the connection at once.
+    """
+
+    @parameterized.expand(
+        [('one before', ['/a']), ('two before', ['/a', '/b'])]
+    )
+    async def test_requests_before_are_answered(self, _name, targets):
+        processor = _FaultyProcessor(after={'/a': ['all read']})
+        with (
+            self.assertLogs(level='ERROR'),
+            _break_reader(len(targets)) as failed,
+        ):
+            async with (
+                _run(processor=processor) as running,
+                _connect(running.port) as (reader, writer),
+            ):
+                sent = (*targets, '/read-fails')
+                for target in sent:
+                    writer.write(_request(target))
+                await failed.wait()
+                # Lets the connection handle the failure.
+                for _ in range(10):
+                    await asyncio.sleep(0)
+                await processor.release('all read')
+                received = await reader.read()
+        for target in targets:
+            self.assertIn(f'GET {target} '.encode(), received)
+
+
 @contextlib.contextmanager
-def _break_reader():
+def _break_reader(read_count=0):
+    """Let requests of a connection fail to be read behind the first ones."""
+    failed = asyncio.Event()
+    counts = itertools.count()
+
     async def fail(reader, limits):
+        if next(counts) < read_count:
+            return await original(reader, limits)
+        failed.set()
         raise ArithmeticError('reading')
 
     original = caller_connection.RequestReader.read
     caller_connection.RequestReader.read = fail
     try:
-        yield
+        yield failed
     finally:
         caller_connection.RequestReader.read = original
 
