End a grant call that fails with an unexpected error

What callers saw: nothing at once; the dispatcher sent no further grant call to that upstream, so its grants ran out and its keys had no owner in force.

Cause: OwnershipTask._call caught only UpstreamUnreachableError.

Evidence: by reading, and by the case "other error" of FailedCallTest, which found no message before the change.

Change: any other error is logged and counts as a failed call.

--- a/src/ibisjunction/ownership/task.py
+++ b/src/ibisjunction/ownership/task.py
@@ -213,6 +213,10 @@
             )
         except UpstreamUnreachableError as error:
             result = CallFailed(effect.call, str(error))
+        except Exception as error:
+            # A call without a result would stay pending for ever.
+            _logger.exception('a grant call to %s failed', upstream)
+            result = CallFailed(effect.call, str(error))
         else:
             result = GrantsAnswered(effect.call, answer, sent_at)
         self.mailbox.post(CallEnded(upstream, result))
