Answer callers of the first form after an unexpected error

What callers saw: no answer and an open connection, for ever, after any error but StreamClosedError in serving a request; the log named the caller as gone.

Change: the error is logged; the caller gets 502 without a promise that the request has not run, or its connection is closed if an answer has begun.

--- a/src/ibisjunction/outcomes.py
+++ b/src/ibisjunction/outcomes.py
@@ -41,6 +41,7 @@
     RETRY_BUDGET = 'too many requests to the upstream are retries'
     CALLER_GONE = 'the caller closed the connection'
     CALLER_SLOW = 'the caller did not take the answer in time'
+    INTERNAL_ERROR = 'this VM failed to serve the request'
     SHUTTING_DOWN = 'this VM is shutting down'
 
 
--- a/src/ibisjunction/routing/server.py
+++ b/src/ibisjunction/routing/server.py
@@ -256,6 +256,10 @@
             await _send_error(caller, request.request_id, outcome)
     except StreamClosedError:
         outcome = Failed(Reason.CALLER_GONE)
+    except Exception:
+        _logger.exception('request %s failed', request.request_id)
+        outcome = Failed(Reason.INTERNAL_ERROR)
+        await _send_failure(request, outcome)
     finally:
         body.close()
         log_outcome(request, outcome)
@@ -291,6 +295,17 @@
                 remaining_bytes -= len(part.chunk)
 
 
+async def _send_failure(request: CallerRequest, outcome: Failed) -> None:
+    """Send an error, or close the connection if an answer has begun."""
+    caller: Any = request.caller
+    if caller.has_started:
+        caller.abort()
+        return
+    with contextlib.suppress(StreamClosedError):
+        await _discard_body(request)
+        await _send_error(caller, request.request_id, outcome)
+
+
 async def _send_error(
     caller: _HttpCaller,
     request_id: str,
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -11,6 +11,7 @@
 from ibisjunction.ledger.messages import CloseRecord, ReportCrash
 from ibisjunction.routing import server as server_module
 from ibisjunction.settings import Address
+from ibisjunction.upstreams.messages import AnswerHead
 from ibisjunction.verdict import Verdict
 from tests.frontend import FrontEnd
 from tests.scripted import (
@@ -134,6 +135,48 @@
 _WRITE = _POST + _KEY + _END + b'body'
 
 
+@contextlib.contextmanager
+def _replace_serving(serve):
+    original = server_module.serve_request
+    server_module.serve_request = serve
+    try:
+        yield
+    finally:
+        server_module.serve_request = original
+
+
+async def _fail_at_once(context, request):
+    raise ArithmeticError(request.request_id)
+
+
+async def _fail_after_head(context, request):
+    head = AnswerHead(200, (('Content-Length', '9'),))
+    await request.caller.send_head(head, request.request_id)
+    raise ArithmeticError(request.request_id)
+
+
+class UnexpectedErrorTest(unittest.TestCase):
+    """Guards against a caller that waits for ever after an unexpected error."""
+
+    @parameterized.expand(
+        [
+            ('no answer begun', _fail_at_once, _GET + _END, 502, False),
+            ('with a body', _fail_at_once, _WRITE, 502, False),
+            ('answer begun', _fail_after_head, _GET + _END, 200, True),
+        ]
+    )
+    def test_reply(self, _name, serve, request, status, is_closed):
+        with (
+            _replace_serving(serve),
+            self.assertLogs(level='ERROR'),
+        ):
+            replies, _, _ = asyncio.run(
+                asyncio.wait_for(_call(request, answer(_WHOLE)), 20)
+            )
+        found = [(reply.status, reply.is_closed) for reply in replies]
+        self.assertEqual(found, [(status, is_closed)])
+
+
 class HeadTest(unittest.TestCase):
     """Guards against a request that runs with a head that is not valid."""
 
