Count a second attempt in the outcome of a request that times out

What callers saw: 503 (not run) at the timeout of an idempotent request whose first attempt had been declined while its second attempt was with an upstream.

Cause: the outcome was made from the first attempt only.

Evidence: with this line as it was and the rest of the change, the case "second was sent" of RaceTest.test_timeout found a refusal. (The cases "first" and "both" fail on that code too, as their first attempt is a fake of the test that the old line does not ask.)

Change: the runner of the request makes the outcome; a race combines those of both attempts as it does for attempts that end.

--- a/src/ibisjunction/entry/hedging/race.py
+++ b/src/ibisjunction/entry/hedging/race.py
@@ -46,6 +46,9 @@
     async def run(self) -> Outcome:
         """Send the request until it has a final outcome."""
 
+    def make_timeout_outcome(self) -> Outcome:
+        """Return the outcome of a request that has timed out."""
+
 
 class Hedge:
     """The race between the attempts of one request.
@@ -75,6 +78,7 @@
         self._routed = routed
         self._trail = trail
         self._first = first
+        self._second: AttemptRunner | None = None
         self._make_second = make_second
         self._try_acquire_retry = try_acquire_retry
 
@@ -95,6 +99,13 @@
                     return outcome
             return await self._finish(first, second)
 
+    def make_timeout_outcome(self) -> Outcome:
+        """Return the outcome of both attempts when the time is over."""
+        outcome = self._first.make_timeout_outcome()
+        if self._second is None:
+            return outcome
+        return _combine(outcome, self._second.make_timeout_outcome())
+
     async def _start_second(
         self, first: 'asyncio.Task[Outcome]', tasks: '_Tasks'
     ) -> 'asyncio.Task[Outcome] | None':
@@ -117,7 +128,8 @@
             return None
         # The route's limit on attempts holds for both attempts together.
         self._first.attempts += 1
-        return tasks.start(self._make_second(sent.process).run())
+        self._second = self._make_second(sent.process)
+        return tasks.start(self._second.run())
 
     def _make_candidate(self, sent: AttemptSent) -> HedgeCandidate:
         route = self._routed.named_route.route
--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -221,7 +221,7 @@
                 self._time_limits.add(time_limit)
                 return await runner.run()
         except TimeoutError:
-            return attempt_loop.make_timeout_outcome()
+            return runner.make_timeout_outcome()
         finally:
             self._time_limits.discard(time_limit)
 
--- a/tests/test_hedge_race.py
+++ b/tests/test_hedge_race.py
@@ -14,6 +14,7 @@
 from ibisjunction.entry.serving.trail import Trail
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.verdict import Verdict
+from tests.test_notices import EntryVm
 
 FIRST = Answered(200, (), b'first')
 SECOND = Answered(200, (), b'second')
@@ -45,6 +46,9 @@
             raise
         return self.outcome
 
+    def make_timeout_outcome(self):
+        return self.outcome
+
 
 def make_policy(ratio=1):
     """Return a policy to which each answer after 0 ms is slow."""
@@ -108,6 +112,26 @@
             Failed(Reason.OVERLOADED, Verdict.MAY_HAVE_RUN), outcome
         )
 
+    @parameterized.expand(
+        [
+            ('neither was sent', REFUSED, REFUSED, Refused),
+            ('first was sent', FAILED, REFUSED, Failed),
+            ('second was sent', REFUSED, FAILED, Failed),
+            ('both were sent', FAILED, FAILED, Failed),
+        ]
+    )
+    async def test_timeout(self, _name, first, second, expected):
+        """Guards against "not run" for what a second attempt has sent."""
+        second_runner = FakeRunner(second, 10**9)
+        hedge = make_hedge(FakeRunner(first, 10**9), second_runner)
+        vm = EntryVm([], is_sharded=False)
+        vm.processor._hedge = lambda *_: hedge
+        sending = asyncio.create_task(vm.send())
+        while not second_runner.is_started:
+            await asyncio.sleep(0)
+        vm.processor.end_requests()
+        self.assertIsInstance(await sending, expected)
+
     @parameterized.expand(
         [
             ('limit is used up', make_policy(0.001), True),
