Match the route of a bodyless request once

Cause: the timeout was looked up at the head of every request, also if no body follows.

Evidence: the cases "no body" and "empty body" of BodylessTest found a look-up before the change.

Change: it is looked up only for requests whose heads announce a body. Those whose bodies arrive with their heads are still matched twice. The saved processor time was not measured.

Result: test_connection_ends, test_caller_connection, test_body_gate and test_caller_room pass (76).

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -187,10 +187,20 @@
                     return await self.mailbox.get()
 
     def on_head(
-        self, host: str, target: str, *, expects_continue: bool
+        self,
+        host: str,
+        target: str,
+        *,
+        expects_continue: bool,
+        awaits_body: bool,
     ) -> int | None:
-        """Record that the head of a request was read; return its timeout."""
+        """Record that the head of a request was read.
+
+        :return: the timeout in ms of its route for a body that follows.
+        """
         self.mailbox.post(HeadRead(self._reading_number, expects_continue))
+        if not awaits_body:
+            return None
         return self._context.processor.find_timeout_ms(host, target)
 
     def _handle(self, message: '_Message') -> None:
--- a/src/ibisjunction/entry/callers/incoming.py
+++ b/src/ibisjunction/entry/callers/incoming.py
@@ -73,12 +73,17 @@
     """Is told when the head of a request was read."""
 
     def on_head(
-        self, host: str, target: str, *, expects_continue: bool
+        self,
+        host: str,
+        target: str,
+        *,
+        expects_continue: bool,
+        awaits_body: bool,
     ) -> int | None:
-        """Process the head of a request whose body follows.
+        """Process the head of a request.
 
-        :return: milliseconds in which the request has to be answered, if its
-            route is known.
+        :return: milliseconds in which the request has to be answered, if it
+            awaits a body and its route is known.
         """
 
 
@@ -152,7 +157,9 @@
             refusal = await _receive(receiver, limits)
             held.complete()
             if not receiver.arrived_ms:
-                self._observer.on_head('', '', expects_continue=False)
+                self._observer.on_head(
+                    '', '', expects_continue=False, awaits_body=False
+                )
             is_last = refusal is not None or not _keeps_connection(receiver)
             self._first_byte = b''
             return self._make_incoming(
@@ -307,6 +314,7 @@
                 headers.get('Host', ''),
                 start_line.path,
                 expects_continue=expects_continue,
+                awaits_body=_awaits_body(headers),
             )
             if time_ms is not None:
                 self._expire_in(max(0, time_ms - _ANSWER_MARGIN_MS))
@@ -400,6 +408,11 @@
     return 'Content-Length' in headers or 'Transfer-Encoding' in headers
 
 
+def _awaits_body(headers: HTTPHeaders) -> bool:
+    """Return whether a body follows that is not empty."""
+    return _has_body(headers) and headers.get('Content-Length') != '0'
+
+
 def _keeps_connection(receiver: _RequestReceiver) -> bool:
     """Return whether the caller may send another request."""
     listed = receiver.headers.get('Connection', '').lower().split(',')
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -33,7 +33,12 @@
 class _FaultyProcessor(_Processor):
     """Fails as told by the target of a request."""
 
+    def __init__(self, **changes):
+        super().__init__(**changes)
+        self.looked_up = []
+
     def find_timeout_ms(self, host, target):
+        self.looked_up.append(target)
         return _TIMEOUT_MS if target == '/slow' else None
 
     def route(self, request):
@@ -232,6 +237,28 @@
         self.assertIn(b'Retry-After', received)
 
 
+class BodylessTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a route that is matched twice for a bodyless request."""
+
+    @parameterized.expand(
+        [
+            ('no body', _request('/a', **_CLOSE), []),
+            ('empty body', _request('/a', 'POST', '', **_CLOSE), []),
+            ('body', _request('/a', 'POST', 'body', **_CLOSE), ['/a']),
+        ]
+    )
+    async def test_lookups(self, _name, request, expected):
+        processor = _FaultyProcessor()
+        async with (
+            _run(processor=processor) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            writer.write(request)
+            received = await reader.read()
+        self.assertTrue(received.startswith(b'HTTP/1.1 200 '), received)
+        self.assertEqual(processor.looked_up, expected)
+
+
 class ArrivingRequestTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a connection that is closed on a request.
 
