--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -53,7 +53,7 @@
 #: connection that is closed with unread bytes is reset, and the caller could
 #: lose the answer.
 LINGER_MS: Final = 1000
-#: Time in which bytes that have arrived are read.
+#: Interval of checks whether bytes that have arrived were read by now.
 _UNREAD_POLL_MS: Final = 20
 
 
@@ -335,7 +335,7 @@
                 await reader.wait()
                 # The operators may have changed the limits meanwhile.
                 incoming = await reader.read(self._context.limits)
-                # It may not give way to a newcomer before it is handled.
+                # A new connection must not displace it before it is handled.
                 self._context.table.mark(self.number, is_busy=True)
                 self.mailbox.post(_Received(number, incoming))
 
