Refuse paths with bytes above 127 in place of changing them

Upstreams got another path than the caller had sent: a trial sent the byte E9, and the stand-in got C3 A9. Tornado encodes the start line of a request in UTF-8, and the heads that the parser reads are Latin-1. Only requests with large bodies, whose heads are written here, were passed on unchanged.

RFC 3986 allows no such bytes in a URI, and RFC 9112 asks for 400 on a request line that is not valid, so the check of the head refuses them, as not run, at both front ends. Passing them on unchanged would need the start line to be written without Tornado, which then can't read the answer to a HEAD request.

The new rows of test_heads fail without the check (2 of 3).

--- a/src/ibisjunction/heads.py
+++ b/src/ibisjunction/heads.py
@@ -49,6 +49,13 @@
         return HeadError(HTTPStatus.BAD_REQUEST, 'Host: missing')
     if len(hosts) > 1:
         return HeadError(HTTPStatus.BAD_REQUEST, 'Host: given more than once')
+    if not start_line.path.isascii():
+        # Tornado would pass them on as UTF-8, so as another path.
+        return HeadError(
+            HTTPStatus.BAD_REQUEST,
+            'the path or query contains bytes above 127, which have to be'
+            ' percent-encoded',
+        )
     return None
 
 
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -38,6 +38,19 @@
         error = find_head_error(line, make_headers(*fields), 200)
         self.assertEqual(error and error.status, status)
 
+    # Upstreams got paths in which such bytes were encoded as UTF-8.
+    @parameterized.expand(
+        [
+            ('encoded', '/caf%E9', None),
+            ('path', '/caf\xe9', 400),
+            ('query', '/?q=\xc3\xa9', 400),
+        ]
+    )
+    def test_target_that_is_not_ascii(self, _name, target, status):
+        line = RequestStartLine('GET', target, 'HTTP/1.1')
+        error = find_head_error(line, make_headers(('Host', 'x')), 200)
+        self.assertEqual(error and error.status, status)
+
     @parameterized.expand(
         [
             ('once', ('a',), False),
