Let the test of a control VM's task wait for its writes

tests.test_fleet_task failed once beside load with "not reached in time". Its wait for an election and a commit was bounded by 400 ticks with 1 ms of real time each, while the writes run in a thread and sync to the disk: a slow disk or a busy machine decided on the verdict.

The test counts the writes that run and waits for them before it goes on; the bound of 400 ticks of simulated time stays, and no longer gains from the time that a write takes. That the one failure seen had this cause is not shown otherwise.

--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -38,9 +38,12 @@
 VM = Address('10.0.0.1', 7000)
 SERVICE = Service('/health', 100, is_sharded=False, warmup_ms=0)
 ITEMS = ItemUpdate((Item(ItemType.SERVICE, 'reads', 3, '{}', service=SERVICE),))
-#: Ticks that an election and a commit take at most, with writes in a thread.
+#: Ticks that an election and a commit take at most, beside their writes.
 MAX_TICKS = 400
 TICK_MS = 20
+#: Iterations of the event loop in which the storage task starts a write, or
+#: reports it.
+LOOP_ITERATIONS = 4
 
 
 class FleetTaskTest(unittest.IsolatedAsyncioTestCase):
@@ -55,6 +58,8 @@
             tolerated_losses=0,
         )
         opened = self.enterContext(open_replica(settings))
+        opened = replace(opened, run_blocking=self.run_write)
+        self.running_writes = 0
         self.clock = ManualClock(1000)
         self.sent = []
         self.task = FleetTask(
@@ -76,6 +81,23 @@
         storage = asyncio.create_task(self.task.log.storage.run())
         self.addCleanup(storage.cancel)
 
+    async def run_write(self, function, *arguments):
+        """Run a write in a thread, and count it while it runs."""
+        self.running_writes += 1
+        try:
+            return await asyncio.to_thread(function, *arguments)
+        finally:
+            self.running_writes -= 1
+
+    async def finish_writes(self):
+        """Wait for the writes of a tick, however long the disk takes."""
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+        while self.running_writes:
+            await asyncio.sleep(0.001)
+        for _ in range(LOOP_ITERATIONS):
+            await asyncio.sleep(0)
+
     def send(self, vm, message):
         """Record a message to another VM; deliver one to this VM."""
         if vm == str(VM):
@@ -90,7 +112,7 @@
                 return
             self.clock.advance(TICK_MS)
             self.task.handle(Tick())
-            await asyncio.sleep(0.001)
+            await self.finish_writes()
             for message in self.task.mailbox.take_queued():
                 self.task.handle(message)
         self.fail('not reached in time')
