Decide by size and duration which requests a shutdown still sends

A table of one rule for all requests: the bytes of a request and of its answer, behind what waits for the link, and the usual duration of its service have to fit in what is left of the grace period.

The usual needs come from the latest 64 answers of each route and service, for at most 1024 of these. Unknown durations count as 1000 ms, and a large answer of unknown size does not fit.

Without the queue of the link in the sum, two rows of DecisionTest fail; with samples of all time, a row of UsualNeedsTest.

--- a/src/ibisjunction/entry/dispatching/dispatch.py
+++ b/src/ibisjunction/entry/dispatching/dispatch.py
@@ -68,10 +68,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """The request is not sent."""
+    """The request is not sent; ``detail`` is for the log of this VM."""
 
     reason: Reason
     retry_after_ms: int = _RETRY_AFTER_MS
+    detail: str = ''
 
 
 Decision = Grant | Wait | Refuse
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,6 +9,16 @@
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import SystemClock
 from ibisjunction.entry.model import Answered, Reason, Refused
+from ibisjunction.entry.serving.shutdown import (
+    Fits,
+    LinkQueues,
+    Need,
+    Shutdown,
+    TooLong,
+    UnknownSize,
+    refuse,
+)
+from ibisjunction.entry.serving.usual_needs import Group, UsualNeeds
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.nodes.entry import EntryNode
 from tests.scripted import ScriptedUpstream
@@ -16,6 +26,131 @@
 
 _SIGNED = b'Response-Signature: s'
 _END_MS = 3000
+#: Upstreams stop working on requests this long before.
+_ANSWER_BY_MS = 2900
+_IDLE_LINK = LinkQueues(bytes_per_ms=10, piece_bytes=2000)
+_BUSY_LINK = LinkQueues(10, 2000, sent=6000, received=3000)
+
+
+class DecisionTest(unittest.TestCase):
+    """Guards against requests that a shutdown cuts off or refuses for nothing.
+
+    There are 1000 ms left.
+    """
+
+    @parameterized.expand(
+        [
+            ('short', Need(500), _IDLE_LINK, 9000, Fits()),
+            ('just in time', Need(1000), _IDLE_LINK, 9000, Fits()),
+            (
+                'slow service',
+                Need(1001),
+                _IDLE_LINK,
+                9000,
+                TooLong(0, 1001, 1000),
+            ),
+            ('times out before the end', Need(5000), _IDLE_LINK, 2900, Fits()),
+            ('upload', Need(500, 5000), _IDLE_LINK, 9000, Fits()),
+            (
+                'large upload',
+                Need(500, 5010),
+                _IDLE_LINK,
+                9000,
+                TooLong(501, 500, 1000),
+            ),
+            (
+                'upload behind others',
+                Need(500, 3000),
+                _BUSY_LINK,
+                9000,
+                TooLong(900, 500, 1000),
+            ),
+            ('piece beside others', Need(500, 2000), _BUSY_LINK, 9000, Fits()),
+            ('small answer', Need(500, 0, 2500), _IDLE_LINK, 9000, Fits()),
+            (
+                'answer crosses the link twice',
+                Need(500, 0, 2600),
+                _IDLE_LINK,
+                9000,
+                TooLong(520, 500, 1000),
+            ),
+            (
+                'answer behind others both ways',
+                Need(0, 0, 2500),
+                _BUSY_LINK,
+                9000,
+                TooLong(1400, 0, 1000),
+            ),
+            (
+                'unknown answer',
+                Need(0, 0, None),
+                _IDLE_LINK,
+                9000,
+                UnknownSize(),
+            ),
+        ]
+    )
+    def test_decision(self, _name, need, queues, give_up_ms, expected):
+        shutdown = Shutdown(_END_MS)
+        now = _ANSWER_BY_MS - 1000
+        found = shutdown.decide(need, queues, give_up_ms, now)
+        self.assertEqual(found, expected)
+
+    @parameterized.expand(
+        [
+            (TooLong(501, 500, 1000), 'link: link 501 ms and duration 500 ms'),
+            (TooLong(0, 1001, 1000), 'duration: link 0 ms and duration 1001'),
+            (UnknownSize(), 'link: large answer'),
+        ]
+    )
+    def test_reason_names_what_takes_longest(self, reason, expected):
+        self.assertIn(expected, refuse(reason).detail)
+
+
+class UsualNeedsTest(unittest.TestCase):
+    """Guards against estimates from too few, old or foreign answers."""
+
+    @parameterized.expand(
+        [
+            ('nothing known', [], False, Need(1000)),
+            ('large answer', [], True, Need(1000, 0, None)),
+            ('few answers', 4 * [(30, 70)], True, Need(1000, 0, 70)),
+            ('few slow answers', 4 * [(1500, 70)], True, Need(1500, 0, 70)),
+            ('fast', 5 * [(30, 70)], True, Need(500, 0, 70)),
+            ('slow', 5 * [(1500, 70)], False, Need(1500, 0, 70)),
+            (
+                'one in ten is slow and large',
+                [*(18 * [(600, 70)]), *(2 * [(1500, 90)])],
+                False,
+                Need(1500, 0, 90),
+            ),
+            (
+                'slow until 64 answers ago',
+                [*(10 * [(1500, 90)]), *(64 * [(600, 70)])],
+                False,
+                Need(600, 0, 70),
+            ),
+        ]
+    )
+    def test_need(self, _name, answers, has_large_answer, expected):
+        usual = UsualNeeds()
+        group = Group('r', 's')
+        usual.record(Group('r', 'other'), 4000, 4000)
+        for duration_ms, size in answers:
+            usual.record(group, duration_ms, size)
+        found = usual.find(group, 0, has_large_answer=has_large_answer)
+        self.assertEqual(found, expected)
+
+    def test_routes_that_are_not_used_are_forgotten(self):
+        """Guards against memory that grows with the routes of all time."""
+        usual = UsualNeeds()
+        for number in range(1025):
+            usual.record(Group(f'r{number}', 's'), 600, 70)
+        oldest, next_oldest = (
+            usual.find(Group(name, 's'), 0, has_large_answer=True).answer_bytes
+            for name in ('r0', 'r1')
+        )
+        self.assertEqual((oldest, next_oldest), (None, 70))
 
 
 class LateRequestTest(unittest.IsolatedAsyncioTestCase):
