Send in a shutdown only what can be answered before its end

What callers saw: a VM that shut down still sent requests until one second before the end of its grace period, whatever they needed. A slow upstream was then still at work at the end, and its caller got 504 from the VM; an upload that the link could not pass any more got no answer of its upstream. Every download was refused, also one that would have crossed the link.

Cause: work was accepted by fixed bounds of time, without a look at what it takes from the resources that have to finish it: the link and the upstream.

One rule replaces them. The VM measures the time at the upstream and the size of answers per route and service. While it shuts down, it adds the bytes of a request and its answer behind those of requests at upstreams and of answers that are being written, and refuses as not run what doesn't fit in the time left: as it arrives, while it waits for a ticket, and just before it is written. The trail (E614) names the times. Because of these measures most requests may be sent later than before, until 600 ms before the end.

What is still at an upstream 60 ms before the end gets 504 as before: a cut connection would tell the caller less, and 503 would be wrong.

Evidence: with the code of the parent commit, rows "fast service", "slow service", "late upload", "small answer" and "alone" of NeedTest fail. The "behind" rows fail if what is at upstreams or being written isn't counted, the test of a waiting request if it isn't refused or the trail doesn't say why. That the node passes the count of the server is not covered by a test.

EntryVm.send of test_notices takes a body and a trail; no test line is removed.

--- a/src/ibisjunction/entry/callers/answer_writer.py
+++ b/src/ibisjunction/entry/callers/answer_writer.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Final
 
-from ibisjunction.bodies.answers import TAKE_TIMEOUT_MS
 from ibisjunction.clock import in_seconds
 from ibisjunction.entry.callers.answers import CallerAnswer
 from ibisjunction.entry.callers.caller_stream import CallerStream
@@ -41,12 +40,7 @@
         link = context.link
         if context.cut_off_ms is None or size <= link.piece_bytes:
             return True
-        ahead = sum(
-            left
-            for stream, left in context.unsent.items()
-            if stream.blocked_ms < TAKE_TIMEOUT_MS
-        )
-        needed_ms = (ahead + size) / link.bytes_per_ms
+        needed_ms = (context.count_unsent() + size) / link.bytes_per_ms
         return context.clock.now() + needed_ms <= context.cut_off_ms
 
     async def write(
--- a/src/ibisjunction/entry/callers/connection_context.py
+++ b/src/ibisjunction/entry/callers/connection_context.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from ibisjunction.bodies.answers import AnswerCount
+from ibisjunction.bodies.answers import TAKE_TIMEOUT_MS, AnswerCount
 from ibisjunction.bodies.connections import ConnectionTable
 from ibisjunction.bodies.gate import BodyGate
 from ibisjunction.catalogue.model import Limits
@@ -60,6 +60,17 @@
     unsent: dict[CallerStream, int] = field(default_factory=dict)
     cut_off_ms: int | None = None
 
+    def count_unsent(self) -> int:
+        """Return the bytes of large answers that the link still has to pass.
+
+        Those that nobody takes don't delay others.
+        """
+        return sum(
+            left
+            for stream, left in self.unsent.items()
+            if stream.blocked_ms < TAKE_TIMEOUT_MS
+        )
+
     @property
     def has_room(self) -> bool:
         """Whether connections may read requests ahead of others."""
--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -140,6 +140,10 @@
         """What the bodies of callers hold."""
         return self._context.gate.account
 
+    def count_unsent(self) -> int:
+        """Return the bytes of large answers that are being written."""
+        return self._context.count_unsent()
+
     def listen_to_callers(self) -> int:
         """Listen for connections; return the port."""
         sockets = bind_sockets(
--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -34,7 +34,7 @@
     verdict_of,
 )
 from ibisjunction.entry.serving.crashes import LostRun, make_fingerprint
-from ibisjunction.entry.serving.shutdown import REFUSED_BY_SHUTDOWN
+from ibisjunction.entry.serving.send_gate import SendGate
 from ibisjunction.entry.serving.trail import Trail
 from ibisjunction.entry.tickets.messages import (
     LocalTicketDone,
@@ -80,12 +80,7 @@
 
     view: FleetView | None
     waiting: dict[Mailbox[Grant | Refuse], RoutedRequest]
-
-    def may_send(self, now: int, routed: RoutedRequest | None = None) -> bool:
-        """Return whether requests, or this one, may still be sent."""
-
-    def find_give_up_ms(self, routed: RoutedRequest) -> int:
-        """Return when a request times out at this VM."""
+    gate: SendGate
 
     def make_ticket_request(
         self,
@@ -179,8 +174,11 @@
     def _find_refusal(self) -> Refuse | None:
         """Return why the request must not be sent now, if it must not."""
         now = self._components.clock.now()
-        if not self._processor.may_send(now, self._routed):
-            return REFUSED_BY_SHUTDOWN
+        refusal = self._processor.gate.find_refusal(
+            self._routed, self._components.link, now
+        )
+        if refusal is not None:
+            return refusal
         if self._is_blocked:
             return _REFUSED_FOR_CRASHES
         pause_ms = self._find_pause_ms()
@@ -261,6 +259,13 @@
             self._notice.load,
         )
         self._processor.record_report(decision.upstream, self._report)
+        if isinstance(attempt_result, Ran) and attempt_result.is_success:
+            self._processor.gate.record_answer(
+                self._routed,
+                self._components.link,
+                latency_ms,
+                len(attempt_result.answer.body),
+            )
         if self._report.result is HealthResult.ANSWERED:
             self._components.hedging.record_latency(
                 self._routed.service,
@@ -279,6 +284,12 @@
         return Refused(Reason.TIMED_OUT, _RETRY_AFTER_MS)
 
     def _make_refusal_outcome(self, decision: Refuse) -> Outcome:
+        if decision.detail:
+            self._trail.add(
+                Event.SHUTDOWN_TOO_SHORT,
+                self._components.clock.now(),
+                detail=decision.detail,
+            )
         if self._verdict is Verdict.NOT_RUN:
             return Refused(decision.reason, decision.retry_after_ms)
         return Failed(decision.reason, self._verdict)
@@ -297,7 +308,7 @@
             max_attempts=route.max_attempts,
             is_idempotent=route.kind.is_idempotent,
             has_time=now + _MIN_REMAINING_MS
-            < self._processor.find_give_up_ms(self._routed),
+            < self._processor.gate.find_give_up_ms(self._routed),
             verdict=self._verdict,
         )
         if self._is_hedge or not may_retry(result, progress):
@@ -393,14 +404,15 @@
             return NotSent('its failure domain is evacuated')
         if self._components.notices.is_unwanted(upstream.process_key, now):
             return NotSent('the upstream leaves or asked to wait')
-        give_up_ms = self._processor.find_give_up_ms(self._routed)
+        give_up_ms = self._processor.gate.find_give_up_ms(self._routed)
         if now + _MIN_REMAINING_MS >= give_up_ms:
             return NotSent('too little time is left')
         if self._is_blocked:
             return NotSent('equal requests have crashed upstreams')
-        if not self._processor.may_send(now, self._routed):
-            return NotSent('this VM is shutting down')
-        return None
+        refusal = self._processor.gate.find_refusal(
+            self._routed, self._components.link, now
+        )
+        return None if refusal is None else NotSent(refusal.detail)
 
     async def _perform(
         self,
@@ -422,18 +434,19 @@
             self._routed,
             upstream,
             components.names,
-            self._processor.find_give_up_ms(self._routed) - now,
+            self._processor.gate.find_give_up_ms(self._routed) - now,
         )
         components.link.count_short(
             Direction.SENT, outgoing.count_short(self._transfer.piece_bytes)
         )
         try:
-            result = await connection.perform(
-                outgoing,
-                components.names.request_id,
-                request.request_id,
-                self._transfer,
-            )
+            with self._processor.gate.hold_need(self._routed):
+                result = await connection.perform(
+                    outgoing,
+                    components.names.request_id,
+                    request.request_id,
+                    self._transfer,
+                )
         finally:
             match result:
                 case NoAnswer() | NotSent():
--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from ibisjunction.catalogue.model import Limits, RequestKind
+from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import in_seconds
 from ibisjunction.coordination.loads import KeyLoad, bucket_of
 from ibisjunction.coordination.speeds import UpstreamSpeed
@@ -24,7 +24,8 @@
     RoutedRequest,
 )
 from ibisjunction.entry.serving.attempt_loop import AttemptLoop
-from ibisjunction.entry.serving.shutdown import REFUSED_BY_SHUTDOWN, Shutdown
+from ibisjunction.entry.serving.send_gate import SendGate, has_large_answer
+from ibisjunction.entry.serving.shutdown import REFUSED_BY_SHUTDOWN
 from ibisjunction.entry.serving.trail import Trail
 from ibisjunction.entry.tickets.ticket_request import TicketRequest
 from ibisjunction.events import Event, log_event
@@ -58,7 +59,7 @@
         self._latencies: dict[ProcessKey, list[int]] = {}
         self._limits: dict[ProcessKey, float | None] = {}
         self.view: FleetView | None = None
-        self._shutdown: Shutdown | None = None
+        self.gate = SendGate()
         #: Requests that wait for a ticket, by where they get the decision.
         self.waiting: dict[Mailbox[Grant | Refuse], RoutedRequest] = {}
         self._time_limits: set[asyncio.Timeout] = set()
@@ -72,7 +73,7 @@
         view = self.view
         is_configured = view is not None and not view.is_empty
         is_leased = self._components.lease.is_held(self._components.clock.now())
-        return is_configured and is_leased and self._shutdown is None
+        return is_configured and is_leased and not self.gate.is_shutting_down
 
     @property
     def waiting_count(self) -> int:
@@ -82,15 +83,18 @@
     def begin_shutdown(self, end_ms: int) -> None:
         """Stop being ready; what is still sent has to be answered in time.
 
-        Large answers are no longer asked for: the link may not pass them before
-        the end, and a caller would get a part of one.
-
         :param end_ms: when requests in flight are cut off.
         """
-        self._shutdown = Shutdown(end_ms)
+        self.gate.begin(end_ms)
+        self.refuse_late()
+
+    def refuse_late(self) -> None:
+        """Refuse the waiting requests that can't be answered in time."""
+        now = self._components.clock.now()
         for reply, routed in self.waiting.items():
-            if _has_large_answer(routed):
-                reply.post(REFUSED_BY_SHUTDOWN)
+            refusal = self.gate.find_refusal(routed, self._components.link, now)
+            if refusal is not None:
+                reply.post(refusal)
 
     def refuse_unsent(self) -> None:
         """Refuse the requests that wait for a ticket.
@@ -111,19 +115,9 @@
             if not time_limit.expired():
                 time_limit.reschedule(0)
 
-    def find_give_up_ms(self, routed: RoutedRequest) -> int:
-        """Return when a request times out at this VM."""
-        if self._shutdown is None:
-            return routed.give_up_ms
-        return min(routed.give_up_ms, self._shutdown.answer_by_ms)
-
-    def may_send(self, now: int, routed: RoutedRequest | None = None) -> bool:
-        """Return whether requests, or this one, may still be sent."""
-        if self._shutdown is None:
-            return True
-        if routed is not None and _has_large_answer(routed):
-            return False
-        return now < self._shutdown.last_send_ms
+    def may_send(self, now: int) -> bool:
+        """Return whether any request may still be sent."""
+        return self.gate.is_open(now)
 
     def update_view(self, view: FleetView) -> None:
         """Replace the view of the fleet, here and in the ticket task."""
@@ -277,9 +271,9 @@
             failure_domain=self._components.failure_domain,
             requested_ms=self._components.clock.now(),
             target_ms=routed.target_ms,
-            give_up_ms=self.find_give_up_ms(routed),
+            give_up_ms=self.gate.find_give_up_ms(routed),
             avoided=avoided,
-            is_bulky=_has_large_answer(routed),
+            is_bulky=has_large_answer(routed),
             fingerprint=fingerprint,
         )
 
@@ -288,9 +282,5 @@
     """Ignore the limits: no server is attached."""
 
 
-def _has_large_answer(routed: RoutedRequest) -> bool:
-    return routed.named_route.route.kind is RequestKind.DOWNLOAD
-
-
 def _is_valid_key(key: int | None) -> bool:
     return key is not None and 0 <= key <= LAST_KEY
--- /dev/null
+++ b/src/ibisjunction/entry/serving/send_gate.py
@@ -0,0 +1,121 @@
+"""Holds back requests that a VM which shuts down can't finish."""
+
+import contextlib
+import itertools
+from collections.abc import Callable, Iterator
+
+from ibisjunction.catalogue.model import RequestKind
+from ibisjunction.entry.dispatching.dispatch import Refuse
+from ibisjunction.entry.link.transfers import Link
+from ibisjunction.entry.model import RoutedRequest
+from ibisjunction.entry.serving.shutdown import (
+    Fits,
+    LinkQueues,
+    Need,
+    Shutdown,
+    refuse,
+)
+from ibisjunction.entry.serving.usual_needs import Group, UsualNeeds
+
+
+class SendGate:
+    """Compares what requests need with what is left of a shutdown.
+
+    It knows the requests at upstreams, which share the link with later ones.
+    """
+
+    def __init__(self) -> None:
+        """Start without a shutdown, when every request may be sent."""
+        self._shutdown: Shutdown | None = None
+        self._usual = UsualNeeds()
+        self._numbers = itertools.count()
+        self._at_upstreams: dict[int, Need] = {}
+        #: Returns the bytes of large answers that are being written to callers.
+        self.count_unsent: Callable[[], int] = int
+
+    @property
+    def is_shutting_down(self) -> bool:
+        """Whether a shutdown has begun."""
+        return self._shutdown is not None
+
+    def begin(self, end_ms: int) -> None:
+        """Begin a shutdown.
+
+        :param end_ms: when requests in flight are cut off.
+        """
+        self._shutdown = Shutdown(end_ms)
+
+    def is_open(self, now: int) -> bool:
+        """Return whether any request may still be sent."""
+        return self._shutdown is None or now < self._shutdown.last_send_ms
+
+    def find_give_up_ms(self, routed: RoutedRequest) -> int:
+        """Return when a request times out at this VM."""
+        if self._shutdown is None:
+            return routed.give_up_ms
+        return min(routed.give_up_ms, self._shutdown.answer_by_ms)
+
+    def find_refusal(
+        self, routed: RoutedRequest, link: Link, now: int
+    ) -> Refuse | None:
+        """Return why a request must not be sent, if it must not."""
+        if self._shutdown is None:
+            return None
+        decision = self._shutdown.decide(
+            self._find_need(routed),
+            self._measure_queues(link),
+            routed.give_up_ms,
+            now,
+        )
+        return None if isinstance(decision, Fits) else refuse(decision)
+
+    @contextlib.contextmanager
+    def hold_need(self, routed: RoutedRequest) -> Iterator[None]:
+        """Count a request as being at an upstream during the block."""
+        number = next(self._numbers)
+        self._at_upstreams[number] = self._find_need(routed)
+        try:
+            yield
+        finally:
+            self._at_upstreams.pop(number)
+
+    def record_answer(
+        self,
+        routed: RoutedRequest,
+        link: Link,
+        latency_ms: int,
+        answer_bytes: int,
+    ) -> None:
+        """Record a successful answer, to estimate what others need."""
+        passed_bytes = len(routed.request.body) + answer_bytes
+        link_ms = passed_bytes / link.bytes_per_ms
+        self._usual.record(
+            _find_group(routed), max(0, latency_ms - int(link_ms)), answer_bytes
+        )
+
+    def _find_need(self, routed: RoutedRequest) -> Need:
+        return self._usual.find(
+            _find_group(routed),
+            len(routed.request.body),
+            has_large_answer=has_large_answer(routed),
+        )
+
+    def _measure_queues(self, link: Link) -> LinkQueues:
+        needs = self._at_upstreams.values()
+        answers = sum(need.answer_bytes or 0 for need in needs)
+        bodies = sum(need.body_bytes for need in needs)
+        return LinkQueues(
+            link.bytes_per_ms,
+            link.piece_bytes,
+            sent=self.count_unsent() + bodies + answers,
+            received=answers,
+        )
+
+
+def has_large_answer(routed: RoutedRequest) -> bool:
+    """Return whether the answer to a request is usually large."""
+    return routed.named_route.route.kind is RequestKind.DOWNLOAD
+
+
+def _find_group(routed: RoutedRequest) -> Group:
+    return Group(routed.named_route.name, routed.service)
--- a/src/ibisjunction/entry/serving/shutdown.py
+++ b/src/ibisjunction/entry/serving/shutdown.py
@@ -14,8 +14,6 @@
 #: Time before the end of a shutdown by which upstreams stop working on
 #: requests, so that what they answer is passed on.
 _ANSWER_RESERVE_MS: Final = 100
-#: Time before the end in which no request is sent any more.
-_LAST_SEND_MS: Final = 1000
 #: Shortest duration that is assumed. An upstream may take longer than usual.
 MIN_DURATION_MS: Final = 500
 #: Retry time given to callers; another VM serves their request.
@@ -113,7 +111,7 @@
     @property
     def last_send_ms(self) -> int:
         """When the last request is sent."""
-        return self.end_ms - _LAST_SEND_MS
+        return self.answer_by_ms - MIN_DURATION_MS
 
     def decide(
         self, need: Need, queues: LinkQueues, give_up_ms: int, now: int
--- a/src/ibisjunction/events.py
+++ b/src/ibisjunction/events.py
@@ -75,6 +75,7 @@
     REQUEST_OVERLAPS = (611, 'request runs beside earlier ones')
     REQUEST_HEDGED = (612, 'request is slow')
     HEDGE_WON = (613, 'second attempt has answered first')
+    SHUTDOWN_TOO_SHORT = (614, 'request does not fit in the shutdown')
     LINK_USED = (630, 'use of the link')
     BODY_STARTED = (631, 'large body may be sent')
     BODY_DROPPED = (620, 'body dropped for lack of memory')
--- a/src/ibisjunction/nodes/entry.py
+++ b/src/ibisjunction/nodes/entry.py
@@ -94,6 +94,7 @@
         :param end_ms: when requests in flight are cut off.
         """
         while self.processor.may_send(self.clock.now()):
+            self.processor.refuse_late()
             await asyncio.sleep(in_seconds(_SHUTDOWN_POLL_MS))
         self.processor.refuse_unsent()
         left_ms = end_ms - _LAST_ANSWERS_MS - self.clock.now()
@@ -153,6 +154,7 @@
         ),
     )
     processor.on_limits_changed = server.apply_limits
+    processor.gate.count_unsent = server.count_unsent
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(components.pool.close)
         await stack.enter_async_context(peers.run())
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -222,7 +222,7 @@
             ask = TicketAsk(number, 'reads', None, 0, 'a', 60_000, 60_000)
             self.tickets.handle(Received('e2', ask))
 
-    async def send(self):
+    async def send(self, body=b'', trail=None):
         """Send a request of a caller; return its outcome."""
         self._count += 1
         now = self.clock.now()
@@ -232,14 +232,14 @@
             target='/',
             host='x',
             headers=(('Host', 'x'), ('Attempt-Id', f'r{self._count}')),
-            body=b'',
-            has_body=False,
+            body=body,
+            has_body=bool(body),
             arrived_ms=now,
             deadline_ms=now + 4000,
             key=1,
         )
         routed = self.processor.route(request)
-        trail = Trail(request.request_id, now)
+        trail = trail or Trail(request.request_id, now)
         async with asyncio.timeout(30):
             return await self.processor.serve(routed, trail)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -8,6 +8,7 @@
 
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import SystemClock
+from ibisjunction.entry.link.transfers import FreeLink
 from ibisjunction.entry.model import Answered, Reason, Refused
 from ibisjunction.entry.serving.shutdown import (
     Fits,
@@ -18,9 +19,11 @@
     UnknownSize,
     refuse,
 )
+from ibisjunction.entry.serving.trail import Trail
 from ibisjunction.entry.serving.usual_needs import Group, UsualNeeds
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.nodes.entry import EntryNode
+from ibisjunction.settings import Address
 from tests.scripted import ScriptedUpstream
 from tests.test_notices import EntryVm, reply
 
@@ -206,11 +209,144 @@
         self.assertEqual(upstream.requests, [])
 
 
+class _SlowLink(FreeLink):
+    """A link of 1 byte in a millisecond, on which nothing waits in fact."""
+
+    bytes_per_ms = 1
+    piece_bytes = 4
+
+
+class _MeasuredUpstream:
+    """Answers in a time of the VM's clock; holds answers once told to."""
+
+    def __init__(self, took_ms, answer_bytes):
+        self._took_ms = took_ms
+        self._answer_bytes = answer_bytes
+        self.clock = None
+        self.holds_answers = False
+
+    async def __call__(self, upstream, reader, writer):
+        """Serve the requests of a connection."""
+        while True:
+            head = await upstream.read_head(reader)
+            if b'Content-Length: ' in head:
+                length = head.split(b'Content-Length: ')[1].split(b'\r\n')[0]
+                await reader.readexactly(int(length))
+            if self.holds_answers:
+                await reader.read()
+            self.clock.advance(self._took_ms)
+            request_id = head.split(b'Attempt-Id: ')[1].split(b'\r\n')[0]
+            lines = (
+                b'HTTP/1.1 200 X',
+                b'Attempt-Id: ' + request_id,
+                b'Content-Length: %d' % self._answer_bytes,
+                _SIGNED,
+            )
+            writer.write(b'\r\n'.join(lines) + b'\r\n\r\n')
+            writer.write(bytes(self._answer_bytes))
+            await writer.drain()
+
+
+class NeedTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that are sent though their answer comes too late.
+
+    In a shutdown, a slow upstream was still at work at the end and its caller
+    got a 504 in place of the answer, an upload or a large answer did not cross
+    the link, and small answers that would have crossed it were refused.
+    """
+
+    async def measure(self, vm, upstream):
+        """Let the VM measure what the answers of its upstream need."""
+        upstream.clock = vm.clock
+        for _ in range(5):
+            self.assertIsInstance(await vm.send(), Answered)
+
+    @parameterized.expand(
+        [
+            ('fast service', RequestKind.SAFE, (0, 0), 0, 2300, Answered),
+            ('slow service', RequestKind.SAFE, (1500, 0), 0, 1500, Refused),
+            ('slow, in time', RequestKind.SAFE, (1500, 0), 0, 1300, Answered),
+            ('upload', RequestKind.UPLOAD, (0, 0), 1800, 0, Answered),
+            ('late upload', RequestKind.UPLOAD, (0, 0), 1800, 900, Refused),
+            ('small answer', RequestKind.DOWNLOAD, (0, 100), 0, 0, Answered),
+            ('large answer', RequestKind.DOWNLOAD, (0, 1300), 0, 0, Refused),
+        ]
+    )
+    async def test_request(
+        self, _name, kind, measured, body_bytes, at_ms, outcome
+    ):
+        script = _MeasuredUpstream(*measured)
+        upstream = ScriptedUpstream(script)
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=True, kind=kind)
+            vm.components.link = _SlowLink()
+            async with vm.run():
+                await self.measure(vm, script)
+                vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                vm.clock.advance(at_ms)
+                found = await vm.send(bytes(body_bytes))
+        self.assertIsInstance(found, outcome)
+        self.assertEqual(len(upstream.requests), 5 + (outcome is Answered))
+
+    @parameterized.expand(
+        [
+            ('alone', 0, 0, Answered),
+            ('behind one at an upstream', 1, 0, Refused),
+            ('behind one that is written', 0, 1100, Refused),
+        ]
+    )
+    async def test_answer_behind_others(self, _name, others, unsent, outcome):
+        """What others need of the link counts as taken."""
+        script = _MeasuredUpstream(0, 700)
+        upstream = ScriptedUpstream(script)
+        async with upstream.run() as address:
+            kind = RequestKind.DOWNLOAD
+            vm = EntryVm([address], is_sharded=True, kind=kind)
+            vm.components.link = _SlowLink()
+            async with vm.run(), asyncio.TaskGroup() as tasks:
+                await self.measure(vm, script)
+                script.holds_answers = True
+                held = [tasks.create_task(vm.send()) for _ in range(others)]
+                while len(upstream.requests) < 5 + others:
+                    await asyncio.sleep(0)
+                script.holds_answers = False
+                vm.processor.gate.count_unsent = lambda: unsent
+                vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                found = await vm.send()
+                for sending in held:
+                    sending.cancel()
+        self.assertIsInstance(found, outcome)
+
+    async def test_request_that_waits_until_it_is_too_late(self):
+        """It is refused once its answer would be late, and the log says why."""
+        vm = EntryVm([Address('127.0.0.1', 9)], is_sharded=False)
+        trail = Trail('r1', vm.clock.now())
+        async with vm.run():
+            vm.occupy_slots()
+            waiting = asyncio.create_task(vm.send(trail=trail))
+            while not vm.processor.waiting_count:
+                await asyncio.sleep(0)
+            vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+            vm.clock.advance(1900)
+            vm.processor.refuse_late()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertFalse(waiting.done())
+            vm.clock.advance(1)
+            vm.processor.refuse_late()
+            found = await waiting
+        self.assertEqual(found, Refused(Reason.SHUTTING_DOWN, 50))
+        with self.assertLogs('ibisjunction', 'INFO') as logs:
+            trail.write(is_served=False)
+        self.assertIn('duration 1000 ms, of 999 ms', str(logs.output))
+
+
 class DownloadTest(unittest.IsolatedAsyncioTestCase):
     """Guards against large answers that the end of the grace period cuts off.
 
     They came from the upstream in time, but the link of the VM did not pass
-    them to the caller before the end: it got a part of an answer.
+    them to the caller before the end: it got a part of an answer. Here, their
+    size is unknown.
     """
 
     @parameterized.expand(
