Test an answer that is read as a shutdown ends

Suspected: an answer that is still being read from its upstream at the end of the grace period is cut. Refuted: answers are read whole before they are passed on, and the caller gets a whole 504. The test fails with 503 if make_timeout_outcome doesn't look at the connection.

--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -255,6 +255,30 @@
                 vm.processor.end_requests()
                 self.assertEqual(await sending, expected, self.outcome)
 
+    async def test_answer_that_is_read_at_the_end_of_shutdown(self):
+        """Guards against a part of an answer in place of a whole one."""
+        part = asyncio.Event()
+
+        async def answer_in_part(upstream, reader, writer) -> None:
+            await upstream.read_head(reader)
+            writer.write(b'HTTP/1.1 200 OK' + _HEAD + _RECEIPT + b'\r\nx')
+            await writer.drain()
+            part.set()
+            await reader.read()
+
+        upstream = ScriptedUpstream(answer_in_part)
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False)
+            async with vm.run(), asyncio.timeout(30):
+                sending = asyncio.create_task(
+                    self.send(vm, give_up_ms=_NEVER_MS)
+                )
+                await part.wait()
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                vm.processor.end_requests()
+                self.assertEqual(await sending, 504, self.outcome)
+
     async def test_body_that_comes_after_the_last_send(self):
         """Guards against a body that waits until its connection is closed.
 
