Estimate needs of requests at upstreams only in a shutdown

Each request sorted the latest answers of its route as it was sent, shutdown or not. The gate now keeps the requests, and the usual needs of a route are computed once between two answers. UsualNeedsTest looks after each answer; two rows fail if a new answer doesn't change the usual needs.

--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -440,7 +440,7 @@
             Direction.SENT, outgoing.count_short(self._transfer.piece_bytes)
         )
         try:
-            with self._processor.gate.hold_need(self._routed):
+            with self._processor.gate.count_sent(self._routed):
                 result = await connection.perform(
                     outgoing,
                     components.names.request_id,
--- a/src/ibisjunction/entry/serving/send_gate.py
+++ b/src/ibisjunction/entry/serving/send_gate.py
@@ -29,7 +29,7 @@
         self._shutdown: Shutdown | None = None
         self._usual = UsualNeeds()
         self._numbers = itertools.count()
-        self._at_upstreams: dict[int, Need] = {}
+        self._at_upstreams: dict[int, RoutedRequest] = {}
         #: Returns the bytes of large answers that are being written to callers.
         self.count_unsent: Callable[[], int] = int
 
@@ -70,10 +70,10 @@
         return None if isinstance(decision, Fits) else refuse(decision)
 
     @contextlib.contextmanager
-    def hold_need(self, routed: RoutedRequest) -> Iterator[None]:
+    def count_sent(self, routed: RoutedRequest) -> Iterator[None]:
         """Count a request as being at an upstream during the block."""
         number = next(self._numbers)
-        self._at_upstreams[number] = self._find_need(routed)
+        self._at_upstreams[number] = routed
         try:
             yield
         finally:
@@ -101,7 +101,7 @@
         )
 
     def _measure_queues(self, link: Link) -> LinkQueues:
-        needs = self._at_upstreams.values()
+        needs = list(map(self._find_need, self._at_upstreams.values()))
         answers = sum(need.answer_bytes or 0 for need in needs)
         bodies = sum(need.body_bytes for need in needs)
         return LinkQueues(
--- a/src/ibisjunction/entry/serving/usual_needs.py
+++ b/src/ibisjunction/entry/serving/usual_needs.py
@@ -37,6 +37,22 @@
     sizes: deque[int] = field(
         default_factory=lambda: deque(maxlen=_MAX_SAMPLES)
     )
+    _usual: tuple[int, int] | None = None
+
+    def add(self, duration_ms: int, size: int) -> None:
+        """Add an answer."""
+        self.durations.append(duration_ms)
+        self.sizes.append(size)
+        self._usual = None
+
+    def find_usual(self) -> tuple[int, int]:
+        """Return the usual duration and size, 0 without answers."""
+        if self._usual is None:
+            self._usual = (
+                _find_quantile(self.durations),
+                _find_quantile(self.sizes),
+            )
+        return self._usual
 
 
 class UsualNeeds:
@@ -52,8 +68,7 @@
         :param duration_ms: time at the upstream.
         """
         samples = self._samples.setdefault(group, _Samples())
-        samples.durations.append(duration_ms)
-        samples.sizes.append(answer_bytes)
+        samples.add(duration_ms, answer_bytes)
         self._samples.move_to_end(group)
         if len(self._samples) > _MAX_GROUPS:
             self._samples.popitem(last=False)
@@ -69,11 +84,12 @@
         samples = self._samples.get(group, _Samples())
         is_known = len(samples.durations) >= _MIN_SAMPLES
         least_ms = MIN_DURATION_MS if is_known else _UNKNOWN_DURATION_MS
-        unknown_size = None if has_large_answer else 0
+        is_size_unknown = has_large_answer and not samples.sizes
+        duration_ms, size = samples.find_usual()
         return Need(
-            max(least_ms, _find_quantile(samples.durations)),
+            max(least_ms, duration_ms),
             body_bytes,
-            _find_quantile(samples.sizes) if samples.sizes else unknown_size,
+            None if is_size_unknown else size,
         )
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -139,9 +139,10 @@
         usual = UsualNeeds()
         group = Group('r', 's')
         usual.record(Group('r', 'other'), 4000, 4000)
+        found = usual.find(group, 0, has_large_answer=has_large_answer)
         for duration_ms, size in answers:
             usual.record(group, duration_ms, size)
-        found = usual.find(group, 0, has_large_answer=has_large_answer)
+            found = usual.find(group, 0, has_large_answer=has_large_answer)
         self.assertEqual(found, expected)
 
     def test_routes_that_are_not_used_are_forgotten(self):
