Say which requests the last time to send in a shutdown leaves out

A request that times out before the end of the shutdown loses nothing by it, and is sent later than others. Wording of three docstrings; no logic.

--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -116,7 +116,7 @@
                 time_limit.reschedule(0)
 
     def may_send(self, now: int) -> bool:
-        """Return whether any request may still be sent."""
+        """Return whether a request with time left may still be sent."""
         return self.gate.is_open(now)
 
     def update_view(self, view: FleetView) -> None:
--- a/src/ibisjunction/entry/serving/send_gate.py
+++ b/src/ibisjunction/entry/serving/send_gate.py
@@ -46,7 +46,7 @@
         self._shutdown = Shutdown(end_ms)
 
     def is_open(self, now: int) -> bool:
-        """Return whether any request may still be sent."""
+        """Return whether a request with time left may still be sent."""
         return self._shutdown is None or now < self._shutdown.last_send_ms
 
     def find_give_up_ms(self, routed: RoutedRequest) -> int:
--- a/src/ibisjunction/entry/serving/shutdown.py
+++ b/src/ibisjunction/entry/serving/shutdown.py
@@ -110,7 +110,7 @@
 
     @property
     def last_send_ms(self) -> int:
-        """When the last request is sent."""
+        """When the last request is sent that does not time out sooner."""
         return self.answer_by_ms - MIN_DURATION_MS
 
     def decide(
