Expect the longest time of late answers in a shutdown

The review showed a request that it sent 900 ms before the end, to a service of which 3 of 66 answers had taken 1500 ms: the answer would have come 600 ms after the end, so its caller gets 504 in place of it. A service that stalled kept its earlier estimate, as only answers counted.

The longest of the latest 64 answers counts now, at least 900 ms, which is the former bound of the last send; and so does a request that got no answer in a longer time, until it timed out or its caller left.

The rows "one in 64 is slow and large", "fast, too late" and "stalls" fail without it.

--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -440,7 +440,9 @@
             Direction.SENT, outgoing.count_short(self._transfer.piece_bytes)
         )
         try:
-            with self._processor.gate.count_sent(self._routed):
+            with self._processor.gate.count_sent(
+                self._routed, components.clock
+            ):
                 result = await connection.perform(
                     outgoing,
                     components.names.request_id,
--- a/src/ibisjunction/entry/serving/send_gate.py
+++ b/src/ibisjunction/entry/serving/send_gate.py
@@ -1,10 +1,12 @@
 """Holds back requests that a VM which shuts down can't finish."""
 
+import asyncio
 import contextlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
 from ibisjunction.catalogue.model import RequestKind
+from ibisjunction.clock import Clock
 from ibisjunction.entry.dispatching.dispatch import Refuse
 from ibisjunction.entry.link.transfers import Link
 from ibisjunction.entry.model import RoutedRequest
@@ -84,14 +86,19 @@
         ]
 
     @contextlib.contextmanager
-    def count_sent(self, routed: RoutedRequest) -> Iterator[None]:
+    def count_sent(self, routed: RoutedRequest, clock: Clock) -> Iterator[None]:
         """Count a request as being at an upstream during the block."""
+        started_ms = clock.now()
         group = _find_group(routed)
         body_bytes = len(routed.request.body)
         self._at_upstreams[group] += 1
         self._body_bytes += body_bytes
         try:
             yield
+        except asyncio.CancelledError:
+            # It has timed out, or its caller has left.
+            self._usual.record_unanswered(group, clock.now() - started_ms)
+            raise
         finally:
             self._body_bytes -= body_bytes
             self._at_upstreams[group] -= 1
--- a/src/ibisjunction/entry/serving/shutdown.py
+++ b/src/ibisjunction/entry/serving/shutdown.py
@@ -14,8 +14,8 @@
 #: Time before the end of a shutdown by which upstreams stop working on
 #: requests, so that what they answer is passed on.
 _ANSWER_RESERVE_MS: Final = 100
-#: Shortest duration that is assumed. An upstream may take longer than usual.
-MIN_DURATION_MS: Final = 500
+#: Shortest duration that is assumed. An upstream may take longer than it did.
+MIN_DURATION_MS: Final = 900
 #: Retry time given to callers; another VM serves their request.
 _RETRY_AFTER_MS: Final = 50
 
--- a/src/ibisjunction/entry/serving/usual_needs.py
+++ b/src/ibisjunction/entry/serving/usual_needs.py
@@ -17,8 +17,6 @@
 _MIN_SAMPLES: Final = 5
 #: Duration that is assumed at least while it is not known.
 _UNKNOWN_DURATION_MS: Final = 1000
-#: One answer in twenty takes longer or is larger.
-_QUANTILE: Final = 0.95
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,16 +39,20 @@
 
     def add(self, duration_ms: int, size: int) -> None:
         """Add an answer."""
-        self.durations.append(duration_ms)
         self.sizes.append(size)
+        self.add_duration(duration_ms)
+
+    def add_duration(self, duration_ms: int) -> None:
+        """Add the time of a request at an upstream."""
+        self.durations.append(duration_ms)
         self._usual = None
 
     def find_usual(self) -> tuple[int, int]:
-        """Return the usual duration and size, 0 without answers."""
+        """Return the longest duration and the largest size, or 0."""
         if self._usual is None:
             self._usual = (
-                _find_quantile(self.durations),
-                _find_quantile(self.sizes),
+                max(self.durations, default=0),
+                max(self.sizes, default=0),
             )
         return self._usual
 
@@ -73,6 +75,15 @@
         if len(self._samples) > _MAX_GROUPS:
             self._samples.popitem(last=False)
 
+    def record_unanswered(self, group: Group, duration_ms: int) -> None:
+        """Record a request that had no answer after a time at its upstream.
+
+        It counts only if others took less; else it shows nothing.
+        """
+        samples = self._samples.get(group)
+        if samples is not None and duration_ms > samples.find_usual()[0]:
+            samples.add_duration(duration_ms)
+
     def find_size(self, group: Group) -> int:
         """Return the usual bytes of an answer, 0 if none was measured."""
         samples = self._samples.get(group)
@@ -96,9 +107,3 @@
             body_bytes,
             None if is_size_unknown else size,
         )
-
-
-def _find_quantile(values: deque[int]) -> int:
-    if not values:
-        return 0
-    return sorted(values)[int(len(values) * _QUANTILE)]
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -121,7 +121,7 @@
             ('large answer', [], True, Need(1000, 0, None)),
             ('few answers', 4 * [(30, 70)], True, Need(1000, 0, 70)),
             ('few slow answers', 4 * [(1500, 70)], True, Need(1500, 0, 70)),
-            ('fast', 5 * [(30, 70)], True, Need(500, 0, 70)),
+            ('fast', 5 * [(30, 70)], True, Need(900, 0, 70)),
             ('slow', 5 * [(1500, 70)], False, Need(1500, 0, 70)),
             (
                 'one in ten is slow and large',
@@ -131,9 +131,15 @@
             ),
             (
                 'slow until 64 answers ago',
-                [*(10 * [(1500, 90)]), *(64 * [(600, 70)])],
+                [*(10 * [(1500, 90)]), *(64 * [(1200, 70)])],
                 False,
-                Need(600, 0, 70),
+                Need(1200, 0, 70),
+            ),
+            (
+                'one in 64 is slow and large',
+                [(1500, 90), *(63 * [(600, 70)])],
+                False,
+                Need(1500, 0, 90),
             ),
         ]
     )
@@ -147,6 +153,23 @@
             found = usual.find(group, 0, has_large_answer=has_large_answer)
         self.assertEqual(found, expected)
 
+    @parameterized.expand(
+        [
+            ('nothing known', 0, 4000, Need(1000)),
+            ('took longer than others', 5, 4000, Need(4000, 0, 70)),
+            ('ended before', 5, 100, Need(1200, 0, 70)),
+        ]
+    )
+    def test_unanswered(self, _name, answers, duration_ms, expected):
+        """Guards against a service that stalls and counts as fast."""
+        usual = UsualNeeds()
+        group = Group('r', 's')
+        for _ in range(answers):
+            usual.record(group, 1200, 70)
+        usual.record_unanswered(group, duration_ms)
+        found = usual.find(group, 0, has_large_answer=False)
+        self.assertEqual(found, expected)
+
     def test_routes_that_are_not_used_are_forgotten(self):
         """Guards against memory that grows with the routes of all time."""
         usual = UsualNeeds()
@@ -266,7 +289,8 @@
 
     @parameterized.expand(
         [
-            ('fast service', RequestKind.SAFE, (0, 0), 0, 2300, Answered),
+            ('fast service', RequestKind.SAFE, (0, 0), 0, 2000, Answered),
+            ('fast, too late', RequestKind.SAFE, (0, 0), 0, 2001, Refused),
             ('slow service', RequestKind.SAFE, (1500, 0), 0, 1500, Refused),
             ('slow, in time', RequestKind.SAFE, (1500, 0), 0, 1300, Answered),
             ('upload', RequestKind.UPLOAD, (0, 0), 1800, 0, Answered),
@@ -320,6 +344,30 @@
                     sending.cancel()
         self.assertIsInstance(found, outcome)
 
+    @parameterized.expand(
+        [('not measured', 0, Answered), ('stalls', 2500, Refused)]
+    )
+    async def test_service_that_stalls(self, _name, held_ms, outcome):
+        """A request that got no answer tells how long others may take."""
+        script = _MeasuredUpstream(0, 0)
+        upstream = ScriptedUpstream(script)
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=True)
+            async with vm.run():
+                await self.measure(vm, script)
+                script.holds_answers = True
+                held = asyncio.create_task(vm.send())
+                while len(upstream.requests) < 6:
+                    await asyncio.sleep(0)
+                vm.clock.advance(held_ms)
+                held.cancel()
+                await asyncio.gather(held, return_exceptions=True)
+                script.holds_answers = False
+                vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                vm.clock.advance(500)
+                found = await vm.send()
+        self.assertIsInstance(found, outcome)
+
     async def test_estimates_for_many_requests(self):
         """Guards against a shutdown that blocks the event loop.
 
@@ -331,7 +379,9 @@
             async with vm.run():
                 routed = vm.route()
                 for _ in range(300):
-                    stack.enter_context(vm.processor.gate.count_sent(routed))
+                    stack.enter_context(
+                        vm.processor.gate.count_sent(routed, vm.clock)
+                    )
                     vm.processor.waiting[Mailbox()] = routed
                 with patch.object(
                     UsualNeeds, 'find_size', return_value=0
