--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -80,7 +80,7 @@
 
     view: FleetView | None
     waiting: dict[Mailbox[Grant | Refuse], RoutedRequest]
-    gate: SendGate
+    send_gate: SendGate
 
     def make_ticket_request(
         self,
@@ -174,7 +174,7 @@
     def _find_refusal(self) -> Refuse | None:
         """Return why the request must not be sent now, if it must not."""
         now = self._components.clock.now()
-        refusal = self._processor.gate.find_refusal(
+        refusal = self._processor.send_gate.find_refusal(
             self._routed, self._components.link, now
         )
         if refusal is not None:
@@ -260,7 +260,7 @@
         )
         self._processor.record_report(decision.upstream, self._report)
         if isinstance(attempt_result, Ran) and attempt_result.is_success:
-            self._processor.gate.record_answer(
+            self._processor.send_gate.record_answer(
                 self._routed,
                 self._components.link,
                 latency_ms,
@@ -308,7 +308,7 @@
             max_attempts=route.max_attempts,
             is_idempotent=route.kind.is_idempotent,
             has_time=now + _MIN_REMAINING_MS
-            < self._processor.gate.find_give_up_ms(self._routed),
+            < self._processor.send_gate.find_give_up_ms(self._routed),
             verdict=self._verdict,
         )
         if self._is_hedge or not may_retry(result, progress):
@@ -404,12 +404,12 @@
             return NotSent('its failure domain is evacuated')
         if self._components.notices.is_unwanted(upstream.process_key, now):
             return NotSent('the upstream leaves or asked to wait')
-        give_up_ms = self._processor.gate.find_give_up_ms(self._routed)
+        give_up_ms = self._processor.send_gate.find_give_up_ms(self._routed)
         if now + _MIN_REMAINING_MS >= give_up_ms:
             return NotSent('too little time is left')
         if self._is_blocked:
             return NotSent('equal requests have crashed upstreams')
-        refusal = self._processor.gate.find_refusal(
+        refusal = self._processor.send_gate.find_refusal(
             self._routed, self._components.link, now
         )
         return None if refusal is None else NotSent(refusal.detail)
@@ -434,13 +434,13 @@
             self._routed,
             upstream,
             components.names,
-            self._processor.gate.find_give_up_ms(self._routed) - now,
+            self._processor.send_gate.find_give_up_ms(self._routed) - now,
         )
         components.link.count_short(
             Direction.SENT, outgoing.count_short(self._transfer.piece_bytes)
         )
         try:
-            with self._processor.gate.count_sent(
+            with self._processor.send_gate.count_sent(
                 self._routed, components.clock
             ):
                 result = await connection.perform(
--- a/src/ibisjunction/entry/serving/requests.py
+++ b/src/ibisjunction/entry/serving/requests.py
@@ -59,7 +59,7 @@
         self._latencies: dict[ProcessKey, list[int]] = {}
         self._limits: dict[ProcessKey, float | None] = {}
         self.view: FleetView | None = None
-        self.gate = SendGate()
+        self.send_gate = SendGate()
         #: Requests that wait for a ticket, by where they get the decision.
         self.waiting: dict[Mailbox[Grant | Refuse], RoutedRequest] = {}
         self._time_limits: set[asyncio.Timeout] = set()
@@ -73,7 +73,9 @@
         view = self.view
         is_configured = view is not None and not view.is_empty
         is_leased = self._components.lease.is_held(self._components.clock.now())
-        return is_configured and is_leased and not self.gate.is_shutting_down
+        return (
+            is_configured and is_leased and not self.send_gate.is_shutting_down
+        )
 
     @property
     def waiting_count(self) -> int:
@@ -85,13 +87,13 @@
 
         :param end_ms: when requests in flight are cut off.
         """
-        self.gate.begin(end_ms)
+        self.send_gate.begin(end_ms)
         self.refuse_late()
 
     def refuse_late(self) -> None:
         """Refuse the waiting requests that can't be answered in time."""
         now = self._components.clock.now()
-        refusals = self.gate.list_refusals(
+        refusals = self.send_gate.list_refusals(
             self.waiting.values(), self._components.link, now
         )
         for reply, refusal in zip(self.waiting, refusals, strict=True):
@@ -119,7 +121,7 @@
 
     def may_send(self, now: int) -> bool:
         """Return whether a request with time left may still be sent."""
-        return self.gate.is_open(now)
+        return self.send_gate.is_open(now)
 
     def update_view(self, view: FleetView) -> None:
         """Replace the view of the fleet, here and in the ticket task."""
@@ -273,7 +275,7 @@
             failure_domain=self._components.failure_domain,
             requested_ms=self._components.clock.now(),
             target_ms=routed.target_ms,
-            give_up_ms=self.gate.find_give_up_ms(routed),
+            give_up_ms=self.send_gate.find_give_up_ms(routed),
             avoided=avoided,
             is_bulky=has_large_answer(routed),
             fingerprint=fingerprint,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -337,7 +337,7 @@
                 while len(upstream.requests) < 5 + others:
                     await asyncio.sleep(0)
                 script.holds_answers = False
-                vm.processor.gate.count_unsent = lambda: unsent
+                vm.processor.send_gate.count_unsent = lambda: unsent
                 vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
                 found = await vm.send()
                 for sending in held:
@@ -380,7 +380,7 @@
                 routed = vm.route()
                 for _ in range(300):
                     stack.enter_context(
-                        vm.processor.gate.count_sent(routed, vm.clock)
+                        vm.processor.send_gate.count_sent(routed, vm.clock)
                     )
                     vm.processor.waiting[Mailbox()] = routed
                 with patch.object(
