Answer a request that is being read as accepting ends

A caller that sent on a kept connection as a VM stopped to accept got a closed connection instead of its answer. The connection decided by its socket and by the head that is being read. A request of which the stream had read more than the reader took, or which was whole and queued behind the message that ends accepting, counted as not arrived.

The bytes in the stream's buffer count now, and queued messages are handled first.

ArrivingRequestTest.test_same_pass ends accepting and lets the idle timeout pass at each of six passes of the event loop after the request was sent.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -207,6 +207,10 @@
         """Process one message."""
         event: PipelineEvent
         match message:
+            case AcceptEnded() if not self.mailbox.is_empty:
+                # Requests that were read before come first.
+                self.mailbox.post(message)
+                return
             case AcceptEnded() if self._is_receiving:
                 # The answer to this request is the last one.
                 return
--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -56,8 +56,10 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether bytes have arrived that were not read from the socket."""
+        """Whether bytes have arrived that no reader has taken yet."""
         if not self.closed():
+            if self._read_buffer_size:
+                return True
             with contextlib.suppress(OSError):
                 return bool(self.socket.recv(1, socket.MSG_PEEK))
         return False
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -299,6 +299,34 @@
             received = await reader.read()
         self.assertIn(b'POST /b body', received)
 
+    @parameterized.expand(
+        [
+            (f'{name} {count} passes later', name, count)
+            for name in ('idle timeout', 'end of accepting')
+            for count in range(6)
+        ]
+    )
+    async def test_same_pass(self, _name, end, pass_count):
+        """The request is between the socket and the connection's task.
+
+        It was missed in the stream's buffer, and in the mailbox behind the
+        message that ends the connection.
+        """
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            writer.write(self._request)
+            for _ in range(pass_count):
+                await asyncio.sleep(0)
+            if end == 'idle timeout':
+                running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            else:
+                _post(running, AcceptEnded())
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
     async def reach(self, running, reader, writer, size):
         """Let the VM wait for a request and read its first bytes."""
         await _ask(reader, writer, '/a')
@@ -340,9 +368,10 @@
             self.assertIn(b'POST /b body', await reader.read())
 
 
-def _post(running, event):
+def _post(running, *events):
     for connection in running.server._connections:
-        connection.mailbox.post(event)
+        for event in events:
+            connection.mailbox.post(event)
 
 
 if __name__ == '__main__':
