Answer the request behind a last answer that says nothing of it

An answer that is being written when a VM begins to stop doesn't announce the end of its connection. If accepting ended before the answer was written, the connection closed right after it, also under the next request that was arriving, without an answer.

The end of accepting now closes a connection only once it has neither a request nor a part of one, whichever message shows that. It no longer depends on what had arrived as accepting ended.

ArrivingRequestTest.test_behind_an_answer sends 1, 20 or all bytes of a head behind a large answer. The first two got a closed connection before.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -139,20 +139,27 @@
         self._use = ConnectionUse(context, number)
         self._is_open = True
         self._is_answered = False
+        self._has_accept_ended = False
         self.mailbox: Mailbox[_Message] = Mailbox()
         self._tasks = ConnectionTasks(self.mailbox)
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is arriving, read or served."""
-        return self._is_open and (
-            self._pipeline.request_count > 0 or self._is_receiving
-        )
+        return self._is_open and self._has_request
 
     @property
-    def _is_receiving(self) -> bool:
-        """Whether a part of the next request has arrived."""
-        return self._reader.has_begun or self.stream.has_unread
+    def _has_request(self) -> bool:
+        """Whether a request is served, or a part of one has arrived.
+
+        One that was just read may be among the queued messages.
+        """
+        return (
+            self._pipeline.request_count > 0
+            or self._reader.has_begun
+            or not self.mailbox.is_empty
+            or self.stream.has_unread
+        )
 
     async def run(self) -> None:
         """Serve the connection until it is closed."""
@@ -164,6 +171,8 @@
             self._execute(self._pipeline.start())
             while self._is_open:
                 self._handle(await self._get_message())
+                if self._has_accept_ended and not self._has_request:
+                    self._execute(self._pipeline.handle(AcceptEnded()))
             await self._linger()
         finally:
             self._end()
@@ -207,12 +216,8 @@
         """Process one message."""
         event: PipelineEvent
         match message:
-            case AcceptEnded() if not self.mailbox.is_empty:
-                # Requests that were read before come first.
-                self.mailbox.post(message)
-                return
-            case AcceptEnded() if self._is_receiving:
-                # The answer to this request is the last one.
+            case AcceptEnded():
+                self._has_accept_ended = True
                 return
             case _Received(number=number, incoming=incoming):
                 event = self._add_exchange(number, incoming)
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -16,12 +16,17 @@
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.entry.callers import caller_connection
-from ibisjunction.entry.callers.pipeline import AcceptEnded
+from ibisjunction.entry.callers.pipeline import AcceptEnded, DrainStarted
 from ibisjunction.entry.callers.server import CallerRoom, EntryServer
 from ibisjunction.entry.model import Answered, HeaderNames
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
-from tests.test_caller_connection import _connect, _Processor, _request
+from tests.test_caller_connection import (
+    _LARGE,
+    _connect,
+    _Processor,
+    _request,
+)
 
 _NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
 _LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
@@ -327,6 +332,34 @@
             received = await reader.read()
         self.assertIn(b'POST /b body', received)
 
+    @parameterized.expand([(f'{size} bytes', size) for size in (1, 20, 81)])
+    async def test_behind_an_answer(self, _name, size):
+        """It begins to arrive during an answer, after accepting has ended.
+
+        The end of that answer closed the connection.
+        """
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            writer.write(_request('/large'))
+            await reader.readuntil(b'\r\n\r\n')
+            _post(running, DrainStarted(), AcceptEnded())
+            connection = next(iter(running.server._connections))
+            while not connection._has_accept_ended:
+                await asyncio.sleep(0)
+            writer.write(self._request[:size])
+            while not (
+                connection._reader.has_begun or connection.stream.has_unread
+            ):
+                await asyncio.sleep(0)
+            await reader.readexactly(len('GET /large ') * _LARGE)
+            while connection._pipeline.request_count and size < 81:
+                await asyncio.sleep(0)
+            writer.write(self._request[size:])
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
     async def reach(self, running, reader, writer, size):
         """Let the VM wait for a request and read its first bytes."""
         await _ask(reader, writer, '/a')
