Answer callers that the listener has not accepted as it closes

A VM that stops closed its listener with connections in the kernel's queue, which resets them, and closed connections that it had just accepted, although their callers had just opened them to send a request.

The VM now accepts what the queue holds before it closes the listener, and closes connections without a request 100 ms later, which is counted in the time to finish requests.

StopTest.test_new_connection connects in each of three passes of the event loop around the end of accepting, and sends its request at once or after the listener has closed.

--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -1,6 +1,7 @@
 """Accepts connections of callers on an entry VM."""
 
 import asyncio
+import contextlib
 import functools
 import logging
 import socket
@@ -56,6 +57,9 @@
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
 _DRAIN_POLL_MS: Final = 20
+#: Time after accepting ends in which a caller whose connection was accepted
+#: last may send its first request.
+_FIRST_REQUEST_MS: Final = 100
 #: Bytes of requests and answers behind others on all connections.
 _MAX_READ_AHEAD_BYTES: Final = 16_777_216
 #: Limits of a VM whose settings name neither memory nor descriptors.
@@ -108,6 +112,7 @@
         room = room or CallerRoom()
         self._address = address
         self._unread_bytes = unread_bytes
+        self._listeners: list[socket.socket] = []
         self._last_number = 0
         self._answer_check: asyncio.TimerHandle | None = None
         self._report: asyncio.TimerHandle | None = None
@@ -151,6 +156,7 @@
             # Accepted sockets inherit the size.
             limit_receive_buffer(listener)
             limit_unread(listener, self._unread_bytes)
+        self._listeners = sockets
         self.add_sockets(sockets)
         self._report_use()
         port: int = sockets[0].getsockname()[1]
@@ -259,13 +265,22 @@
         self._context.cut_off_ms = self._clock.now() + accept_ms + finish_ms
         self._post_to_all(DrainStarted())
         await asyncio.sleep(in_seconds(accept_ms))
+        until_ms = self._clock.now() + finish_ms
+        self._accept_waiting()
         self.stop()
+        await asyncio.sleep(in_seconds(min(_FIRST_REQUEST_MS, finish_ms)))
         self._post_to_all(AcceptEnded())
-        until_ms = self._clock.now() + finish_ms
         await self._wait_for_idle(until_ms)
         await self._wait_for_end(min(until_ms, self._clock.now() + LINGER_MS))
         return sum(connection.is_busy for connection in self._connections)
 
+    def _accept_waiting(self) -> None:
+        """Accept the established connections, which a close would reset."""
+        for listener in self._listeners:
+            with contextlib.suppress(OSError):
+                for _ in range(_BACKLOG):
+                    self._handle_connection(*listener.accept())
+
     async def close(self) -> None:
         """Close all connections."""
         self.stop()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -82,13 +83,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(room=None, processor=None):
+async def _run(room=None, processor=None, port=0):
     clock = _Clock()
     server = EntryServer(
         processor or _FaultyProcessor(),
         clock,
         _NAMES,
-        Address('127.0.0.1', 0),
+        Address('127.0.0.1', port),
         Mailbox(),
         room=room,
     )
@@ -401,6 +402,61 @@
             self.assertIn(b'POST /b body', await reader.read())
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against callers without an answer as a VM stops to listen.
+
+    Connections that the kernel had established and the VM had not accepted
+    were reset, with the requests that had arrived on them.
+    """
+
+    _request = _request('/a', 'POST', 'body')
+
+    @parameterized.expand(
+        [
+            (f'{name} {count} passes later', is_sent, count)
+            for name, is_sent in (('sent', True), ('not sent yet', False))
+            for count in range(3)
+        ]
+    )
+    async def test_new_connection(self, _name, is_sent, pass_count):
+        async with _run() as running:
+            drain = asyncio.create_task(running.server.drain(1000, 30_000))
+            await asyncio.sleep(0)
+            running.clock.skip(1000)
+            for _ in range(pass_count):
+                await asyncio.sleep(0)
+            with socket.create_connection(('127.0.0.1', running.port)) as one:
+                one.sendall(self._request if is_sent else b'')
+                # A VM that has stopped refuses the connection.
+                while not running.server._stopped:
+                    await asyncio.sleep(0)
+                one.sendall(b'' if is_sent else self._request)
+                one.setblocking(False)
+                received = b''
+                while part := await asyncio.get_running_loop().sock_recv(
+                    one, 1024
+                ):
+                    received += part
+            await drain
+        self.assertIn(b'POST /a body', received)
+        self.assertIn(b'Connection: close', received)
+
+    async def test_return_under_the_same_address(self):
+        """A caller that still holds a connection is served on a new one."""
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            await running.server.close()
+            async with _run(port=running.port) as returned:
+                writer.write(_request('/b'))
+                with contextlib.suppress(OSError):
+                    self.assertNotIn(b'GET /b', await reader.read())
+                async with _connect(returned.port) as (reader, writer):
+                    await _ask(reader, writer, '/b')
+
+
 def _post(running, *events):
     for connection in running.server._connections:
         for event in events:
