--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -301,14 +301,18 @@
 class CallerLeavesTest(unittest.IsolatedAsyncioTestCase):
     """Guards against upstreams that work for a caller that has left."""
 
-    async def test_all_requests_are_cancelled(self):
+    @parameterized.expand([('closes', False), ('closes for writing', True)])
+    async def test_all_requests_are_cancelled(self, _name, is_half_closed):
         processor = _Processor(dict.fromkeys(('/a', '/b', '/c'), ['never']))
         async with _run(processor) as running:
-            async with _connect(running.port) as (_reader, writer):
+            async with _connect(running.port) as (reader, writer):
                 for target in ('/a', '/b', '/c'):
                     writer.write(_request(target))
                 while len(processor.started) < 3:
                     await asyncio.sleep(0)
+                if is_half_closed:
+                    writer.write_eof()
+                    self.assertEqual(await reader.read(), b'')
             while running.server._connections:
                 await asyncio.sleep(0)
         self.assertEqual(sorted(processor.cancelled), ['/a', '/b', '/c'])
