Apply a changed idle timeout to connections that are idle

A lowered idle timeout reached an idle connection only once the old one had passed, as each connection had a timer of its own. A raised one was read when the old one passed, so it applied already; the suspicion that it did not is refuted by a test row.

One table keeps the idle connections in the order in which they became idle, and one timer of the server waits for the first of them, so that a change costs one look at the head of the table. A connection that is told that its idle time has passed stays open if a request has arrived: in the socket, the stream, the reader or the queue of messages. A head that is only partly read is left to the timeout for heads, which answers 408.

ChangedIdleTimeTest raises and lowers the idle timeout of an idle connection.

--- a/src/ibisjunction/entry/callers/caller_connection.py
+++ b/src/ibisjunction/entry/callers/caller_connection.py
@@ -17,6 +17,7 @@
 from ibisjunction.entry.callers.connection_context import ConnectionContext
 from ibisjunction.entry.callers.connection_tasks import ConnectionTasks
 from ibisjunction.entry.callers.connection_use import ConnectionUse
+from ibisjunction.entry.callers.idle_connections import IdleEnded
 from ibisjunction.entry.callers.incoming import IncomingRequest, RequestReader
 from ibisjunction.entry.callers.pipeline import (
     AcceptEnded,
@@ -53,8 +54,6 @@
 #: connection that is closed with unread bytes is reset, and the caller could
 #: lose the answer.
 LINGER_MS: Final = 1000
-#: Interval of checks whether bytes that have arrived were read by now.
-_UNREAD_POLL_MS: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +72,7 @@
     outcome: Outcome
 
 
-_Message = PipelineEvent | _Received | _Served
+_Message = PipelineEvent | _Received | _Served | IdleEnded
 
 
 @dataclass(slots=True)
@@ -167,34 +166,17 @@
             functools.partial(self.mailbox.post, CallerLeft())
         )
         self._tasks.start(self._read_requests(), ReadFailed())
+        self._count_idle()
         try:
             self._execute(self._pipeline.start())
             while self._is_open:
-                self._handle(await self._get_message())
+                self._handle(await self.mailbox.get())
                 if self._has_accept_ended and not self._has_request:
                     self._execute(self._pipeline.handle(AcceptEnded()))
             await self._linger()
         finally:
             self._end()
 
-    async def _get_message(self) -> '_Message':
-        """Return the next message; an idle caller counts as one that left."""
-        if self._pipeline.request_count:
-            return await self.mailbox.get()
-        context = self._context
-        started_ms = context.clock.now()
-        while True:
-            since_ms = max(started_ms, self.stream.received_ms)
-            idle_ms = context.clock.now() - since_ms
-            left_ms = context.limits.idle_timeout_ms - idle_ms
-            if left_ms <= 0 and not self.stream.has_unread:
-                return CallerLeft()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(
-                    in_seconds(max(left_ms, _UNREAD_POLL_MS))
-                ):
-                    return await self.mailbox.get()
-
     def on_head(
         self,
         host: str,
@@ -216,6 +198,11 @@
         """Process one message."""
         event: PipelineEvent
         match message:
+            case IdleEnded() if self._has_request:
+                self._count_idle()
+                return
+            case IdleEnded():
+                event = CallerLeft()
             case AcceptEnded():
                 self._has_accept_ended = True
                 return
@@ -231,6 +218,7 @@
             self._pipeline.handle(event, has_room=self._context.has_room)
         )
         self._count_use()
+        self._count_idle()
 
     def _add_exchange(
         self, number: int, incoming: IncomingRequest
@@ -256,6 +244,14 @@
         exchange.release_body()
         return OutcomeReady(number, len(getattr(outcome, 'body', b'')))
 
+    def _count_idle(self) -> None:
+        """Record whether this connection waits for a request."""
+        idle = self._context.idle
+        if self._is_open and not self._pipeline.request_count:
+            idle.add(self.number, self._context.clock.now())
+        else:
+            idle.remove(self.number)
+
     def _count_use(self) -> None:
         """Count what this connection holds among what all hold."""
         pipeline = self._pipeline
@@ -370,6 +366,7 @@
         """Stop all tasks, close the stream, and log what was not answered."""
         self._is_open = False
         self._use.end()
+        self._context.idle.remove(self.number)
         self._tasks.cancel()
         self.stream.close()
         self.stream.forget_received()
--- a/src/ibisjunction/entry/callers/caller_stream.py
+++ b/src/ibisjunction/entry/callers/caller_stream.py
@@ -17,7 +17,7 @@
 class CallerStream(IOStream):
     """A stream that reads ahead no more than one piece.
 
-    It also knows when its caller last sent and took bytes.
+    It also knows when its caller last took bytes.
     """
 
     def __init__(self, stream_socket: socket.socket, clock: Clock) -> None:
@@ -25,8 +25,6 @@
         super().__init__(stream_socket, read_chunk_size=READ_PIECE_BYTES)
         self._clock = clock
         self._written_ms = clock.now()
-        #: When bytes were last read from the socket, or the stream was made.
-        self.received_ms = clock.now()
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer, unless nobody waits for more than it holds.
@@ -36,10 +34,7 @@
         """
         if self._read_buffer_size and not self.reading():
             return None
-        size = super().read_from_fd(buf)
-        if size:
-            self.received_ms = self._clock.now()
-        return size
+        return super().read_from_fd(buf)
 
     def write(self, data: bytes | memoryview) -> 'Future[None]':
         """Write bytes once the socket takes them."""
--- a/src/ibisjunction/entry/callers/connection_context.py
+++ b/src/ibisjunction/entry/callers/connection_context.py
@@ -9,6 +9,7 @@
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import Clock
 from ibisjunction.entry.callers.caller_stream import CallerStream
+from ibisjunction.entry.callers.idle_connections import IdleConnections
 from ibisjunction.entry.link.transfers import Link
 from ibisjunction.entry.model import (
     CallerRequest,
@@ -55,6 +56,7 @@
     gate: BodyGate
     answers: AnswerCount
     table: ConnectionTable
+    idle: IdleConnections = field(default_factory=IdleConnections)
     is_draining: bool = False
     read_ahead_bytes: int = 0
     unsent: dict[CallerStream, int] = field(default_factory=dict)
--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -38,6 +38,7 @@
     ConnectionContext,
     RequestServer,
 )
+from ibisjunction.entry.callers.idle_connections import IdleEnded
 from ibisjunction.entry.callers.pipeline import (
     AcceptEnded,
     CallerLeft,
@@ -57,6 +58,8 @@
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
 _DRAIN_POLL_MS: Final = 20
+#: Least interval of checks for idle connections.
+_IDLE_POLL_MS: Final = 20
 #: Time after accepting ends in which a caller whose connection was accepted
 #: last may send its first request.
 _FIRST_REQUEST_MS: Final = 100
@@ -113,6 +116,7 @@
         self._address = address
         self._unread_bytes = unread_bytes
         self._listeners: list[socket.socket] = []
+        self._idle_check: asyncio.TimerHandle | None = None
         self._last_number = 0
         self._answer_check: asyncio.TimerHandle | None = None
         self._report: asyncio.TimerHandle | None = None
@@ -159,12 +163,16 @@
         self._listeners = sockets
         self.add_sockets(sockets)
         self._report_use()
+        self._check_idle()
         port: int = sockets[0].getsockname()[1]
         return port
 
     def apply_limits(self, limits: Limits) -> None:
         """Apply the limits of the operators to requests that arrive now."""
         self._context.limits = limits
+        if self._idle_check is not None:
+            self._idle_check.cancel()
+            self._check_idle()
 
     def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve a new connection."""
@@ -218,6 +226,18 @@
                 in_seconds(_CHECK_ANSWERS_MS), self._check_answers
             )
 
+    def _check_idle(self) -> None:
+        """End connections that are idle for too long, now and later."""
+        idle = self._context.idle
+        timeout_ms = self._context.limits.idle_timeout_ms
+        now = self._clock.now()
+        for number in idle.take_expired(timeout_ms, now):
+            self._by_number[number].mailbox.post(IdleEnded())
+        left_ms = idle.find_next_ms(timeout_ms, now) - now
+        self._idle_check = asyncio.get_running_loop().call_later(
+            in_seconds(max(left_ms, _IDLE_POLL_MS)), self._check_idle
+        )
+
     def _report_use(self) -> None:
         """Tell the metrics what callers hold, now and later."""
         context = self._context
@@ -284,7 +304,7 @@
     async def close(self) -> None:
         """Close all connections."""
         self.stop()
-        for timer in (self._answer_check, self._report):
+        for timer in (self._answer_check, self._report, self._idle_check):
             if timer is not None:
                 timer.cancel()
         tasks = list(self._connections.values())
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -33,6 +33,7 @@
 _LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
 _LIMIT_MS = 60_000
 _TIMEOUT_MS = 5000
+_SETTLE_MS = 50
 _CLOSE = {'Connection': 'close'}
 
 
@@ -83,7 +84,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(room=None, processor=None, port=0):
+async def _run(room=None, processor=None, port=0, **changes):
     clock = _Clock()
     server = EntryServer(
         processor or _FaultyProcessor(),
@@ -93,7 +94,7 @@
         Mailbox(),
         room=room,
     )
-    server.apply_limits(_LIMITS)
+    server.apply_limits(replace(_LIMITS, **changes))
     port = server.listen_to_callers()
     try:
         # The limit only ends a test that would otherwise hang.
@@ -457,6 +458,42 @@
                     await _ask(reader, writer, '/b')
 
 
+class ChangedIdleTimeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an old idle timeout on connections that are idle.
+
+    A lower one applied only once the old one had passed.
+    """
+
+    @parameterized.expand(
+        [
+            ('raised', 10_000, 20_000, 19_000, True),
+            ('raised, passes', 10_000, 20_000, 20_001, False),
+            ('lowered', 3_600_000, 2000, 2001, False),
+            ('lowered below what has passed', 3_600_000, 500, 1000, False),
+            ('lowered, does not pass', 3_600_000, 20_000, 19_000, True),
+        ]
+    )
+    async def test_is_open(self, _name, before_ms, after_ms, rest_ms, is_open):
+        async with (
+            _run(idle_timeout_ms=before_ms) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            connection = next(iter(running.server._connections))
+            while connection._pipeline.request_count:
+                await asyncio.sleep(0)
+            running.clock.skip(1000)
+            limits = replace(_LIMITS, idle_timeout_ms=after_ms)
+            running.server.apply_limits(limits)
+            running.clock.skip(rest_ms - 1000)
+            if is_open:
+                # Time in which the connection would be closed.
+                await asyncio.sleep(in_seconds(_SETTLE_MS))
+                writer.write(_request('/b', **_CLOSE))
+            received = await reader.read()
+        self.assertEqual(b'GET /b' in received, is_open)
+
+
 def _post(running, *events):
     for connection in running.server._connections:
         for event in events:
