--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -244,7 +244,7 @@
             return await self.processor.serve(routed, trail)
 
 
-def reply(status, *fields):
+def reply(status, *fields, body=b''):
     """Return a script that answers each request with a status and headers."""
 
     async def script(upstream, reader, writer) -> None:
@@ -254,10 +254,10 @@
             lines = (
                 f'HTTP/1.1 {status} X'.encode(),
                 b'Attempt-Id: ' + request_id,
-                b'Content-Length: 0',
+                f'Content-Length: {len(body)}'.encode(),
                 *fields,
             )
-            writer.write(b'\r\n'.join(lines) + b'\r\n\r\n')
+            writer.write(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
             await writer.drain()
 
     return script
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,6 +1,8 @@
 """Tests of requests that come late in a planned stop of an entry VM."""
 
 import asyncio
+import contextlib
+import itertools
 import unittest
 from types import SimpleNamespace
 
@@ -8,14 +10,22 @@
 
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import SystemClock
+from ibisjunction.entry.callers.server import EntryServer
+from ibisjunction.entry.link.task import LinkTask
+from ibisjunction.entry.link.transfers import SharedLink
 from ibisjunction.entry.model import Answered, Reason, Refused
-from ibisjunction.mailbox import Mailbox
+from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.nodes.entry import EntryNode
+from ibisjunction.platform.bodies import HEADERS
+from ibisjunction.settings import Address
 from tests.scripted import ScriptedUpstream
 from tests.test_notices import EntryVm, reply
 
 _SIGNED = b'Response-Signature: s'
 _END_MS = 3000
+_CUT = b'cut'
+#: Pause of a caller before its next connection.
+_PAUSE_S = 0.05
 
 
 class LateRequestTest(unittest.IsolatedAsyncioTestCase):
@@ -160,5 +170,86 @@
         self.assertEqual(calls, ['begin', 'refuse', 'end', 'leave'])
 
 
+class KeptConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against downloads that a planned stop cuts off on a narrow link.
+
+    Callers keep sending, on kept and on new connections, until the VM refuses
+    them. It took downloads that its link did not pass before its end.
+    """
+
+    async def test_each_request_that_is_passed_on_is_answered(self):
+        upstream = ScriptedUpstream(reply(200, _SIGNED, body=bytes(150_000)))
+        clock = SystemClock()
+        link = LinkTask(clock, 2, Mailbox())
+        async with upstream.run() as address:
+            vm = EntryVm(
+                [address],
+                is_sharded=False,
+                kind=RequestKind.DOWNLOAD,
+                clock=clock,
+            )
+            server = EntryServer(
+                vm.processor,
+                clock,
+                HEADERS,
+                Address('127.0.0.1', 0),
+                Mailbox(),
+                SharedLink(link),
+            )
+            port = server.listen_to_callers()
+            node = EntryNode(
+                SimpleNamespace(vm='e1', grace_ms=4000),
+                clock,
+                vm.processor,
+                server,
+                SimpleNamespace(leave=lambda: None),
+                Mailbox(),
+            )
+            # The limit only ends a test that would otherwise hang.
+            async with (
+                asyncio.timeout(60),
+                vm.run(),
+                run_task(link.run(), 'link'),
+                asyncio.TaskGroup() as callers,
+            ):
+                statuses = []
+                for number in range(4):
+                    callers.create_task(_keep_coming(port, number, statuses))
+                while statuses.count(b'200') < 4:
+                    await asyncio.sleep(0.01)
+                await node.drain()
+                await server.close()
+        passed_on = [status for status in statuses if status != b'503']
+        self.assertEqual(len(passed_on), len(upstream.requests))
+        self.assertNotIn(_CUT, statuses)
+
+
+async def _keep_coming(port, number, statuses):
+    """Send requests until the VM is gone; record the ends of all answers."""
+    for connection in itertools.count():
+        try:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        except OSError:
+            return
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, asyncio.IncompleteReadError),
+        ):
+            head = b''
+            while b'Connection: close' not in head:
+                attempt = f'{number}-{connection}-{len(statuses)}'
+                lines = ('GET / HTTP/1.1', 'Host: x', f'Attempt-Id: {attempt}')
+                writer.write('\r\n'.join((*lines, '', '')).encode())
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = int(head.split(b'Content-Length: ')[1].split()[0])
+                status = _CUT
+                try:
+                    await reader.readexactly(length)
+                    status = head.split()[1]
+                finally:
+                    statuses.append(status)
+        await asyncio.sleep(_PAUSE_S)
+
+
 if __name__ == '__main__':
     unittest.main()
