--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -1,6 +1,7 @@
 """Accepts connections of callers on an entry VM."""
 
 import asyncio
+import contextlib
 import functools
 import logging
 import socket
@@ -37,6 +38,7 @@
     ConnectionContext,
     RequestServer,
 )
+from ibisjunction.entry.callers.idle_connections import IdleEnded
 from ibisjunction.entry.callers.pipeline import (
     AcceptEnded,
     CallerLeft,
@@ -56,6 +58,11 @@
 _IDLE_TIMEOUT_MS: Final = 60_000
 _BACKLOG: Final = 1024
 _DRAIN_POLL_MS: Final = 20
+#: Least interval of checks for idle connections.
+_IDLE_POLL_MS: Final = 20
+#: Time after accepting ends in which a caller whose connection was accepted
+#: last may send its first request.
+_FIRST_REQUEST_MS: Final = 100
 #: Bytes of requests and answers behind others on all connections.
 _MAX_READ_AHEAD_BYTES: Final = 16_777_216
 #: Limits of a VM whose settings name neither memory nor descriptors.
@@ -108,6 +115,8 @@
         room = room or CallerRoom()
         self._address = address
         self._unread_bytes = unread_bytes
+        self._listeners: list[socket.socket] = []
+        self._idle_check: asyncio.TimerHandle | None = None
         self._last_number = 0
         self._answer_check: asyncio.TimerHandle | None = None
         self._report: asyncio.TimerHandle | None = None
@@ -155,14 +164,19 @@
             # Accepted sockets inherit the size.
             limit_receive_buffer(listener)
             limit_unread(listener, self._unread_bytes)
+        self._listeners = sockets
         self.add_sockets(sockets)
         self._report_use()
+        self._check_idle()
         port: int = sockets[0].getsockname()[1]
         return port
 
     def apply_limits(self, limits: Limits) -> None:
         """Apply the limits of the operators to requests that arrive now."""
         self._context.limits = limits
+        if self._idle_check is not None:
+            self._idle_check.cancel()
+            self._check_idle()
 
     def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve a new connection."""
@@ -216,6 +230,18 @@
                 in_seconds(_CHECK_ANSWERS_MS), self._check_answers
             )
 
+    def _check_idle(self) -> None:
+        """End connections that are idle for too long, now and later."""
+        idle = self._context.idle
+        timeout_ms = self._context.limits.idle_timeout_ms
+        now = self._clock.now()
+        for number in idle.take_expired(timeout_ms, now):
+            self._by_number[number].mailbox.post(IdleEnded())
+        left_ms = idle.find_next_ms(timeout_ms, now) - now
+        self._idle_check = asyncio.get_running_loop().call_later(
+            in_seconds(max(left_ms, _IDLE_POLL_MS)), self._check_idle
+        )
+
     def _report_use(self) -> None:
         """Tell the metrics what callers hold, now and later."""
         context = self._context
@@ -263,17 +289,26 @@
         self._context.cut_off_ms = self._clock.now() + accept_ms + finish_ms
         self._post_to_all(DrainStarted())
         await asyncio.sleep(in_seconds(accept_ms))
+        until_ms = self._clock.now() + finish_ms
+        self._accept_waiting()
         self.stop()
+        await asyncio.sleep(in_seconds(min(_FIRST_REQUEST_MS, finish_ms)))
         self._post_to_all(AcceptEnded())
-        until_ms = self._clock.now() + finish_ms
         await self._wait_for_idle(until_ms)
         await self._wait_for_end(min(until_ms, self._clock.now() + LINGER_MS))
         return sum(connection.is_busy for connection in self._connections)
 
+    def _accept_waiting(self) -> None:
+        """Accept the established connections, which a close would reset."""
+        for listener in self._listeners:
+            with contextlib.suppress(OSError):
+                for _ in range(_BACKLOG):
+                    self._handle_connection(*listener.accept())
+
     async def close(self) -> None:
         """Close all connections."""
         self.stop()
-        for timer in (self._answer_check, self._report):
+        for timer in (self._answer_check, self._report, self._idle_check):
             if timer is not None:
                 timer.cancel()
         tasks = list(self._connections.values())
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
@@ -16,17 +17,23 @@
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.entry.callers import caller_connection
-from ibisjunction.entry.callers.pipeline import AcceptEnded
+from ibisjunction.entry.callers.pipeline import AcceptEnded, DrainStarted
 from ibisjunction.entry.callers.server import CallerRoom, EntryServer
 from ibisjunction.entry.model import Answered, HeaderNames
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.settings import Address
-from tests.test_caller_connection import _connect, _Processor, _request
+from tests.test_caller_connection import (
+    _LARGE,
+    _connect,
+    _Processor,
+    _request,
+)
 
 _NAMES = HeaderNames('Id', 'Left', 'Key', 'Expected', 'Not-Run', 'Receipt')
 _LIMITS = Limits(256, 64, header_timeout_ms=50_000, idle_timeout_ms=10_000)
 _LIMIT_MS = 60_000
 _TIMEOUT_MS = 5000
+_SETTLE_MS = 50
 _CLOSE = {'Connection': 'close'}
 
 
@@ -77,17 +84,17 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(room=None, processor=None):
+async def _run(room=None, processor=None, port=0, **changes):
     clock = _Clock()
     server = EntryServer(
         processor or _FaultyProcessor(),
         clock,
         _NAMES,
-        Address('127.0.0.1', 0),
+        Address('127.0.0.1', port),
         Mailbox(),
         room=room,
     )
-    server.apply_limits(_LIMITS)
+    server.apply_limits(replace(_LIMITS, **changes))
     port = server.listen_to_callers()
     try:
         # The limit only ends a test that would otherwise hang.
@@ -299,6 +306,62 @@
             received = await reader.read()
         self.assertIn(b'POST /b body', received)
 
+    @parameterized.expand(
+        [
+            (f'{name} {count} passes later', name, count)
+            for name in ('idle timeout', 'end of accepting')
+            for count in range(6)
+        ]
+    )
+    async def test_same_pass(self, _name, end, pass_count):
+        """The request is between the socket and the connection's task.
+
+        It was missed in the stream's buffer, and in the mailbox behind the
+        message that ends the connection.
+        """
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await self.reach(running, reader, writer, 0)
+            writer.write(self._request)
+            for _ in range(pass_count):
+                await asyncio.sleep(0)
+            if end == 'idle timeout':
+                running.clock.skip(_LIMITS.idle_timeout_ms + 1)
+            else:
+                _post(running, AcceptEnded())
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
+    @parameterized.expand([(f'{size} bytes', size) for size in (1, 20, 81)])
+    async def test_behind_an_answer(self, _name, size):
+        """It begins to arrive during an answer, after accepting has ended.
+
+        The end of that answer closed the connection.
+        """
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            writer.write(_request('/large'))
+            await reader.readuntil(b'\r\n\r\n')
+            _post(running, DrainStarted(), AcceptEnded())
+            connection = next(iter(running.server._connections))
+            while not connection._has_accept_ended:
+                await asyncio.sleep(0)
+            writer.write(self._request[:size])
+            while not (
+                connection._reader.has_begun or connection.stream.has_unread
+            ):
+                await asyncio.sleep(0)
+            await reader.readexactly(len('GET /large ') * _LARGE)
+            while connection._pipeline.request_count and size < 81:
+                await asyncio.sleep(0)
+            writer.write(self._request[size:])
+            received = await reader.read()
+        self.assertIn(b'POST /b body', received)
+
     async def reach(self, running, reader, writer, size):
         """Let the VM wait for a request and read its first bytes."""
         await _ask(reader, writer, '/a')
@@ -340,9 +403,101 @@
             self.assertIn(b'POST /b body', await reader.read())
 
 
-def _post(running, event):
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against callers without an answer as a VM stops to listen.
+
+    Connections that the kernel had established and the VM had not accepted
+    were reset, with the requests that had arrived on them.
+    """
+
+    _request = _request('/a', 'POST', 'body')
+
+    @parameterized.expand(
+        [
+            (f'{name} {count} passes later', is_sent, count)
+            for name, is_sent in (('sent', True), ('not sent yet', False))
+            for count in range(3)
+        ]
+    )
+    async def test_new_connection(self, _name, is_sent, pass_count):
+        async with _run() as running:
+            drain = asyncio.create_task(running.server.drain(1000, 30_000))
+            await asyncio.sleep(0)
+            running.clock.skip(1000)
+            for _ in range(pass_count):
+                await asyncio.sleep(0)
+            with socket.create_connection(('127.0.0.1', running.port)) as one:
+                one.sendall(self._request if is_sent else b'')
+                # A VM that has stopped refuses the connection.
+                while not running.server._stopped:
+                    await asyncio.sleep(0)
+                one.sendall(b'' if is_sent else self._request)
+                one.setblocking(False)
+                received = b''
+                while part := await asyncio.get_running_loop().sock_recv(
+                    one, 1024
+                ):
+                    received += part
+            await drain
+        self.assertIn(b'POST /a body', received)
+        self.assertIn(b'Connection: close', received)
+
+    async def test_return_under_the_same_address(self):
+        """A caller that still holds a connection is served on a new one."""
+        async with (
+            _run() as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            await running.server.close()
+            async with _run(port=running.port) as returned:
+                writer.write(_request('/b'))
+                with contextlib.suppress(OSError):
+                    self.assertNotIn(b'GET /b', await reader.read())
+                async with _connect(returned.port) as (reader, writer):
+                    await _ask(reader, writer, '/b')
+
+
+class ChangedIdleTimeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against an old idle timeout on connections that are idle.
+
+    A lower one applied only once the old one had passed.
+    """
+
+    @parameterized.expand(
+        [
+            ('raised', 10_000, 20_000, 19_000, True),
+            ('raised, passes', 10_000, 20_000, 20_001, False),
+            ('lowered', 3_600_000, 2000, 2001, False),
+            ('lowered below what has passed', 3_600_000, 500, 1000, False),
+            ('lowered, does not pass', 3_600_000, 20_000, 19_000, True),
+        ]
+    )
+    async def test_is_open(self, _name, before_ms, after_ms, rest_ms, is_open):
+        async with (
+            _run(idle_timeout_ms=before_ms) as running,
+            _connect(running.port) as (reader, writer),
+        ):
+            await _ask(reader, writer, '/a')
+            connection = next(iter(running.server._connections))
+            while connection._pipeline.request_count:
+                await asyncio.sleep(0)
+            running.clock.skip(1000)
+            limits = replace(_LIMITS, idle_timeout_ms=after_ms)
+            running.server.apply_limits(limits)
+            running.clock.skip(rest_ms - 1000)
+            if is_open:
+                # Time in which the connection would be closed.
+                await asyncio.sleep(in_seconds(_SETTLE_MS))
+                writer.write(_request('/b', **_CLOSE))
+            received = await reader.read()
+        self.assertEqual(b'GET /b' in received, is_open)
+
+
+def _post(running, *events):
     for connection in running.server._connections:
-        connection.mailbox.post(event)
+        for event in events:
+            connection.mailbox.post(event)
 
 
 if __name__ == '__main__':
