Add a soak that carries requests through real processes

`ibisjunction-bench soak-requests` starts control and entry processes of the platform on loopback addresses that a socket claims, behind proxies that pass 2 Mbit/s in each direction. It uses the platform's programs, not the daemon: the incident is in the entry process, and only its settings name the rate of a link. Callers keep their connections until the process has gone; upstreams record what they run. The checks are functions of records.

Each check finds a mistake in the table of records of CheckTest.

--- a/src/ibisjunction/bench/command.py
+++ b/src/ibisjunction/bench/command.py
@@ -27,6 +27,7 @@
 from ibisjunction.bench.policy import compare_policies
 from ibisjunction.bench.policy_callers import compare_orders
 from ibisjunction.bench.policy_keys import compare_rules
+from ibisjunction.bench.request_soak.command import SoakRequestsCommand
 from ibisjunction.bench.run_command import run_scenario
 from ibisjunction.bench.sharing import compare_sharing
 from ibisjunction.bench.soak.run import run_soaks
@@ -264,6 +265,7 @@
         | DecisionsCommand
         | DistributionCommand
         | SoakCommand
+        | SoakRequestsCommand
     ]
 
 
--- a/src/ibisjunction/bench/deployment.py
+++ b/src/ibisjunction/bench/deployment.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Container, Iterator
+from collections.abc import Container, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
@@ -33,6 +33,10 @@
 UPSTREAM_TOKEN: Final = 'upstream-token-for-local-use'
 
 
+#: Arguments of a process, and its environment if it differs.
+_Command = tuple[list[str], Mapping[str, str] | None]
+
+
 @dataclass(frozen=True, slots=True)
 class VmAddresses:
     """Addresses on which one local daemon listens."""
@@ -54,11 +58,32 @@
         default_factory=dict,
     )
     control_addresses: dict[str, str] = field(default_factory=dict)
-    _commands: dict[str, list[str]] = field(default_factory=dict)
+    _commands: dict[str, _Command] = field(default_factory=dict)
 
     def start_vm(self, vm: str) -> None:
         """Start the daemon of a VM."""
-        self._start(vm, self._daemon_command(vm))
+        self.start(vm, self._daemon_command(vm))
+
+    def start(
+        self,
+        name: str,
+        command: list[str],
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        """Start a process; its output is added to a log in the folder.
+
+        :param environment: variables of the process; by default those of this
+            process.
+        """
+        self._commands[name] = (command, environment)
+        log_file = self.folder / f'{name}.log'
+        with log_file.open('ab') as log:
+            self.processes[name] = subprocess.Popen(
+                command,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
 
     def create_identity(self, vm: str, *, is_new: bool) -> str:
         """Create the identity of a VM's disk and return the disk's name."""
@@ -89,7 +114,7 @@
         self.control_addresses[name] = find_addresses(
             1, self._list_addresses()
         )[0]
-        self._start(
+        self.start(
             name,
             [
                 sys.executable,
@@ -115,7 +140,7 @@
 
     def start_again(self, name: str) -> None:
         """Start a process that has ended, with its former arguments."""
-        self._start(name, self._commands[name])
+        self.start(name, *self._commands[name])
 
     async def wait_for_exit(self, name: str) -> int:
         """Return the exit code of a process; kill it if it does not end."""
@@ -143,16 +168,6 @@
         settings = self.folder / f'{vm}.toml'
         return [sys.executable, '-m', 'ibisjunction.daemon', str(settings)]
 
-    def _start(self, name: str, command: list[str]) -> None:
-        self._commands[name] = command
-        log_file = self.folder / f'{name}.log'
-        with log_file.open('ab') as log:
-            self.processes[name] = subprocess.Popen(
-                command,
-                stdout=log,
-                stderr=log,
-            )
-
 
 def _wait_or_kill(process: 'subprocess.Popen[bytes]') -> int:
     try:
--- /dev/null
+++ b/src/ibisjunction/bench/request_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soaks of the real programs that carry requests."""
--- /dev/null
+++ b/src/ibisjunction/bench/request_soak/callers.py
@@ -0,0 +1,161 @@
+"""Callers that keep their connections until the process has gone."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from dataclasses import dataclass
+from typing import Final
+
+from ibisjunction.bench.caller import Call, CallerConnection, Reply, connect
+from ibisjunction.bench.request_soak.platform_texts import (
+    DEADLINE_HEADER,
+    RECEIPT_HEADER,
+    REQUEST_ID_HEADER,
+)
+from ibisjunction.bench.request_soak.records import (
+    Answered,
+    Closed,
+    Ending,
+    Exchange,
+    NoAnswer,
+)
+from ibisjunction.bench.request_soak.targets import Target
+from ibisjunction.catalogue.model import RequestKind
+from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.settings import Address
+
+_DEADLINE_MS: Final = 12_000
+#: Long after the deadline, so that a missing answer is no late one.
+_GIVE_UP_S: Final = 24
+_RECONNECT_S: Final = 0.2
+_ATTEMPT_BITS: Final = 64
+_READ_GAP_MS: Final = 150
+_WRITE_GAP_MS: Final = 400
+_DOWNLOAD_GAP_MS: Final = 900
+_UPLOAD_GAP_MS: Final = 1200
+
+_Range = tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """The requests of one caller; sizes are in bytes."""
+
+    kind: RequestKind
+    mean_gap_ms: int
+    service_ms: _Range
+    answer_bytes: _Range
+    body_bytes: _Range = (0, 0)
+
+
+_READS: Final = Load(
+    RequestKind.SAFE,
+    mean_gap_ms=_READ_GAP_MS,
+    service_ms=(10, 300),
+    answer_bytes=(100, 4000),
+)
+_WRITES: Final = Load(
+    RequestKind.UNSAFE,
+    mean_gap_ms=_WRITE_GAP_MS,
+    service_ms=(20, 900),
+    answer_bytes=(100, 4000),
+    body_bytes=(10, 4000),
+)
+_DOWNLOADS: Final = Load(
+    RequestKind.DOWNLOAD,
+    mean_gap_ms=_DOWNLOAD_GAP_MS,
+    service_ms=(20, 1500),
+    answer_bytes=(50_000, 600_000),
+)
+_UPLOADS: Final = Load(
+    RequestKind.UPLOAD,
+    mean_gap_ms=_UPLOAD_GAP_MS,
+    service_ms=(20, 500),
+    answer_bytes=(100, 400),
+    body_bytes=(20_000, 250_000),
+)
+#: The callers of each entry process.
+LOADS: Final = (
+    *itertools.repeat(_READS, 4),
+    *itertools.repeat(_WRITES, 2),
+    *itertools.repeat(_DOWNLOADS, 3),
+    _UPLOADS,
+)
+
+
+@dataclass(slots=True)
+class Caller:
+    """Sends one request after another to one entry process."""
+
+    entry: str
+    address: Address
+    load: Load
+    rng: random.Random
+    clock: Clock
+    exchanges: list[Exchange]
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Send requests until the soak ends; reconnect after each close."""
+        while not stop.is_set():
+            with contextlib.suppress(OSError):
+                connection = await connect(self.address)
+                try:
+                    await self._use(connection, stop)
+                finally:
+                    connection.close()
+            await asyncio.sleep(_RECONNECT_S)
+
+    async def _use(
+        self, connection: CallerConnection, stop: asyncio.Event
+    ) -> None:
+        while connection.is_open and not stop.is_set():
+            await self._send(connection)
+            gap_ms = self.rng.expovariate(1 / self.load.mean_gap_ms)
+            await asyncio.sleep(in_seconds(round(gap_ms)))
+
+    async def _send(self, connection: CallerConnection) -> None:
+        target = Target(
+            self.load.kind,
+            self.rng.randint(*self.load.service_ms),
+            self.rng.randint(*self.load.answer_bytes),
+            f'{self.rng.getrandbits(_ATTEMPT_BITS):016x}',
+        )
+        body = bytes(self.rng.randint(*self.load.body_bytes))
+        sent_ms = self.clock.now()
+        ending = await _perform(connection, target, body)
+        self.exchanges.append(
+            Exchange(
+                attempt=target.attempt,
+                entry=self.entry,
+                kind=target.kind,
+                target=str(target),
+                body_bytes=len(body),
+                answer_bytes=target.answer_bytes,
+                sent_ms=sent_ms,
+                ended_ms=self.clock.now(),
+                ending=ending,
+            )
+        )
+
+
+async def _perform(
+    connection: CallerConnection, target: Target, body: bytes
+) -> Ending:
+    call = Call(
+        'POST' if body else 'GET',
+        str(target),
+        {REQUEST_ID_HEADER: target.attempt, DEADLINE_HEADER: str(_DEADLINE_MS)},
+        body,
+    )
+    reply = Reply()
+    try:
+        async with asyncio.timeout(_GIVE_UP_S):
+            await connection.perform(call, reply)
+    except TimeoutError:
+        connection.close()
+        return NoAnswer()
+    if not reply.is_complete:
+        return Closed(reply.received_bytes)
+    has_receipt = RECEIPT_HEADER in reply.headers
+    return Answered(reply.status, reply.digest.hexdigest(), has_receipt)
--- /dev/null
+++ b/src/ibisjunction/bench/request_soak/records.py
@@ -0,0 +1,107 @@
+"""What callers, upstreams and the operator of a soak saw.
+
+All times are milliseconds on one clock.
+"""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Final
+
+from ibisjunction.catalogue.model import RequestKind
+
+#: Statuses that promise that a request has not run and never will.
+REFUSALS: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer; ``has_receipt`` if it is the answer of an upstream."""
+
+    status: int
+    digest: str
+    has_receipt: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """The connection was closed before the end of the answer."""
+
+    received_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """The caller gave up on an open connection, long after its deadline."""
+
+
+Ending = Answered | Closed | NoAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """One attempt of a caller, sent once on one connection.
+
+    ``body_bytes`` and ``answer_bytes`` are the sizes of its body and of the
+    answer that an upstream gives.
+    """
+
+    attempt: str
+    entry: str
+    kind: RequestKind
+    target: str
+    body_bytes: int
+    answer_bytes: int
+    sent_ms: int
+    ended_ms: int
+    ending: Ending
+
+
+@dataclass(slots=True)
+class Run:
+    """A request that an upstream has read whole and begun to run."""
+
+    attempt: str
+    upstream: str
+    body_bytes: int
+    started_ms: int
+    ended_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Shutdown:
+    """A planned stop of an entry process, from SIGTERM to its exit."""
+
+    entry: str
+    started_ms: int
+    ended_ms: int
+    exit_code: int
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """An unplanned fault, until its target works again."""
+
+    description: str
+    started_ms: int
+    ended_ms: int
+
+
+@dataclass(slots=True)
+class SoakRecords:
+    """The records of one soak.
+
+    ``unready`` lists processes that did not become ready after a new start.
+    """
+
+    exchanges: list[Exchange] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    shutdowns: list[Shutdown] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    unready: list[str] = field(default_factory=list)
--- /dev/null
+++ b/tests/test_request_soak.py
@@ -0,0 +1,186 @@
+"""Tests of the soak that carries requests through real processes."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from parameterized import parameterized
+
+from ibisjunction.bench.answers import digest_answer
+from ibisjunction.bench.request_soak.checks import find_violations
+from ibisjunction.bench.request_soak.plan import Targets, plan_actions
+from ibisjunction.bench.request_soak.records import (
+    Answered,
+    Closed,
+    Disturbance,
+    Exchange,
+    NoAnswer,
+    Run,
+    Shutdown,
+    SoakRecords,
+)
+from ibisjunction.bench.request_soak.run import SoakSettings, run_soak
+from ibisjunction.catalogue.model import RequestKind
+
+TARGET = '/safe/10/100/a'
+SIZE = 100
+WHOLE = Answered(200, digest_answer(TARGET, SIZE), has_receipt=True)
+#: SIGTERM comes at 10 s, and the process ends at 15.6 s.
+STOP = Shutdown('entry-1', 10_000, 15_600, 0)
+
+
+def make_exchange(ending, kind=RequestKind.SAFE, sent_ms=9900, ended_ms=15_500):
+    """Return a request that is sent right before the stop."""
+    return Exchange(
+        attempt='a',
+        entry='entry-1',
+        kind=kind,
+        target=TARGET,
+        body_bytes=5,
+        answer_bytes=SIZE,
+        sent_ms=sent_ms,
+        ended_ms=ended_ms,
+        ending=ending,
+    )
+
+
+def make_run(ended_ms=11_000, body_bytes=5):
+    """Return a run that the entry process has asked for."""
+    return Run('a', 'upstream-1', body_bytes, 9950, ended_ms)
+
+
+def answer(status):
+    """Return an answer of an entry process."""
+    return Answered(status, '', has_receipt=False)
+
+
+class CheckTest(unittest.TestCase):
+    """Guards against checks that miss a mistake or report what is allowed."""
+
+    @parameterized.expand(
+        [
+            ('whole answer', WHOLE, [make_run()], []),
+            (
+                'cut answer',
+                Answered(200, digest_answer(TARGET, 99), has_receipt=True),
+                [make_run()],
+                ['whole and own answers'],
+            ),
+            ('answer without a run', WHOLE, [], ['whole and own answers']),
+            (
+                'made-up answer',
+                answer(200),
+                [make_run()],
+                ['whole and own answers'],
+            ),
+            ('cut body', WHOLE, [make_run(body_bytes=4)], ['whole bodies']),
+            ('safe request ran twice', WHOLE, [make_run(), make_run()], []),
+            *(
+                (f'{status} that ran', answer(status), [make_run()], found)
+                for status, found in (
+                    (408, ['true refusals']),
+                    (421, ['true refusals']),
+                    (429, ['true refusals']),
+                    (503, ['true refusals']),
+                    (502, []),
+                )
+            ),
+            ('true refusal', answer(503), [], []),
+            ('closed unsent', Closed(), [], []),
+            ('closed after its run', Closed(), [make_run()], ['ends']),
+            ('closed at work', Closed(), [make_run(14_900)], ['ends']),
+            ('closed late at work', Closed(), [make_run(15_100)], []),
+            ('closed without an end', Closed(), [make_run(None)], []),
+            ('no answer', NoAnswer(), [], ['ends']),
+            ('replaced late at work', answer(502), [make_run(15_600)], []),
+        ]
+    )
+    def test_endings(self, _name, ending, runs, expected):
+        records = SoakRecords([make_exchange(ending)], runs, [STOP])
+        self.assert_found(records, expected)
+
+    @parameterized.expand(
+        [
+            (RequestKind.UNSAFE, ['at most once']),
+            (RequestKind.UPLOAD, ['at most once']),
+            (RequestKind.DOWNLOAD, []),
+        ]
+    )
+    def test_repeated_runs(self, kind, expected):
+        runs = [make_run(), make_run()]
+        records = SoakRecords([make_exchange(WHOLE, kind)], runs)
+        self.assert_found(records, expected)
+
+    @parameterized.expand(
+        [
+            ('sent within 3 s', 12_900, Closed(), []),
+            ('sent later', 13_100, Closed(), ['ends']),
+            ('replaced, sent later', 13_100, answer(504), ['replaced']),
+        ]
+    )
+    def test_work_at_the_end(self, _name, sent_ms, ending, expected):
+        exchange = make_exchange(ending, sent_ms=sent_ms)
+        records = SoakRecords([exchange], [make_run(15_550)], [STOP])
+        self.assert_found(records, expected)
+
+    @parameterized.expand(
+        [
+            ('within the contact window', 7000, []),
+            ('before it', 6800, ['ends']),
+        ]
+    )
+    def test_disturbances(self, _name, ended_ms, expected):
+        records = SoakRecords(
+            [make_exchange(Closed())],
+            [make_run()],
+            [STOP],
+            [Disturbance('kill', 6000, ended_ms)],
+        )
+        self.assert_found(records, expected)
+
+    def test_exit_codes(self):
+        failed = Shutdown('entry-1', 10_000, 15_600, 1)
+        self.assert_found(SoakRecords(shutdowns=[STOP, failed]), ['shutdowns'])
+
+    def test_starts(self):
+        self.assert_found(SoakRecords(unready=['entry-1']), ['starts'])
+
+    def assert_found(self, records, expected):
+        """Compare the names of checks by their starts."""
+        found = [violation.check for violation in find_violations(records)]
+        self.assertEqual(len(found), len(expected), found)
+        for name, start in zip(found, expected, strict=True):
+            self.assertTrue(name.startswith(start), found)
+
+
+class PlanTest(unittest.TestCase):
+    """Guards against a seed whose faults differ from run to run."""
+
+    def test_planned_work_is_part_of_all(self):
+        targets = Targets(('entry-1', 'entry-2'), ('control-1',))
+        planned, again, everything = (
+            plan_actions(7, 60_000, targets, is_planned_only=is_planned_only)
+            for is_planned_only in (True, True, False)
+        )
+        self.assertEqual(planned, again)
+        self.assertLess(set(planned), set(everything))
+
+
+class RequestSoakTest(unittest.TestCase):
+    """Guards against requests that a planned stop of a process loses."""
+
+    def test_planned_stop(self):
+        settings = SoakSettings(
+            seed=1,
+            duration_ms=6000,
+            entries=2,
+            controls=1,
+            is_planned_only=True,
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            records = asyncio.run(run_soak(settings, Path(folder)))
+        self.assertEqual(find_violations(records), [])
+        endings = [exchange.ending for exchange in records.exchanges]
+        self.assertTrue(any(isinstance(ending, Answered) for ending in endings))
+        self.assertTrue(records.shutdowns)
