--- a/src/ibisjunction/bench/request_soak/proxy.py
+++ b/src/ibisjunction/bench/request_soak/proxy.py
@@ -19,6 +19,8 @@
 _BUFFER_BYTES: Final = 32_768
 _BYTES_PER_MBIT: Final = 125_000
 _CONNECT_TIMEOUT_S: Final = 1
+#: A timer that is late by up to this time does not reduce the rate.
+_MAX_LATE_MS: Final = 100
 
 
 class _Direction:
@@ -31,8 +33,9 @@
 
     async def pass_piece(self, size: int) -> None:
         now = self._clock.now()
-        self._free_ms = max(now, self._free_ms) + size / self._bytes_per_ms
-        await asyncio.sleep((self._free_ms - now) / MS_PER_S)
+        start_ms = max(now - _MAX_LATE_MS, self._free_ms)
+        self._free_ms = start_ms + size / self._bytes_per_ms
+        await asyncio.sleep(max(0, self._free_ms - now) / MS_PER_S)
 
 
 class LinkProxy:
