Accept all waiting callers although one of them has left

As a VM stops, it accepts what waits in the queue of its listener, which a close would reset. It ended at the first error of accept, also at that of a caller that had left meanwhile, and those behind it were reset. A lack of descriptors was silent, and a full queue holds one connection more than its length.

Accepting goes on behind a caller that has left, and logs other errors. Three rows of test_accepted_connections fail with the former loop, by reading; it was not run against it.

--- a/src/ibisjunction/entry/callers/server.py
+++ b/src/ibisjunction/entry/callers/server.py
@@ -1,7 +1,6 @@
 """Accepts connections of callers on an entry VM."""
 
 import asyncio
-import contextlib
 import functools
 import logging
 import socket
@@ -24,7 +23,11 @@
     Rejected,
 )
 from ibisjunction.bodies.gate import BodyGate
-from ibisjunction.bodies.sockets import limit_receive_buffer, read_address
+from ibisjunction.bodies.sockets import (
+    accept_waiting,
+    limit_receive_buffer,
+    read_address,
+)
 from ibisjunction.bodies.use import read_use
 from ibisjunction.byte_budget import ByteBudget
 from ibisjunction.catalogue.model import Limits
@@ -290,7 +293,10 @@
         self._post_to_all(DrainStarted())
         await asyncio.sleep(in_seconds(accept_ms))
         until_ms = self._clock.now() + finish_ms
-        self._accept_waiting()
+        for listener in self._listeners:
+            # A close would reset the connections that wait.
+            for accepted in accept_waiting(listener, _BACKLOG):
+                self._handle_connection(*accepted)
         self.stop()
         await asyncio.sleep(in_seconds(min(_FIRST_REQUEST_MS, finish_ms)))
         self._post_to_all(AcceptEnded())
@@ -298,13 +304,6 @@
         await self._wait_for_end(min(until_ms, self._clock.now() + LINGER_MS))
         return sum(connection.is_busy for connection in self._connections)
 
-    def _accept_waiting(self) -> None:
-        """Accept the established connections, which a close would reset."""
-        for listener in self._listeners:
-            with contextlib.suppress(OSError):
-                for _ in range(_BACKLOG):
-                    self._handle_connection(*listener.accept())
-
     async def close(self) -> None:
         """Close all connections."""
         self.stop()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -11,9 +11,11 @@
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from parameterized import parameterized
 
+from ibisjunction.bodies.sockets import accept_waiting
 from ibisjunction.catalogue.model import Limits
 from ibisjunction.clock import SystemClock, in_seconds
 from ibisjunction.entry.callers import caller_connection
@@ -442,6 +444,25 @@
         self.assertIn(b'POST /a body', received)
         self.assertIn(b'Connection: close', received)
 
+    @parameterized.expand(
+        [
+            ('left', [ConnectionAbortedError(), ('one', 'a')], ['one']),
+            ('empty', [], []),
+            ('no descriptor', [OSError(24, 'x'), ('one', 'a')], []),
+            (
+                'full',
+                [('one', 'a'), ('two', 'b'), ('three', 'c'), ('four', 'd')],
+                ['one', 'two', 'three'],
+            ),
+        ]
+    )
+    def test_accepted_connections(self, _name, queue, expected):
+        """A caller that has left does not keep those behind it waiting."""
+        listener = Mock()
+        listener.accept.side_effect = [*queue, BlockingIOError()]
+        accepted = [one for one, _ in accept_waiting(listener, 2)]
+        self.assertEqual(accepted, expected)
+
     async def test_return_under_the_same_address(self):
         """A caller that still holds a connection is served on a new one."""
         async with (
