Let new dispatchers of limited upstreams start with nothing saved

Cause: an allowance of a dispatcher that others could not see. Each VM kept one saved request for each limited upstream, however small its share, so that a change of dispatcher let as many go at once as VMs were asked. Besides, a ticket that was granted before the limit was known, and was returned with that limit, counted as given back, although it had never been counted; and so did a ticket that was never returned, although its request may have been sent.

A dispatcher now starts with nothing when its share changes, and one that is not the first saves nothing while nobody asks it. Tickets are given back only if they were counted and reported as unsent. As returned tickets no longer let requests pass, a dispatcher that has just been answered without a limit says so in its grants, and VMs that remember the earlier limit accept them.

The table of weights in test_dispatch_costs has one more entry for the new result; its random cases differ from earlier ones.

--- a/src/ibisjunction/entry/dispatching/health.py
+++ b/src/ibisjunction/entry/dispatching/health.py
@@ -52,6 +52,8 @@
     BROKEN = 'broken'
     #: Nothing was sent, for a reason that does not concern the upstream.
     UNUSED = 'unused'
+    #: Its ticket was not returned, so that it may have been sent.
+    UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,8 +221,8 @@
                 self._update_success_rate(0)
                 self._pause_after_failures(now)
             case HealthResult.UNUSED:
-                self.pacer.give_back()
-            case HealthResult.WRONG:
+                self.pacer.give_back(granted_ms)
+            case HealthResult.WRONG | HealthResult.UNKNOWN:
                 return
 
     def _update_quantiles(self) -> None:
--- a/src/ibisjunction/entry/dispatching/health_table.py
+++ b/src/ibisjunction/entry/dispatching/health_table.py
@@ -68,6 +68,17 @@
         health = self._health.get(upstream.process_key)
         return None if health is None else health.limit_per_s
 
+    def knows_limit(self, upstream: Upstream, now: int) -> bool:
+        """Return whether grants keep the limit of an upstream, if it has one.
+
+        A dispatcher that has just heard that there is none knows better than a
+        VM that was last answered while there was one.
+        """
+        health = self._health.get(upstream.process_key)
+        return health is not None and (
+            health.limit_per_s is not None or health.pacer.knows_limit(now)
+        )
+
     def _find_cold_limit(self, service: Service | None) -> ColdLimit | None:
         if service is None or service.cold_per_s <= 0:
             return None
--- a/src/ibisjunction/entry/dispatching/limits.py
+++ b/src/ibisjunction/entry/dispatching/limits.py
@@ -11,6 +11,12 @@
 _USED_FRACTION: Final = 0.95
 #: Time whose requests may be sent at once after a pause.
 _BURST_S: Final = 0.5
+#: Longest time for which a dispatcher that is not the first one earns requests
+#: between two decisions. What each VM saves while nobody asks it would add up
+#: to more than a low limit allows.
+_MAX_STAND_IN_GAP_MS: Final = 100
+#: Time for which an answer without a limit shows that there is none.
+_UNLIMITED_MS: Final = 1000
 #: Requests a second to an upstream that names less. One that takes none is
 #: asked now and then, as only its answers tell when it takes more.
 _MIN_RATE_PER_S: Final = 0.5
@@ -53,12 +59,15 @@
     """Spaces the requests that one dispatcher grants to one upstream.
 
     ``limit_per_s`` is what the upstream named in the answer that arrived at
-    ``named_ms``; without a limit, nothing is spaced.
+    ``named_ms``; without a limit, nothing is spaced. Requests have been counted
+    from ``_since_ms`` on.
     """
 
     limit_per_s: float | None = None
     named_ms: int = 0
     share: float = 1
+    _since_ms: int = 0
+    _unlimited_until_ms: int = 0
     _tokens: float = 0
     _updated_ms: int = 0
 
@@ -82,16 +91,27 @@
             self._refill(now)
             if self.limit_per_s is None:
                 self._tokens = 0
+                self._since_ms = now
             self.limit_per_s = limit_per_s
             self.named_ms = now
         elif granted_ms > self.named_ms:
             self.limit_per_s = None
+            self._unlimited_until_ms = now + _UNLIMITED_MS
+
+    def knows_limit(self, now: int) -> bool:
+        """Return whether it is known what the upstream takes, if limited."""
+        return self.limit_per_s is not None or now < self._unlimited_until_ms
 
     def use_share(self, share: float, now: int) -> None:
-        """Set the part of the limit that this dispatcher may use."""
+        """Set the part of the limit that this dispatcher may use.
+
+        With another share it starts with nothing saved: the dispatcher before
+        it may just have sent all that the limit allows at once.
+        """
         if share != self.share:
             self._refill(now)
             self.share = share
+            self._tokens = min(self._tokens, 0)
 
     def may_send(self, now: int) -> bool:
         """Return whether the limit allows one more request now."""
@@ -106,15 +126,21 @@
             self._refill(now)
             self._tokens -= 1
 
-    def give_back(self) -> None:
-        """Count a granted request that was not sent."""
-        if self.limit_per_s is not None:
+    def give_back(self, granted_ms: int) -> None:
+        """Restore a granted request that was not sent, if it was counted.
+
+        :param granted_ms: when the request was granted.
+        """
+        if self.limit_per_s is not None and granted_ms >= self._since_ms:
             self._tokens += 1
 
     def _refill(self, now: int) -> None:
         rate_per_ms = self.rate_per_ms
         if rate_per_ms is not None:
             burst = max(1, rate_per_ms * _BURST_S * MS_PER_S)
-            refill = (now - self._updated_ms) * rate_per_ms
+            elapsed_ms = now - self._updated_ms
+            if self.share < 1:
+                elapsed_ms = min(elapsed_ms, _MAX_STAND_IN_GAP_MS)
+            refill = elapsed_ms * rate_per_ms
             self._tokens = min(burst, self._tokens + refill)
         self._updated_ms = now
--- a/src/ibisjunction/entry/tickets/granted.py
+++ b/src/ibisjunction/entry/tickets/granted.py
@@ -77,11 +77,11 @@
 
     def expire(self, now: int) -> Iterator[Decided]:
         """End the tickets that were not returned; yield the decisions."""
-        unused = HealthReport(HealthResult.UNUSED)
+        unknown = HealthReport(HealthResult.UNKNOWN)
         while self._by_expiry and self._by_expiry[0][0] <= now:
             _, ticket_id = heapq.heappop(self._by_expiry)
             if ticket_id in self._tickets:
-                yield from self.end(ticket_id, unused, now)
+                yield from self.end(ticket_id, unknown, now)
 
     def _record_all(self, decided: list[Decided], now: int) -> list[Decided]:
         for request, decision in decided:
--- a/src/ibisjunction/entry/tickets/messages.py
+++ b/src/ibisjunction/entry/tickets/messages.py
@@ -35,7 +35,7 @@
     """The request may be sent to this process of an upstream.
 
     ``born`` is when the process started. ``is_paced`` is set if the dispatcher
-    knows a limit of the upstream and keeps it.
+    knows a limit of the upstream and keeps it, or that there is none.
     """
 
     number: int
--- a/src/ibisjunction/entry/tickets/ticket_messages.py
+++ b/src/ibisjunction/entry/tickets/ticket_messages.py
@@ -46,7 +46,7 @@
 
 
 def encode_decision(
-    number: int, decision: Grant | Refuse, dispatcher: Dispatcher
+    number: int, decision: Grant | Refuse, dispatcher: Dispatcher, now: int
 ) -> TicketGranted | TicketRefused:
     """Return the message that tells another VM a decision."""
     match decision:
@@ -55,7 +55,7 @@
                 number,
                 upstream.upstream,
                 upstream.born,
-                is_paced=dispatcher.health.find_limit(upstream) is not None,
+                is_paced=dispatcher.health.knows_limit(upstream, now),
             )
         case Refuse(reason=reason, retry_after_ms=retry_ms):
             return TicketRefused(number, reason.name, retry_ms)
--- a/src/ibisjunction/entry/tickets/tickets.py
+++ b/src/ibisjunction/entry/tickets/tickets.py
@@ -178,7 +178,7 @@
                 self._own.deliver(self._vm, request.number, decision, now)
             else:
                 message = encode_decision(
-                    request.number, decision, self._dispatcher
+                    request.number, decision, self._dispatcher, now
                 )
                 self._peers.send(request.vm, message)
 
--- a/tests/test_dispatch_costs.py
+++ b/tests/test_dispatch_costs.py
@@ -65,9 +65,8 @@
             key = rng.choice((1, 1, 1, 2, 3, 4))
             return ('submit', rng.randrange(3), times, key, rng.randrange(2))
         case 'finish':
-            result = rng.choices(list(HealthResult), (12, 1, 1, 1, 1, 1), k=1)[
-                0
-            ]
+            weights = (12, 1, 1, 1, 1, 1, 1)
+            result = rng.choices(list(HealthResult), weights)[0]
             return ('finish', rng.randrange(99), result, rng.choice(_LATENCIES))
         case 'cancel':
             return ('cancel', rng.randrange(1, 300))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,12 +14,17 @@
 from ibisjunction.control.effects import Tick
 from ibisjunction.coordination.speeds import SpeedTracker, UpstreamSpeed
 from ibisjunction.entry.dispatching.dispatch import Dispatcher, Grant, Refuse
-from ibisjunction.entry.dispatching.health import HealthReport, HealthResult
+from ibisjunction.entry.dispatching.health import (
+    HealthReport,
+    HealthResult,
+    UpstreamHealth,
+)
 from ibisjunction.entry.dispatching.limits import (
     RequestPacer,
     find_share,
     parse_limit,
 )
+from ibisjunction.entry.tickets.granted import GrantedTickets
 from ibisjunction.entry.tickets.messages import (
     DispatchersChanged,
     LocalTicketDone,
@@ -108,6 +113,38 @@
         pacer.record(None, granted_ms, 200)
         self.assertEqual(pacer.limit_per_s, expected)
 
+    @parameterized.expand(
+        [
+            ('returned unsent', HealthResult.UNUSED, 300, True),
+            (
+                'granted before the limit was known',
+                HealthResult.UNUSED,
+                50,
+                False,
+            ),
+        ]
+    )
+    def test_given_back(self, _name, result, granted_ms, expected):
+        """Guards against requests that count as unsent without proof."""
+        health = UpstreamHealth(slots=4)
+        health.pacer.record(1, 0, 100)
+        health.record(HealthReport(result), 300, granted_ms)
+        self.assertEqual(health.pacer.may_send(300), expected)
+
+    def test_ticket_that_is_not_returned(self):
+        """Guards against a request that counts as unsent without proof."""
+        dispatcher = Dispatcher(random.Random(1))
+        dispatcher.update_view(make_view(), 0)
+        tickets = GrantedTickets(dispatcher)
+        request = make_request(1, key=1, target_ms=500, give_up_ms=1000)
+        granted = tickets.decide(request, 0)
+        self.assertIsInstance(granted, Grant)
+        pacer = dispatcher.health.get(granted.upstream).pacer
+        pacer.record(1, 0, 0)
+        pacer.take(0)
+        list(tickets.expire(1500))
+        self.assertFalse(pacer.may_send(1500))
+
     @parameterized.expand([(1,), (2,), (9,), (83,), (1000,)])
     def test_shares_of_all_dispatchers(self, vm_count):
         """Guards against several dispatchers that each use the whole limit."""
@@ -180,6 +217,13 @@
             counts[probe.choose('u1', self.clock.now())] += 1
         return counts.most_common(1)[0][0]
 
+    def replace_vms(self, vms):
+        """Tell all VMs that can be reached the list of VMs."""
+        changed = DispatchersChanged(tuple(vms))
+        for vm in self.vms:
+            if vm not in self.silent:
+                self.tasks[vm].handle(changed)
+
     def run(self, duration_ms):
         """Let each VM want a request in each step."""
         for _ in range(duration_ms // TICK_MS):
@@ -302,6 +346,34 @@
         fleet.run(6000)
         self.assertLessEqual(fleet.count_most(CONTACT_MS), 6 * 5.2 + 5)
 
+    @parameterized.expand(
+        [
+            ('ten VMs', 10, 1),
+            ('sixteen VMs', 16, 1),
+            ('higher limit', 20, 4.4),
+        ]
+    )
+    def test_dispatchers_stop_in_turn(self, _name, vm_count, limit):
+        """Guards against requests that each new dispatcher has saved.
+
+        Each VM that was asked while the dispatcher changed could send one
+        request at once, whatever the others had sent.
+        """
+        fleet = Fleet(vm_count, limit)
+        fleet.run(12_000)
+        for _ in range(4):
+            stopped = fleet.find_dispatcher()
+            fleet.silent.add(stopped)
+            fleet.run(300)
+            fleet.replace_vms(vm for vm in fleet.vms if vm != stopped)
+            fleet.run(2000)
+            fleet.silent.remove(stopped)
+            fleet.start(stopped)
+            fleet.replace_vms(fleet.vms)
+            fleet.run(500)
+        fleet.run(4000)
+        self.assertLessEqual(fleet.count_most(CONTACT_MS), 6 * limit + 5)
+
     def test_limit_ends(self):
         """Guards against a limit that outlasts the need of its upstream."""
         fleet = Fleet(3, 2)
