Count requests that are cancelled at an upstream towards its limit

Cause: an outcome that is assumed before it is known. An attempt reported that nothing was sent until its answer was read. If the request timed out at the upstream, or its caller left, its ticket was given back and let another request go. The slower a limited upstream, the more it got.

From its grant on, an attempt now reports that it may have been sent, so that a cancelled one stays counted. As before, such a report is no sign of contention or of failure.

Evidence: two rows of test_limited_upstream, with the body sent in part and in whole, failed before.

--- a/src/ibisjunction/entry/dispatching/contention.py
+++ b/src/ibisjunction/entry/dispatching/contention.py
@@ -21,7 +21,12 @@
 _MAX_LATENCY_FRACTION: Final = 0.5
 #: Results that are no sign of contention or failure.
 _HARMLESS: Final = frozenset(
-    (HealthResult.ANSWERED, HealthResult.ERROR, HealthResult.UNUSED)
+    (
+        HealthResult.ANSWERED,
+        HealthResult.ERROR,
+        HealthResult.UNUSED,
+        HealthResult.UNKNOWN,
+    )
 )
 
 
--- a/src/ibisjunction/entry/dispatching/health.py
+++ b/src/ibisjunction/entry/dispatching/health.py
@@ -52,7 +52,7 @@
     BROKEN = 'broken'
     #: Nothing was sent, for a reason that does not concern the upstream.
     UNUSED = 'unused'
-    #: Its ticket was not returned, so that it may have been sent.
+    #: It may have been sent: it was cancelled, or its ticket not returned.
     UNKNOWN = 'unknown'
 
 
--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -245,6 +245,8 @@
         """Send the request if the dispatcher granted it."""
         if isinstance(decision, Refuse):
             return decision
+        # The report if the attempt is cancelled before its end.
+        self._report = HealthReport(HealthResult.UNKNOWN)
         started_ms = self._components.clock.now()
         self._trail.add(
             Event.REQUEST_GRANTED,
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -182,9 +182,8 @@
         network = SimpleNamespace(
             send=lambda vm, message: None, subscribe=lambda *_: None
         )
-        self.tickets = TicketTask(
-            'e1', self.clock, network, Dispatcher(random.Random(1))
-        )
+        self.dispatcher = Dispatcher(random.Random(1))
+        self.tickets = TicketTask('e1', self.clock, network, self.dispatcher)
         lease = SimpleNamespace(is_held=lambda now: True)
         self.components = EntryComponents(
             'e1',
@@ -222,6 +221,16 @@
             ask = TicketAsk(number, 'reads', None, 0, 'a', 60_000, 60_000)
             self.tickets.handle(Received('e2', ask))
 
+    def pace_upstream(self, limit_per_s):
+        """Let the only upstream have named a limit long ago.
+
+        :return: what spaces its requests.
+        """
+        upstream = self.processor.view.list_all_upstreams()[0]
+        pacer = self.dispatcher.health.get(upstream).pacer
+        pacer.record(limit_per_s, 0, -10_000)
+        return pacer
+
     async def send(self):
         """Send a request of a caller; return its outcome."""
         self._count += 1
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -202,6 +202,29 @@
                 found = await self.send(vm, _SHORT_MS, body=b'longbody')
         self.assertEqual(found, expected, self.outcome)
 
+    @parameterized.expand(
+        [
+            ('body not started', 'start', True),
+            ('body partly sent', 'second piece', False),
+            ('whole body sent', 'end', False),
+        ]
+    )
+    async def test_limited_upstream(self, _name, stage, may_send_next):
+        """Guards against requests in excess of a limit after a timeout.
+
+        What was sent counts, although no answer came.
+        """
+        upstream = ScriptedUpstream(_never_answer)
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False)
+            vm.components.link = _StuckLink(stage)
+            pacer = vm.pace_upstream(1)
+            async with vm.run():
+                await self.send(vm, _SHORT_MS, body=b'longbody')
+                while not vm.tickets.mailbox.is_empty:
+                    await asyncio.sleep(0)
+        self.assertEqual(pacer.may_send(vm.clock.now()), may_send_next)
+
     async def test_nobody_listens(self):
         vm = EntryVm([Address('127.0.0.1', 9)], is_sharded=False)
         async with vm.run():
