Keep the time of a departure over an election

An upstream that leaves had its confirmation after 4.4 s, where 4 s are allowed, if an election followed its departure by 1.3 s and an entry VM reported late: the wait of 3.05 s for leases (5 s, clock error, less the drain period) started again with each term.

Cause: what a leader knows of the past was thrown away with its term, and a follower kept none of it. A new leader took its election as the time of all earlier changes.

A follower now records when it applied departures and changes of items, and a leader uses these times. This is safe, as they are no earlier than the commit: the leader that committed a change renews no lease without it from then on, and leaders of earlier terms can't act any more, as a majority has elected a later one. So each lease of a VM that lacks the change ends within a lease of that time; reports are not used for it. If entries are applied together, a process may have taken requests and left again among them, so that a change of upstreams moves the times of all earlier departures; and a record that is missing falls back to the election.

Evidence: test_wait, "a follower leads", takes 3600 ms in place of 3140 ms without the record. test_time fails without the moved times, test_old_change_is_forgotten if they keep a record alive, and test_follower_records_changes without the call in FleetTask.

--- a/src/ibisjunction/coordination/confirmations.py
+++ b/src/ibisjunction/coordination/confirmations.py
@@ -5,9 +5,6 @@
 bound allows.
 """
 
-from collections.abc import Iterator
-from typing import Final
-
 from ibisjunction.coordination.calls import (
     Call,
     ChangeItems,
@@ -17,15 +14,12 @@
     StartEvacuation,
 )
 from ibisjunction.coordination.evacuations import Evacuations
+from ibisjunction.coordination.recent_changes import ITEMS, RecentChanges
 from ibisjunction.coordination.spread import CommittedChange, is_confirmable
 from ibisjunction.coordination.timing import FleetTiming
-from ibisjunction.fleet.model import FleetState, ProcessKey, Upstream
+from ibisjunction.fleet.model import FleetState, ProcessKey
 from ibisjunction.membership.leases import LeaseTable
 
-#: In place of the start of a process, as departures name the current one.
-_ANY_PROCESS: Final = 0
-_ITEMS: Final = ('', _ANY_PROCESS)
-
 
 class Confirmations:
     """The changes of one term that entry VMs may not have applied yet."""
@@ -36,20 +30,19 @@
         leases: LeaseTable,
         evacuations: Evacuations,
         inherited: CommittedChange,
+        recent: RecentChanges,
     ) -> None:
         """Start a term.
 
         :param inherited: the latest change of earlier terms, which may not
             have been confirmed; its time is that of the election.
+        :param recent: the changes that this replica has applied of late.
         """
         self._timing = timing
         self._leases = leases
         self._evacuations = evacuations
         self._inherited = inherited
-        # By which processes took no more requests, and the latest one of items,
-        # the oldest first. Once all leases from before a change have ended,
-        # nothing waits for it.
-        self._recent: dict[ProcessKey, CommittedChange] = {}
+        self._recent = recent
         #: Index of the latest change that answers wait for.
         self.latest_index = inherited.index
 
@@ -57,16 +50,10 @@
         self, earlier: FleetState, state: FleetState, index: int, now: int
     ) -> None:
         """Record when departures and changes of items were committed."""
-        change = CommittedChange(index, now)
         if state.evacuated != earlier.evacuated:
             self.latest_index = index
-        if state.catalogue is not earlier.catalogue:
-            self._record(_ITEMS, change)
-        if state.upstreams is not earlier.upstreams:
-            for process_key in _list_marked(earlier, state):
-                self._record(process_key, change)
-            for process_key in _list_removed(earlier, state):
-                self._record(process_key, change)
+        if self._recent.record_state_change(earlier, state, index, now):
+            self.latest_index = index
         self._evacuations.record_state_change(earlier, state, index, now)
 
     def record_item_change(self, change: CommittedChange) -> None:
@@ -76,21 +63,6 @@
         """
         self.latest_index = change.index
 
-    def _record(self, process_key: ProcessKey, change: CommittedChange) -> None:
-        name, _ = process_key
-        for key in (process_key, (name, _ANY_PROCESS)):
-            self._recent.pop(key, None)
-            self._recent[key] = change
-        self.latest_index = change.index
-        while self._is_oldest_obsolete(change.committed_ms):
-            self._recent.pop(next(iter(self._recent)))
-
-    def _is_oldest_obsolete(self, now: int) -> bool:
-        """Return whether all leases from before a change have ended."""
-        oldest = next(iter(self._recent.values()))
-        max_wait_ms = self._timing.lease_ms * (1 + self._timing.clock_error)
-        return now >= oldest.committed_ms + max_wait_ms
-
     def find_required_change(
         self, call: Call, own_change: CommittedChange | None
     ) -> CommittedChange | None:
@@ -105,16 +77,19 @@
         """
         match call:
             case CheckIn(upstream=name, born=born, is_draining=True):
-                return self._recent.get((name, born), self._inherited)
+                return self._find_recent((name, born))
             case Depart(upstream=name, born=born):
-                return self._recent.get((name, born), self._inherited)
+                return self._find_recent((name, born))
             case ChangeItems():
-                return own_change or self._recent.get(_ITEMS, self._inherited)
+                return own_change or self._find_recent(ITEMS)
             case StartEvacuation() | EndEvacuation() as order:
                 return self._evacuations.find_required_change(order)
             case _:
                 return None
 
+    def _find_recent(self, key: ProcessKey) -> CommittedChange:
+        return self._recent.find(key) or self._inherited
+
     def is_confirmable(
         self, call: Call, own_change: CommittedChange | None, now: int
     ) -> bool:
@@ -136,35 +111,3 @@
                 return self._evacuations.force_ms
             case _:
                 return self._timing.drain_ms
-
-
-def _list_marked(
-    earlier: FleetState, state: FleetState
-) -> Iterator[ProcessKey]:
-    """Yield the processes that are marked now, or are admitted as leaving."""
-    for name, upstream in state.upstreams.items():
-        before = earlier.upstreams.get(name)
-        if upstream is before:
-            continue
-        if upstream.is_draining and not _was_draining(before, upstream):
-            yield upstream.process_key
-
-
-def _list_removed(
-    earlier: FleetState, state: FleetState
-) -> Iterator[ProcessKey]:
-    """Yield the processes that took requests and are removed or replaced."""
-    for name, before in earlier.upstreams.items():
-        found = state.upstreams.get(name)
-        is_same = found is not None and found.born == before.born
-        if not is_same and not before.is_draining:
-            yield before.process_key
-
-
-def _was_draining(before: Upstream | None, upstream: Upstream) -> bool:
-    """Return whether the same process was leaving already."""
-    return (
-        before is not None
-        and before.is_draining
-        and before.process_key == upstream.process_key
-    )
--- a/src/ibisjunction/coordination/coordinator.py
+++ b/src/ibisjunction/coordination/coordinator.py
@@ -50,6 +50,7 @@
 from ibisjunction.coordination.liveness import Liveness
 from ibisjunction.coordination.loads import KeyLoad, LoadTracker
 from ibisjunction.coordination.planned import PlannedCommand
+from ibisjunction.coordination.recent_changes import RecentChanges
 from ibisjunction.coordination.speeds import UpstreamSpeed
 from ibisjunction.coordination.spread import (
     CommittedChange,
@@ -94,11 +95,14 @@
         index: int,
         now: int,
         failure_domains: frozenset[str] = _NO_DOMAINS,
+        recent: RecentChanges | None = None,
     ) -> None:
         """Start a term; ``prefix`` makes the identifiers of proposals unique.
 
         Changes that were committed up to ``index`` may not have been confirmed
         yet, and entry VMs may not have applied them.
+
+        :param recent: those of them that this replica has applied of late.
         """
         self.state = state
         self.leases = LeaseTable(
@@ -116,7 +120,11 @@
             timing, failure_domains, inherited, state
         )
         self._confirmations = Confirmations(
-            timing, self.leases, self._evacuations, inherited
+            timing,
+            self.leases,
+            self._evacuations,
+            inherited,
+            recent or RecentChanges(timing),
         )
         self._proposals = Proposals(prefix)
         self._calls = CallsInProgress()
--- a/src/ibisjunction/coordination/task.py
+++ b/src/ibisjunction/coordination/task.py
@@ -41,6 +41,7 @@
     decode_call,
 )
 from ibisjunction.coordination.metrics import LogMetrics
+from ibisjunction.coordination.recent_changes import RecentChanges
 from ibisjunction.coordination.spread import SlowVm
 from ibisjunction.coordination.timing import FleetTiming
 from ibisjunction.events import Event, log_event
@@ -118,6 +119,8 @@
             rng,
             now,
         )
+        self._state = self.log.replica.state
+        self._recent = RecentChanges(options.timing)
         self._metrics = LogMetrics(self.log)
         self._leader_state: _LeaderState | None = None
         self._forwarding = CallForwarder(options.prefix, peers)
@@ -352,6 +355,10 @@
     def _handle_applied(self, applied: list[AppliedEntries], now: int) -> None:
         """Process committed entries and a change of leadership."""
         leader_state = self._leader_state
+        replica = self.log.replica
+        if leader_state is None or not self.log.is_acting(now):
+            self._recent.follow(self._state, replica.state, replica.index, now)
+        self._state = replica.state
         if any(batch.changes_voters for batch in applied):
             self._membership.record_change(now)
         if leader_state is not None:
@@ -385,6 +392,7 @@
             self.log.replica.index,
             now,
             self._options.failure_domains,
+            self._recent,
         )
         subscribers = Subscribers(
             self._peers, coordinator.leases, encode_fleet, MAX_UPDATES_PER_S
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,10 +7,13 @@
 
 from ibisjunction.coordination.admissions import Admissions
 from ibisjunction.coordination.calls import CheckedIn, Confirmed, Depart
+from ibisjunction.coordination.coordinator import Coordinator
 from ibisjunction.coordination.departures import MAX_DEPARTED, Departures
 from ibisjunction.coordination.effects import Reply
 from ibisjunction.coordination.planned import PlannedCommand
-from ibisjunction.fleet.commands import ForgetUpstream
+from ibisjunction.coordination.recent_changes import RecentChanges
+from ibisjunction.coordination.spread import CommittedChange
+from ibisjunction.fleet.commands import AdmitUpstream, ForgetUpstream
 from ibisjunction.fleet.model import FleetState, Upstream
 from ibisjunction.fleet.rules import apply_fleet_command
 from ibisjunction.membership.messages import Heartbeat
@@ -42,6 +45,14 @@
         self.incarnations = {f'e{number}': 1 for number in range(VM_COUNT)}
         self.silent = set()
         self.changes = {}
+        self.recent = RecentChanges(TIMING)
+        self.followed = self.coordinator.state
+
+    def follow(self):
+        """Let a follower apply what is committed."""
+        state = self.coordinator.state
+        self.recent.follow(self.followed, state, self.index, self.now)
+        self.followed = state
 
     def step(self):
         """Let the VMs whose heartbeat is due send it, and a tick pass."""
@@ -52,6 +63,7 @@
             ) == 0
             if is_due and vm not in self.silent:
                 self.report(vm, self.index)
+        self.follow()
         self.run(self.coordinator.handle_tick(self.now))
 
     def report(self, vm, applied):
@@ -125,6 +137,20 @@
     fleet.elect()
 
 
+def elect_follower(fleet):
+    """Let a follower lead that has applied what is committed."""
+    fleet.run(fleet.coordinator.step_down())
+    fleet.coordinator = Coordinator(
+        'vm2',
+        'q',
+        TIMING,
+        fleet.coordinator.state,
+        fleet.index,
+        fleet.now,
+        recent=fleet.recent,
+    )
+
+
 def forget(fleet):
     """Let the state know nothing of the upstream."""
     fleet.coordinator.state = replace(fleet.coordinator.state, upstreams={})
@@ -143,6 +169,11 @@
             ('a VM restarts slowly', {LATE_MS: restart}, LEASE_MS),
             ('its record changes', {0: kill, LATE_MS: move}, LEASE_MS),
             ('the leader changes', {LATE_MS: elect}, LATE_MS + LEASE_MS),
+            (
+                'a follower leads',
+                {0: kill, LATE_MS: elect_follower},
+                LEASE_MS + STEP_MS,
+            ),
             ('the state lacks it', {0: forget}, REPORT_MS),
         ]
     )
@@ -152,6 +183,58 @@
         self.assertLessEqual(waited_ms, bound_ms + STEP_MS)
 
 
+UPSTREAM = Upstream('u1', 10, 's', 'u1:1', 'z', 3)
+TAKING = AdmitUpstream(UPSTREAM)
+MARKED = AdmitUpstream(replace(UPSTREAM, is_draining=True))
+FORGET_U1 = ForgetUpstream('u1', 10)
+
+
+class FollowedChangeTest(unittest.TestCase):
+    """Guards against a follower that knows too early a time of a departure.
+
+    As a leader it would confirm the departure while a VM may still send.
+    """
+
+    @parameterized.expand(
+        [
+            ('one entry', ((MARKED,),), 0),
+            ('taken back', ((MARKED,), (TAKING,), (MARKED,)), 2),
+            ('taken back at once', ((MARKED,), (TAKING, MARKED)), 1),
+            (
+                'gone and back at once',
+                ((MARKED,), (FORGET_U1,), (TAKING, FORGET_U1)),
+                2,
+            ),
+        ]
+    )
+    def test_time(self, _name, batches, expected):
+        recent = RecentChanges(TIMING)
+        state, _ = apply_fleet_command(FleetState(), TAKING)
+        for number, batch in enumerate(batches):
+            earlier = state
+            for command in batch:
+                state, _ = apply_fleet_command(state, command)
+            recent.follow(earlier, state, number, number)
+        self.assertEqual(
+            recent.find(('u1', 10)), CommittedChange(expected, expected)
+        )
+
+    def test_old_change_is_forgotten(self):
+        """Guards against records of a follower that grow with departures."""
+        recent = RecentChanges(TIMING)
+        for born in range(1, 11):
+            taking = replace(UPSTREAM, born=born)
+            left = replace(taking, is_draining=True)
+            recent.follow(
+                FleetState(upstreams={'u1': taking}),
+                FleetState(upstreams={'u1': left}),
+                born,
+                born * 1000,
+            )
+        self.assertIsNone(recent.find(('u1', 1)))
+        self.assertIsNotNone(recent.find(('u1', 10)))
+
+
 class SlowLog(Leader):
     """A leader whose proposals are committed when the test says so."""
 
--- a/tests/test_fleet_task.py
+++ b/tests/test_fleet_task.py
@@ -27,7 +27,9 @@
     RelayedAnswer,
     RelayedHeartbeat,
 )
+from ibisjunction.coordination.recent_changes import ITEMS as CHANGED_ITEMS
 from ibisjunction.coordination.task import FleetTask, ReplicaOptions
+from ibisjunction.fleet.commands import UpdateItems
 from ibisjunction.fleet.report import ReadState, decode_report
 from ibisjunction.mailbox import Mailbox
 from ibisjunction.membership.messages import Heartbeat
@@ -120,6 +122,16 @@
             lambda: [item.version for item in self.read_state().items] == [4]
         )
 
+    async def test_follower_records_changes(self):
+        """Guards against a new leader that waits for all leases again."""
+        log = self.task.log
+        with patch.object(log, 'is_acting', return_value=False):
+            await self.run_until(lambda: log.replica.index > 0)
+            log.propose('p1', UpdateItems(ITEMS), self.clock.now())
+            await self.run_until(lambda: self.read_state().items)
+        recent = self.task._recent  # noqa: SLF001
+        self.assertIsNotNone(recent.find(CHANGED_ITEMS))
+
     def read_state(self):
         """Return the report of the task."""
         reply = Mailbox()
