Let a dispatcher that first decides start with nothing saved

The fix of limits beside a change of dispatcher reset what a dispatcher had saved only if its share changed. A share is 1 until a VM is first asked, and each VM that passes on answers keeps a pacer, so the next first dispatcher had a full burst: with 20 VMs and a limit of 100 it had 47.5 requests.

An answer without a limit also counted as proof that there is none in a VM that had never decided, however old its request was, and VMs that remember a limit then accepted its grants.

A pacer knows since when it decides: it starts with nothing then, and only answers to requests granted later show that there is no limit.

The limit on earning between decisions is named for what it is.

--- a/src/ibisjunction/entry/dispatching/limits.py
+++ b/src/ibisjunction/entry/dispatching/limits.py
@@ -11,10 +11,10 @@
 _USED_FRACTION: Final = 0.95
 #: Time whose requests may be sent at once after a pause.
 _BURST_S: Final = 0.5
-#: Longest time for which a dispatcher that is not the first one earns requests
+#: Longest time for which a dispatcher with a part of the limit earns requests
 #: between two decisions. What each VM saves while nobody asks it would add up
 #: to more than a low limit allows.
-_MAX_STAND_IN_GAP_MS: Final = 100
+_MAX_EARNING_GAP_MS: Final = 100
 #: Time for which an answer without a limit shows that there is none.
 _UNLIMITED_MS: Final = 1000
 #: Requests a second to an upstream that names less. One that takes none is
@@ -60,13 +60,14 @@
 
     ``limit_per_s`` is what the upstream named in the answer that arrived at
     ``named_ms``; without a limit, nothing is spaced. Requests have been counted
-    from ``_since_ms`` on.
+    from ``_since_ms`` on, and decided on here from ``_decided_since_ms`` on.
     """
 
     limit_per_s: float | None = None
     named_ms: int = 0
     share: float = 1
     _since_ms: int = 0
+    _decided_since_ms: int | None = None
     _unlimited_until_ms: int = 0
     _tokens: float = 0
     _updated_ms: int = 0
@@ -96,7 +97,9 @@
             self.named_ms = now
         elif granted_ms > self.named_ms:
             self.limit_per_s = None
-            self._unlimited_until_ms = now + _UNLIMITED_MS
+            since_ms = self._decided_since_ms
+            if since_ms is not None and granted_ms >= since_ms:
+                self._unlimited_until_ms = now + _UNLIMITED_MS
 
     def knows_limit(self, now: int) -> bool:
         """Return whether it is known what the upstream takes, if limited."""
@@ -105,9 +108,14 @@
     def use_share(self, share: float, now: int) -> None:
         """Set the part of the limit that this dispatcher may use.
 
-        With another share it starts with nothing saved: the dispatcher before
-        it may just have sent all that the limit allows at once.
+        With another share, and when it first decides, it starts with nothing
+        saved: the dispatcher before it may just have sent all that the limit
+        allows at once.
         """
+        if self._decided_since_ms is None:
+            self._decided_since_ms = now
+            self._tokens = min(self._tokens, 0)
+            self._updated_ms = now
         if share != self.share:
             self._refill(now)
             self.share = share
@@ -140,7 +148,7 @@
             burst = max(1, rate_per_ms * _BURST_S * MS_PER_S)
             elapsed_ms = now - self._updated_ms
             if self.share < 1:
-                elapsed_ms = min(elapsed_ms, _MAX_STAND_IN_GAP_MS)
+                elapsed_ms = min(elapsed_ms, _MAX_EARNING_GAP_MS)
             refill = elapsed_ms * rate_per_ms
             self._tokens = min(burst, self._tokens + refill)
         self._updated_ms = now
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -113,6 +113,28 @@
         pacer.record(None, granted_ms, 200)
         self.assertEqual(pacer.limit_per_s, expected)
 
+    @parameterized.expand([('first', 1), ('second', 0.1)])
+    def test_dispatcher_that_was_never_asked(self, _name, share):
+        """Guards against requests that a VM saves before it first decides.
+
+        The dispatcher before it may just have sent all that the limit allows.
+        """
+        pacer = RequestPacer()
+        pacer.record(4, 0, 0)
+        pacer.record(4, 9000, 10_000)
+        pacer.use_share(share, 10_000)
+        self.assertFalse(pacer.may_send(10_000))
+
+    @parameterized.expand(
+        [('before it decided', 4000, False), ('later', 6000, True)]
+    )
+    def test_answer_without_a_limit(self, _name, granted_ms, expected):
+        """Guards against an old answer as proof that there is no limit."""
+        pacer = RequestPacer()
+        pacer.use_share(1, 5000)
+        pacer.record(None, granted_ms, 6500)
+        self.assertEqual(pacer.knows_limit(6600), expected)
+
     @parameterized.expand(
         [
             ('returned unsent', HealthResult.UNUSED, 300, True),
