Keep the platform's words of the soak in the platform's folder

The settings, calls and headers that the soak's stand-ins send stood in bench/request_soak. They move to platform/stand_in.py, which depends on no module of the bench: rate, check-in interval and grace period are fields of its settings now.

--- a/src/ibisjunction/bench/request_soak/callers.py
+++ b/src/ibisjunction/bench/request_soak/callers.py
@@ -8,11 +8,6 @@
 from typing import Final
 
 from ibisjunction.bench.caller import Call, CallerConnection, Reply, connect
-from ibisjunction.bench.request_soak.platform_texts import (
-    DEADLINE_HEADER,
-    RECEIPT_HEADER,
-    REQUEST_ID_HEADER,
-)
 from ibisjunction.bench.request_soak.records import (
     Answered,
     Closed,
@@ -23,6 +18,11 @@
 from ibisjunction.bench.request_soak.targets import Target
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import Clock, in_seconds
+from ibisjunction.platform.stand_in import (
+    DEADLINE_HEADER,
+    RECEIPT_HEADER,
+    REQUEST_ID_HEADER,
+)
 from ibisjunction.settings import Address
 
 _DEADLINE_MS: Final = 12_000
--- a/src/ibisjunction/bench/request_soak/machines.py
+++ b/src/ibisjunction/bench/request_soak/machines.py
@@ -17,7 +17,12 @@
 from ibisjunction.bench.client import call, call_admin, make_client
 from ibisjunction.bench.deployment import Deployment
 from ibisjunction.bench.request_soak.plan import Targets
-from ibisjunction.bench.request_soak.platform_texts import (
+from ibisjunction.bench.request_soak.terms import (
+    CHECK_IN_MS,
+    GRACE_MS,
+    LINK_MBPS,
+)
+from ibisjunction.platform.stand_in import (
     CALLER_PORT,
     CONTROL_PORT,
     DESCRIBE_PATH,
@@ -119,6 +124,9 @@
             seeds=tuple(map(self._find_host, self.targets.controls)),
             is_first_start=is_first_start,
             tolerated_losses=(len(self.targets.controls) - 1) // 2,
+            link_mbps=LINK_MBPS,
+            check_in_ms=CHECK_IN_MS,
+            grace_ms=GRACE_MS,
         )
         self._find_settings(name).write_text(
             format_settings(settings, self.folder)
--- a/src/ibisjunction/bench/request_soak/operations.py
+++ b/src/ibisjunction/bench/request_soak/operations.py
@@ -22,10 +22,6 @@
 )
 from ibisjunction.bench.request_soak.machines import Machines
 from ibisjunction.bench.request_soak.plan import TimedAction
-from ibisjunction.bench.request_soak.platform_texts import (
-    UPDATE_PATH,
-    make_update,
-)
 from ibisjunction.bench.request_soak.proxy import LinkProxy
 from ibisjunction.bench.request_soak.records import (
     Disturbance,
@@ -38,6 +34,10 @@
 )
 from ibisjunction.clock import Clock, in_seconds
 from ibisjunction.mailbox import run_task
+from ibisjunction.platform.stand_in import (
+    UPDATE_PATH,
+    make_update,
+)
 
 _POLL_S: Final = 0.1
 _MAX_CONFIRM_S: Final = 120
--- a/src/ibisjunction/bench/request_soak/upstreams.py
+++ b/src/ibisjunction/bench/request_soak/upstreams.py
@@ -15,7 +15,12 @@
 from tornado.web import Application, RequestHandler
 
 from ibisjunction.bench.answers import make_answer
-from ibisjunction.bench.request_soak.platform_texts import (
+from ibisjunction.bench.request_soak.proxy import LinkProxy
+from ibisjunction.bench.request_soak.records import Run
+from ibisjunction.bench.request_soak.targets import parse_target
+from ibisjunction.bench.request_soak.terms import CHECK_IN_MS
+from ibisjunction.clock import MS_PER_S, Clock, in_seconds
+from ibisjunction.platform.stand_in import (
     HEALTH_PATH,
     NOT_RUN_HEADER,
     RECEIPT_HEADER,
@@ -24,11 +29,6 @@
     format_departure_path,
     make_check_in,
 )
-from ibisjunction.bench.request_soak.proxy import LinkProxy
-from ibisjunction.bench.request_soak.records import Run
-from ibisjunction.bench.request_soak.targets import parse_target
-from ibisjunction.bench.request_soak.terms import CHECK_IN_MS
-from ibisjunction.clock import MS_PER_S, Clock, in_seconds
 from ibisjunction.settings import Address
 
 #: Sends a call to a control process; returns whether it was confirmed.
--- a/src/ibisjunction/bench/request_soak/platform_texts.py
+++ b/src/ibisjunction/platform/stand_in.py
@@ -1,6 +1,6 @@
-"""Settings, calls and headers in the words of the platform.
+"""Settings, calls and headers as stand-ins of the platform send them.
 
-No other module of the soak uses them.
+The soak with requests takes the platform's words from here.
 """
 
 import json
@@ -8,11 +8,6 @@
 from pathlib import Path
 from typing import Any, Final
 
-from ibisjunction.bench.request_soak.terms import (
-    CHECK_IN_MS,
-    GRACE_MS,
-    LINK_MBPS,
-)
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import MS_PER_S
 from ibisjunction.platform.bodies import HEADERS
@@ -39,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessSettings:
-    """What differs between the processes of a soak."""
+    """What a stand-in of the platform tells a process at its start."""
 
     name: str
     is_control: bool
@@ -47,6 +42,9 @@
     seeds: tuple[str, ...]
     is_first_start: bool
     tolerated_losses: int
+    link_mbps: int
+    check_in_ms: int
+    grace_ms: int
 
 
 def format_settings(settings: ProcessSettings, folder: Path) -> str:
@@ -68,15 +66,15 @@
             'Bootstrap': settings.is_first_start,
             'DataDir': data_folder,
         },
-        'Self.Limits': {'LinkMbps': LINK_MBPS, 'MemoryMb': 300},
+        'Self.Limits': {'LinkMbps': settings.link_mbps, 'MemoryMb': 300},
         'Network': {
             'InternalPortRange': _INTERNAL_PORTS,
             'SeedNodes': [f'{seed}:{CONTROL_PORT}' for seed in settings.seeds],
         },
         'Network.BindAddresses': bind,
-        'Platform': {'HeartbeatIntervalS': CHECK_IN_MS / MS_PER_S},
+        'Platform': {'HeartbeatIntervalS': settings.check_in_ms / MS_PER_S},
         'Terms.FaultTolerance': {'Machines': settings.tolerated_losses},
-        'Terms.Bounds': {'GracePeriodS': GRACE_MS / MS_PER_S},
+        'Terms.Bounds': {'GracePeriodS': settings.grace_ms / MS_PER_S},
     }
     # Values of JSON without null and objects are values of TOML.
     return '\n'.join(
