Report requests that this VM holds back as unused

An entry VM checks once more just before it writes a request: its lease, the upstream's state, the time left, and in a shutdown whether the answer can be in time. A request that it held back was reported to the dispatcher of the upstream as broken, like a connection that fails. A VM that stopped so made sound upstreams count as failing, and their dispatcher paused them for all VMs.

NotSent and Unsent say whether this VM decided so; the report is UNUSED then, which also gives back the place in a limit.

test_request_that_is_held_back_after_its_grant and a row of test_classify fail without it.

--- a/src/ibisjunction/entry/serving/attempt_loop.py
+++ b/src/ibisjunction/entry/serving/attempt_loop.py
@@ -381,15 +381,15 @@
         )
         if isinstance(connection, NotSent):
             return connection
-        not_sent = self._check_send(upstream)
-        if not_sent is not None:
+        hold_reason = self._find_hold_reason(upstream)
+        if hold_reason is not None:
             # It may have been idle for long; releasing it would count from now.
             connection.close()
-            return not_sent
+            return NotSent(hold_reason, is_held_back=True)
         return await self._perform(connection, upstream, address)
 
-    def _check_send(self, upstream: Upstream) -> NotSent | None:
-        """Return ``NotSent`` if the request must no longer be sent.
+    def _find_hold_reason(self, upstream: Upstream) -> str | None:
+        """Return why the request must no longer be sent, if it must not.
 
         The task is not suspended between this check and the write of the
         request, so the check still applies then.
@@ -397,24 +397,24 @@
         view = self._processor.view
         now = self._components.clock.now()
         if not self._components.lease.is_held(now):
-            return NotSent('the lease of this VM has expired')
+            return 'the lease of this VM has expired'
         if view is None or not view.is_current(upstream):
-            return NotSent('the upstream is draining or was removed')
+            return 'the upstream is draining or was removed'
         if not self._components.evacuations.may_send(
             upstream.failure_domain, now
         ):
-            return NotSent('its failure domain is evacuated')
+            return 'its failure domain is evacuated'
         if self._components.notices.is_unwanted(upstream.process_key, now):
-            return NotSent('the upstream leaves or asked to wait')
+            return 'the upstream leaves or asked to wait'
         give_up_ms = self._processor.send_gate.find_give_up_ms(self._routed)
         if now + _MIN_REMAINING_MS >= give_up_ms:
-            return NotSent('too little time is left')
+            return 'too little time is left'
         if self._is_blocked:
-            return NotSent('equal requests have crashed upstreams')
+            return 'equal requests have crashed upstreams'
         refusal = self._processor.send_gate.find_refusal(
             self._routed, self._components.link, now
         )
-        return None if refusal is None else NotSent(refusal.detail)
+        return None if refusal is None else refusal.detail
 
     async def _perform(
         self,
--- a/src/ibisjunction/entry/serving/attempts.py
+++ b/src/ibisjunction/entry/serving/attempts.py
@@ -69,7 +69,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """No byte of the request was sent to the upstream."""
+    """No byte of the request was sent to the upstream.
+
+    ``is_held_back`` is set if this VM decided so.
+    """
+
+    is_held_back: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +88,8 @@
 def classify(result: ExchangeResult, names: HeaderNames) -> AttemptResult:
     """Classify an exchange by whether the request ran."""
     match result:
-        case NotSent():
-            return Unsent()
+        case NotSent(is_held_back=is_held_back):
+            return Unsent(is_held_back)
         case NoAnswer():
             return Lost()
         case UpstreamAnswer():
@@ -194,5 +199,7 @@
             return HealthResult.WRONG
         case Declined():
             return HealthResult.FULL
+        case Unsent(is_held_back=True):
+            return HealthResult.UNUSED
         case Unsent() | Lost():
             return HealthResult.BROKEN
--- a/src/ibisjunction/entry/upstream_calls/exchange.py
+++ b/src/ibisjunction/entry/upstream_calls/exchange.py
@@ -120,9 +120,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request was sent; ``detail`` is for the log."""
+    """No byte of the request was sent; ``detail`` is for the log.
+
+    ``is_held_back`` is set if this VM decided so, and the upstream did nothing.
+    """
 
     detail: str
+    is_held_back: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry_attempts.py
+++ b/tests/test_entry_attempts.py
@@ -61,6 +61,7 @@
             ('other process', make_answer(421), Declined(True)),
             ('no answer', NoAnswer('x'), Lost()),
             ('not sent', NotSent('x'), Unsent()),
+            ('held back', NotSent('x', is_held_back=True), Unsent(True)),
         ]
     )
     def test_classify(self, _name, result, expected):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,6 +12,7 @@
 from ibisjunction.catalogue.model import RequestKind
 from ibisjunction.clock import SystemClock
 from ibisjunction.entry.callers.server import EntryServer
+from ibisjunction.entry.dispatching.health import HealthResult
 from ibisjunction.entry.link.task import LinkTask
 from ibisjunction.entry.link.transfers import FreeLink, SharedLink
 from ibisjunction.entry.model import Answered, Reason, Refused
@@ -26,6 +27,7 @@
 )
 from ibisjunction.entry.serving.trail import Trail
 from ibisjunction.entry.serving.usual_needs import Group, UsualNeeds
+from ibisjunction.entry.tickets.messages import LocalTicketDone
 from ibisjunction.mailbox import Mailbox, run_task
 from ibisjunction.nodes.entry import EntryNode
 from ibisjunction.platform.bodies import HEADERS
@@ -399,6 +401,39 @@
                 vm.processor.waiting.clear()
         self.assertEqual(find_size.call_count, 1)
 
+    async def test_request_that_is_held_back_after_its_grant(self):
+        """Guards against upstreams that count as broken as a VM stops.
+
+        Their dispatcher then let no VM send to them for a while.
+        """
+        upstream = ScriptedUpstream(reply(200, _SIGNED))
+        async with upstream.run() as address:
+            vm = EntryVm([address], is_sharded=False)
+            acquire = vm.components.pool.acquire
+
+            async def acquire_late(*arguments, **options):
+                vm.clock.advance(2500)
+                return await acquire(*arguments, **options)
+
+            with (
+                patch.object(vm.components.pool, 'acquire', acquire_late),
+                patch.object(
+                    vm.components.tickets,
+                    'post',
+                    wraps=vm.components.tickets.post,
+                ) as post,
+            ):
+                async with vm.run():
+                    vm.processor.begin_shutdown(vm.clock.now() + _END_MS)
+                    found = await vm.send()
+        self.assertIsInstance(found, Refused)
+        reports = [
+            call.args[0].report.result
+            for call in post.call_args_list
+            if isinstance(call.args[0], LocalTicketDone)
+        ]
+        self.assertEqual(set(reports), {HealthResult.UNUSED})
+
     async def test_request_that_waits_until_it_is_too_late(self):
         """It is refused once its answer would be late, and the log says why."""
         vm = EntryVm([Address('127.0.0.1', 9)], is_sharded=False)
