Block signals once a process of the platform has ended

The event loop restores the default actions of the signals that it handled as it closes, and the default of SIGHUP and SIGTERM ends a process.

The signals are blocked before the loop closes, as nothing handles them any more. EndSignalTest sends each after the loop has closed: the exit codes were -1 and -15 before, and are 0.

--- a/src/ibisjunction/platform/program.py
+++ b/src/ibisjunction/platform/program.py
@@ -4,7 +4,8 @@
 import gc
 import signal
 import sys
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 from ibisjunction.bodies.allocator import map_large_blocks
 from ibisjunction.bodies.http_server import BoundedHttpServer
@@ -25,6 +26,10 @@
 CONTROL_METRICS_PORT: Final = 9465
 #: Bodies of checks and of reads of metrics, which need none.
 CHECK_BODY_BYTES: Final = 65_536
+_STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
+#: Runs a process until it is stopped, and returns whether it failed.
+Role = Callable[[PlatformSettings], Coroutine[Any, Any, bool]]
 
 
 async def _run_entry(settings: PlatformSettings) -> bool:
@@ -107,14 +112,28 @@
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    for stop_signal in _STOP_SIGNALS:
+        loop.add_signal_handler(stop_signal, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     failure_waiter = loop.create_task(failed.wait())
     failure_waiter.add_done_callback(lambda _: stop.set())
     return stop, reload
 
 
+async def _run_role(role: Role, settings: PlatformSettings) -> bool:
+    """Run a role; block its signals once it has ended.
+
+    The event loop restores their default actions as it closes, so that a late
+    reload would end the process by a signal although all its work is done.
+    """
+    try:
+        return await role(settings)
+    finally:
+        signal.pthread_sigmask(
+            signal.SIG_BLOCK, (*_STOP_SIGNALS, signal.SIGHUP)
+        )
+
+
 def run_program(arguments: list[str]) -> int:
     """Run the role that the first argument names; return the exit code."""
     roles = {'entry': _run_entry, 'control': _run_control}
@@ -139,4 +158,4 @@
         return 1
     # Later garbage collections then skip the objects of the imported modules.
     gc.freeze()
-    return int(asyncio.run(run_role(settings)))
+    return int(asyncio.run(_run_role(run_role, settings)))
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,4 +1,4 @@
-"""Tests of signals that arrive while a process of the platform starts."""
+"""Tests of signals as a process of the platform starts or ends."""
 
 import contextlib
 import os
@@ -48,5 +48,41 @@
             self.assertEqual(process.wait(), exit_code)
 
 
+#: Runs a role that ends at once; a signal comes after its event loop.
+_ENDING_PROGRAM = """
+import asyncio, atexit, os, signal, sys
+from unittest.mock import patch
+from ibisjunction.platform import program
+
+async def end(settings):
+    program._catch_signals(asyncio.Event())
+    return False
+
+atexit.register(os.kill, os.getpid(), getattr(signal, sys.argv[1]))
+with (
+    patch.object(program, '_run_entry', end),
+    patch.object(program, 'load_platform_settings'),
+    patch.object(program, 'find_missing_addresses', return_value=()),
+):
+    sys.exit(program.run_program(['entry']))
+"""
+
+
+class EndSignalTest(unittest.TestCase):
+    """Guards against a reload that ends a process as it exits.
+
+    A process that had finished its requests ended by SIGHUP, as the soak with
+    requests showed once, and so not as its operator expects.
+    """
+
+    @parameterized.expand([('SIGHUP',), ('SIGTERM',)])
+    def test_signal_after_the_event_loop(self, name):
+        ended = subprocess.run(
+            [sys.executable, '-c', _ENDING_PROGRAM, name],
+            check=False,
+        )
+        self.assertEqual(ended.returncode, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
