Count bodies of requests ahead of large answers in a shutdown

A VM that stops replaces a large answer by 502 if the link can't pass it before the end. It counted other answers ahead, but not the bodies that were on their way to upstreams, which take turns in the same direction; such an answer was begun and cut in the middle.

The link knows the bodies that have started and what is left of them. The row "behind the body of a request" gets 200 in place of 502 without it.

--- a/src/ibisjunction/entry/callers/answer_writer.py
+++ b/src/ibisjunction/entry/callers/answer_writer.py
@@ -32,7 +32,8 @@
     def has_time_for(self, size: int) -> bool:
         """Return whether the link passes a body before the VM cuts it off.
 
-        It passes behind other answers, except those that nobody takes.
+        It passes behind other answers, except those that nobody takes, and
+        behind the bodies of requests that are on their way to upstreams.
 
         :param size: bytes of the body.
         """
@@ -40,7 +41,8 @@
         link = context.link
         if context.cut_off_ms is None or size <= link.piece_bytes:
             return True
-        needed_ms = (context.count_unsent() + size) / link.bytes_per_ms
+        ahead = context.count_unsent() + link.count_started(Direction.SENT)
+        needed_ms = (ahead + size) / link.bytes_per_ms
         return context.clock.now() + needed_ms <= context.cut_off_ms
 
     async def write(
--- a/src/ibisjunction/entry/link/transfers.py
+++ b/src/ibisjunction/entry/link/transfers.py
@@ -69,6 +69,9 @@
     def count_arrived(self, direction: Direction, size: int) -> None:
         """Count bytes of a large body that have crossed the link already."""
 
+    def count_started(self, direction: Direction) -> int:
+        """Return the bytes of started bodies that have not passed yet."""
+
     def open_transfer(
         self, direction: Direction, rank: int, target_ms: int
     ) -> contextlib.AbstractContextManager[BulkTransfer]:
@@ -87,6 +90,10 @@
     def count_arrived(self, direction: Direction, size: int) -> None:
         """Do nothing."""
 
+    def count_started(self, direction: Direction) -> int:
+        """Return 0, as nothing waits."""
+        return 0
+
     @contextlib.contextmanager
     def open_transfer(
         self, direction: Direction, rank: int, target_ms: int
@@ -104,6 +111,7 @@
         self._meter = task.meter
         self._clock = task.clock
         self._numbers = itertools.count(1)
+        self._open: set[_SharedTransfer] = set()
         self.piece_bytes = task.piece_bytes
         self.bytes_per_ms = task.bytes_per_ms
 
@@ -115,6 +123,14 @@
         """Count bytes of a large body that have crossed the link already."""
         self._meter.count_bulk(direction, size)
 
+    def count_started(self, direction: Direction) -> int:
+        """Return the bytes of started bodies that have not passed yet."""
+        return sum(
+            transfer.left_bytes
+            for transfer in self._open
+            if transfer.direction is direction
+        )
+
     @contextlib.contextmanager
     def open_transfer(
         self, direction: Direction, rank: int, target_ms: int
@@ -124,9 +140,11 @@
         shared = _SharedTransfer(
             transfer, self, self._mailbox, self._meter, self._clock
         )
+        self._open.add(shared)
         try:
             yield shared
         finally:
+            self._open.discard(shared)
             if shared.is_known:
                 self._mailbox.post(Withdrawn(transfer))
 
@@ -171,6 +189,9 @@
         self.piece_bytes = link.piece_bytes
         #: Whether the link task has to be told of the end.
         self.is_known = False
+        self.direction = transfer.direction
+        #: Bytes of a body that has started and not passed yet.
+        self.left_bytes = 0
 
     async def start(self, size: int) -> None:
         """Wait until the link can soon pass a body of this size."""
@@ -180,6 +201,7 @@
         self.is_known = True
         self._mailbox.post(StartRequest(self._transfer, size, reply))
         await reply.get()
+        self.left_bytes = size
 
     async def pass_piece(self, size: int) -> None:
         """Wait for the turn of a piece."""
@@ -188,6 +210,7 @@
         self.is_known = True
         self._mailbox.post(PassRequest(claim, reply))
         await reply.get()
+        self.left_bytes = max(0, self.left_bytes - size)
         self._meter.count_bulk(self._transfer.direction, size)
 
     def give_back(self, size: int) -> None:
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -12,7 +12,7 @@
 from ibisjunction.catalogue.routes import NamedRoute
 from ibisjunction.clock import SystemClock
 from ibisjunction.entry.callers.server import EntryServer
-from ibisjunction.entry.link.model import MAX_PIECE_BYTES
+from ibisjunction.entry.link.model import MAX_PIECE_BYTES, Direction
 from ibisjunction.entry.link.task import LinkTask
 from ibisjunction.entry.link.transfers import SharedLink
 from ibisjunction.entry.model import Answered, HeaderNames, RoutedRequest
@@ -72,30 +72,39 @@
 
     @parameterized.expand(
         [
-            ('passes in time', 600_000, 0, b'200'),
-            ('takes too long', 2_000_000, 0, b'502'),
-            ('behind another', 600_000, 1, b'502'),
+            ('passes in time', 600_000, 0, 0, b'200'),
+            ('takes too long', 2_000_000, 0, 0, b'502'),
+            ('behind another', 600_000, 1, 0, b'502'),
+            ('behind the body of a request', 600_000, 0, 600_000, b'502'),
+            ('behind a short body', 600_000, 0, 4000, b'200'),
         ]
     )
-    async def test_answer(self, _name, size, earlier_count, status):
+    async def test_answer(
+        self, _name, size, earlier_count, request_bytes, status
+    ):
         processor = SimpleNamespace(
             find_timeout_ms=lambda _host, _target: None,
             route=_make_routed,
             serve=_Server(bytes(size)).serve,
         )
         task = LinkTask(SystemClock(), 1, Mailbox())
+        link = SharedLink(task)
         server = EntryServer(
             processor,
             SystemClock(),
             NAMES,
             Address('127.0.0.1', 0),
             Mailbox(),
-            SharedLink(task),
+            link,
         )
         port = server.listen_to_callers()
         async with run_task(task.run(), 'link'), asyncio.timeout(30):
             for _ in range(earlier_count):
                 self.assertEqual(await self._get_status(port), b'200')
+            request = self.enterContext(
+                link.open_transfer(Direction.SENT, 0, 1000)
+            )
+            await request.start(request_bytes)
             async with run_task(server.drain(5000, 5000), 'drain'):
                 await asyncio.sleep(0)
                 found = await self._get_status(port)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -366,6 +366,26 @@
         self.assertEqual(link.turns, expected)
 
 
+class StartedBytesTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers that are begun behind bodies nobody counts."""
+
+    async def test_bytes_that_have_not_passed(self):
+        task = LinkTask(SystemClock(), 100, Mailbox())
+        link = SharedLink(task)
+        size = 4 * link.piece_bytes
+        counts = []
+        async with run_task(task.run(), 'link'):
+            with link.open_transfer(Direction.SENT, 0, 1000) as transfer:
+                counts.append(link.count_started(Direction.SENT))
+                await transfer.start(size)
+                counts.append(link.count_started(Direction.SENT))
+                await transfer.pass_piece(link.piece_bytes)
+                counts.append(link.count_started(Direction.SENT))
+                self.assertEqual(link.count_started(Direction.RECEIVED), 0)
+            counts.append(link.count_started(Direction.SENT))
+        self.assertEqual(counts, [0, size, size * 3 // 4, 0])
+
+
 class _CountingLink(FreeLink):
     def __init__(self):
         self.turns = 0
