--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -8,7 +8,7 @@
 import unittest
 from dataclasses import replace
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from parameterized import parameterized
 
@@ -159,6 +159,7 @@
 class CommandTest(unittest.TestCase):
     """Guards against replicas whose state depends on the size of batches."""
 
+    @settings(max_examples=300)
     @given(st.lists(_upstreams, max_size=3), st.lists(_upstreams, max_size=4))
     def test_equals_single_commands(self, before, admitted):
         state = FleetState()
