--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -25,9 +25,9 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on all loopback addresses."""
+    """Return a port that no process uses on the first loopback address."""
     with socket.socket() as probe:
-        probe.bind(('0.0.0.0', 0))
+        probe.bind(('127.0.0.1', 0))
         return probe.getsockname()[1]
 
 
@@ -624,12 +624,11 @@
 
     folder = Path(sys.argv[1]).resolve()
     record = Record(folder / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     fleet_box = []
 
     async def bounded():
         async with asyncio.timeout(110):
-            return await main(record, trouble, fleet_box)
+            return await main(record, fleet_box)
 
     code = 2
     try:
